--- a/cmd/berylledge/main.go
+++ b/cmd/berylledge/main.go
@@ -6,6 +6,10 @@
 	"os"
 
 	"github.com/berylledge/berylledge/internal/cli/cmds"
+	"github.com/berylledge/berylledge/platform"
 )
 
-func main() { os.Exit(cmds.Main(context.Background(), os.Args, os.Stdout, os.Stderr)) }
+func main() {
+	dialects := cmds.Dialects{"platform": platform.Dialect}
+	os.Exit(cmds.Main(context.Background(), os.Args, os.Stdout, os.Stderr, dialects))
+}
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -60,15 +60,30 @@
 
 	PeerMessageRefused Code = 4101
 
+	ControlLost   Code = 4201
+	ControlFound  Code = 4202
+	ProcessReload Code = 4203
+	LinesLeftOut  Code = 4204
+
 	LeaderChanged  Code = 5001
 	ControlFailed  Code = 5002
 	MembersChanged Code = 5003
+	GroupFormed    Code = 5004
+	FolderReplaced Code = 5005
 
 	ConfigAccepted Code = 6001
 	ConfigInForce  Code = 6002
 	ConfigRejected Code = 6003
+	ConfigOrder    Code = 6004
 
 	OperatorChange Code = 7001
+
+	ForwardFinished Code = 8001
+	ForwardRefused  Code = 8002
+	ForwardSent     Code = 8003
+	ForwardRetried  Code = 8004
+	PieceFailed     Code = 8101
+	CallFailed      Code = 8102
 )
 
 var catalogue = []Kind{
@@ -110,15 +125,32 @@
 	{NodeFailed, "node_failed", hclog.Warn, "Another node is unreachable.", []string{"peer"}, "Check the VM; replace it if it does not return."},
 	{PeerMessageRefused, "peer_message_refused", hclog.Warn, "A message between processes could not be decoded or was too large.", []string{"peer", "reason"}, "Check that both run supported versions."},
 
+	{ControlLost, "control_lost", hclog.Warn, "No control node answers this entry node.", []string{"age_ms", "control"}, "Check the control nodes and the network."},
+	{ControlFound, "control_found", hclog.Info, "A control node answers this entry node again.", []string{"control"}, ""},
+	{ProcessReload, "process_reload", hclog.Info, "The settings were read again; only the seeds take effect without a restart.", []string{"seeds", "reason"}, ""},
+	{LinesLeftOut, "lines_left_out", hclog.Warn, "Log lines of one kind were left out, because there were more than the limit.", []string{"kind", "count"}, "See the counters at /metrics."},
+
 	{LeaderChanged, "leader_changed", hclog.Info, "The control group has another leader, as this member sees it.", []string{"leader", "term"}, ""},
 	{ControlFailed, "control_failed", hclog.Error, "This member of the control group has stopped, because its disk failed.", []string{"reason"}, "Replace the disk or the VM; see docs/operations.md."},
 	{MembersChanged, "members_changed", hclog.Info, "The members of the control group changed.", []string{"members"}, ""},
 
+	{GroupFormed, "group_formed", hclog.Info, "This member belongs to a control group; initial is false if it waits to be added.", []string{"cluster", "initial", "member"}, ""},
+	{FolderReplaced, "folder_replaced", hclog.Error, "The data folder was damaged; it was set aside, and the member starts as a new one.", []string{"reason"}, "Check the disk."},
+
 	{ConfigAccepted, "config_accepted", hclog.Info, "The control group accepted a configuration.", []string{"revision", "operator", "change"}, ""},
 	{ConfigInForce, "config_in_force", hclog.Info, "This node works with a configuration from now on.", []string{"revision"}, ""},
 	{ConfigRejected, "config_rejected", hclog.Error, "A configuration from another node was not used.", []string{"revision", "peer", "reason"}, "Two bodies under one revision point to two control groups: compare the cluster ids."},
 
+	{ConfigOrder, "config_order", hclog.Info, "An operator sent a configuration; stored is the highest version known after it.", []string{"version", "stored", "status", "reason"}, ""},
+
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
+
+	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it.", []string{"request", "route", "team", "status", "upstream", "attempts", "stage_ms", "elapsed_ms", "ran", "reason"}, "See docs/OPERATIONS.md."},
+	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
+	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
+	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
+	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made.", []string{"request", "stage", "piece", "upstream", "reason"}, ""},
+	{CallFailed, "call_failed", hclog.Info, "A call of a stage upstream failed as a whole.", []string{"upstream", "pieces", "outcome", "reason"}, ""},
 }
 
 // Lookup returns the description of a code.
--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -2,7 +2,7 @@
 //
 // Usage:
 //
-//	os.Exit(cmds.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+//	os.Exit(cmds.Main(context.Background(), os.Args, os.Stdout, os.Stderr, nil))
 package cmds
 
 import (
@@ -44,10 +44,11 @@
 func usage(err error) error { return &exitError{ExitUsage, err} }
 
 // Main runs the command that args name and returns the exit code. SIGTERM and SIGINT end the context that commands get.
-func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+// dialects are offered by the gate command besides the project's own.
+func Main(ctx context.Context, args []string, out, errOut io.Writer, dialects Dialects) int {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err := root(out, errOut).Run(ctx, args)
+	err := root(out, errOut, dialects).Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -65,7 +66,7 @@
 	}
 }
 
-func root(out, errOut io.Writer) *cli.Command {
+func root(out, errOut io.Writer, dialects Dialects) *cli.Command {
 	return &cli.Command{
 		Name:                  "berylledge",
 		Usage:                 "serve multi-stage model pipelines",
@@ -79,7 +80,7 @@
 			return usage(err)
 		},
 		Commands: []*cli.Command{
-			serveCommand(), configCommand(), nodeCommand(), upstreamCommand(), teamCommand(), requestCommand(),
+			serveCommand(), gateCommand(dialects), configCommand(), nodeCommand(), upstreamCommand(), teamCommand(), requestCommand(),
 			quarantineCommand(), controlCommand(), stateCommand(), timelineCommand(), demoCommand(), fakeCommand(), loadCommand(), benchCommand(), docsCommand(),
 		},
 	}
--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -134,7 +134,7 @@
 	var o, e bytes.Buffer
 	code = Main(context.Background(), []string{
 		"berylledge", "config", "apply", file, "--expect", "1", "--operator", "ann", "--address", strings.Join(addresses, ","),
-	}, &o, &e)
+	}, &o, &e, nil)
 	return code, o.String(), e.String()
 }
 
@@ -179,8 +179,8 @@
 	assert.Equal(t, code, ExitUnknown)
 
 	var out, e bytes.Buffer
-	assert.Equal(t, Main(context.Background(), []string{"berylledge", "config", "check"}, &out, &e), ExitUsage)
-	assert.Equal(t, Main(context.Background(), []string{"berylledge", "node", "list", "--address", "127.0.0.1:1", "-o", "xml"}, &out, &e), ExitUsage)
+	assert.Equal(t, Main(context.Background(), []string{"berylledge", "config", "check"}, &out, &e, nil), ExitUsage)
+	assert.Equal(t, Main(context.Background(), []string{"berylledge", "node", "list", "--address", "127.0.0.1:1", "-o", "xml"}, &out, &e, nil), ExitUsage)
 }
 
 // Guards against a command that fails during an election instead of asking again.
@@ -195,7 +195,7 @@
 	var out, e bytes.Buffer
 	code := Main(context.Background(), []string{
 		"berylledge", "control", "remove", "c4", "--operator", "ann", "--address", s.address(),
-	}, &out, &e)
+	}, &out, &e, nil)
 	assert.Equal(t, code, ExitOK, e.String())
 	assert.Equal(t, len(s.got()), 3)
 }
@@ -226,5 +226,5 @@
 			}
 		}
 	}
-	walk("berylledge", root(os.Stdout, os.Stderr).Commands)
+	walk("berylledge", root(os.Stdout, os.Stderr, nil).Commands)
 }
--- a/internal/cli/cmds/settings_test.go
+++ b/internal/cli/cmds/settings_test.go
@@ -25,7 +25,7 @@
 	code := cmds.Main(t.Context(), []string{
 		"berylledge", "serve", "--node", "c1", "--roles", "control", "--data-centre", "a", "--region", "r",
 		"--peer-listen", "127.0.0.1:0", "--control", "c1=127.0.0.1:1", "--data", filepath.Join(dir, "state"), "--config-file", path,
-	}, &out, &errs)
+	}, &out, &errs, nil)
 	assert.Equal(t, code, cmds.ExitUsage, errs.String())
 	for _, p := range c.Check() {
 		assert.Assert(t, strings.Contains(errs.String(), p.Error()), "%v is missing in %s", p, errs.String())
--- /dev/null
+++ b/internal/gate/conf/conf_test.go
@@ -0,0 +1,87 @@
+package conf
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func sample() *Config {
+	return &Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "all", Host: "A.example", Prefix: "/", Kind: Safe, Timeout: 1000, Split: []Weight{{"desk", 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/", Kind: Unsafe, Timeout: 1000, Split: []Weight{{"desk", 90}, {"spare", 10}}},
+		},
+		Services: []Service{{Name: "desk"}, {Name: "spare"}, {Name: "pool", Pool: &Pool{Slots: 1, Batch: 4}}},
+		Teams:    []Team{{Name: "office", Keys: []KeyHash{HashKey("k1")}}},
+	}
+}
+
+// Guards against a request that goes to a route with a shorter prefix or another host.
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	table := NewTable(sample())
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "deep"},
+		{"a.example:8080", "/x/", "deep"},
+		{"A.EXAMPLE", "/x", "all"},
+		{"a.example", "/y/x/", "all"},
+		{"b.example", "/x/", ""},
+	} {
+		name := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			name = r.Name
+		}
+		assert.Equal(t, name, c.want, "%s%s", c.host, c.path)
+	}
+}
+
+// Guards against an invalid configuration that comes into force.
+func TestCheckFindsEachProblem(t *testing.T) {
+	assert.Equal(t, len(sample().Check()), 0)
+	for name, spoil := range map[string]func(*Config){
+		"unknown service":     func(c *Config) { c.Routes[0].Split[0].Service = "none" },
+		"same place":          func(c *Config) { c.Routes[0].Prefix = "/x/" },
+		"no weight":           func(c *Config) { c.Routes[1].Split = []Weight{{"desk", 0}, {"spare", 0}} },
+		"no timeout":          func(c *Config) { c.Routes[0].Timeout = 0 },
+		"shared key":          func(c *Config) { c.Teams = append(c.Teams, Team{Name: "b", Keys: []KeyHash{HashKey("k1")}}) },
+		"unknown kind":        func(c *Config) { c.Routes[0].Kind = "odd" },
+		"prefix":              func(c *Config) { c.Routes[0].Prefix = "/x" },
+		"stage service":       func(c *Config) { c.Routes[0].Stages = []Stage{{Service: "desk"}} },
+		"stage after itself":  func(c *Config) { c.Routes[0].Stages = []Stage{{Service: "pool", After: []int{0}}} },
+		"two services a name": func(c *Config) { c.Services = append(c.Services, Service{Name: "desk"}) },
+	} {
+		c := sample()
+		spoil(c)
+		assert.Assert(t, len(c.Check()) > 0, name)
+	}
+}
+
+// Guards against data after the configuration that is silently left out.
+func TestDecodeReadsTheWholeBody(t *testing.T) {
+	_, err := Decode([]byte(`{"version":1} {"version":2}`))
+	assert.ErrorContains(t, err, "after the end")
+	_, err = Decode([]byte(`{"version":1,"routes":[{"na`))
+	assert.ErrorContains(t, err, "invalid configuration")
+}
+
+// Guards against a service with weight 0 that gets requests, and a split that does not follow its weights.
+func TestChooseFollowsTheWeights(t *testing.T) {
+	r := &Route{Split: []Weight{{"a", 9}, {"b", 1}, {"c", 0}}}
+	for _, c := range []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.89, "a"}, {0.91, "b"}, {0.9999999, "b"}, {1, "b"}} {
+		assert.Equal(t, r.Choose(c.draw), c.want)
+	}
+}
+
+// Guards against keys that are accepted after their removal or under another team.
+func TestKeysBelongToOneTeam(t *testing.T) {
+	table := NewTable(sample())
+	team, ok := table.Team("k1")
+	assert.Assert(t, ok)
+	assert.Equal(t, team.Name, "office")
+	_, ok = table.Team("k2")
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/internal/gate/conf/table.go
@@ -0,0 +1,85 @@
+package conf
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table answers questions about one configuration. It does not change.
+type Table struct {
+	Config   *Config
+	byHost   map[string][]*Route // longest prefix first
+	services map[string]*Service
+	teams    map[KeyHash]*Team
+}
+
+// NewTable indexes a configuration, which must not be changed afterwards.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, teams: map[KeyHash]*Team{}}
+	for i := range c.Routes {
+		host := strings.ToLower(c.Routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &c.Routes[i])
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Teams {
+		for _, k := range c.Teams[i].Keys {
+			t.teams[k] = &c.Teams[i]
+		}
+	}
+	return t
+}
+
+// Match returns the route of a request, or nil. The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Team returns the holder of a key.
+func (t *Table) Team(key string) (*Team, bool) {
+	team, ok := t.teams[HashKey(key)]
+	return team, ok
+}
+
+// NeedsKey reports whether requests of a route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Teams) > 0 && !r.Anonymous }
+
+// Idempotent reports whether the work of a route's requests may run more than once.
+func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resume }
+
+// Choose returns the service for a draw between 0 and 1.
+func (r *Route) Choose(draw float64) string {
+	total := 0.0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	point := draw * total
+	for _, w := range r.Split {
+		if point -= w.Weight; point < 0 {
+			return w.Service
+		}
+	}
+	for _, w := range slices.Backward(r.Split) {
+		if w.Weight > 0 {
+			return w.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gate/feed/feed.go
@@ -0,0 +1,381 @@
+// Package feed keeps an entry node up to date: it asks control nodes for the configuration, the upstreams and the other
+// entry nodes, and reports the entry node to them with each question.
+//
+// One control node, the nearest that is sure of the group's leader, is asked often; the others are asked in turn, so that
+// what only one of them knows arrives as well, and so that the loss of any of them changes nothing.
+//
+// Usage:
+//
+//	f := feed.New(feed.Options{Self: entry, Seeds: seeds, Hub: hub, Dialect: d, ...})
+//	view := f.View() // immutable
+//	f.SetReady(false)
+//	f.Close()
+package feed
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/lingo"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/vdoc"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+)
+
+// Ask is the question of an entry node.
+type Ask struct {
+	Entry   roster.Entry `cbor:"1,keyasint"`
+	Epoch   uint64       `cbor:"2,keyasint,omitempty"` // of the control node's last answer
+	Seen    uint64       `cbor:"3,keyasint,omitempty"` // version of its last Delta
+	Version uint64       `cbor:"4,keyasint,omitempty"` // of the configuration in force here
+}
+
+// Tell is the answer.
+type Tell struct {
+	Epoch    uint64         `cbor:"1,keyasint"`
+	Sure     bool           `cbor:"2,keyasint"` // the control node knows the leader of its group
+	Delta    roster.Delta   `cbor:"3,keyasint"`
+	Document *vdoc.Document `cbor:"4,keyasint,omitempty"` // a newer configuration
+	Control  []string       `cbor:"5,keyasint,omitempty"` // peer addresses of the other control nodes
+}
+
+// Options configure a Feed.
+type Options struct {
+	Self    roster.Entry // Started and Report are set by the feed
+	Seeds   func() []string
+	Dialect *lingo.Dialect
+	Clock   clock.Clock
+	Events  *event.Log
+	Hub     *peer.Hub
+	// Changed is called after each change of the view. It must not block, and may call View and SetReady only.
+	Changed func(*View)
+}
+
+// Times of the feed. All control nodes are asked once in roundEvery, however many there are.
+const (
+	primaryEvery = 250 * time.Millisecond
+	roundEvery   = 1200 * time.Millisecond
+	askTimeout   = 800 * time.Millisecond
+	lostAfter    = 2 * time.Second
+	forgetAfter  = 60 * time.Second
+	maxControl   = 32
+)
+
+// View is what an entry node knows. It does not change.
+type View struct {
+	Table    *conf.Table // nil before the first configuration
+	Services map[string][]roster.Upstream
+	Entries  []roster.Entry // that report themselves ready or not, sorted by name
+}
+
+// Feed is a running feed.
+type Feed struct {
+	o      Options
+	view   atomic.Pointer[View]
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	wake   chan struct{}
+	ready  atomic.Bool
+
+	mu        sync.Mutex
+	report    int64
+	started   int64
+	table     *conf.Table
+	version   uint64
+	upstreams map[string]*known
+	entries   map[string]*knownEntry
+	sources   map[string]*source // by peer address
+	answered  time.Time
+	lost      bool
+}
+
+type known struct {
+	roster.Upstream
+	told time.Time
+}
+
+type knownEntry struct {
+	roster.Entry
+	heard time.Time
+}
+
+// source is a control node.
+type source struct {
+	address string
+	epoch   uint64
+	seen    uint64
+	sure    bool
+	took    time.Duration // of the last answer
+	failed  int           // questions without an answer in a row
+	asking  bool
+	asked   time.Time
+}
+
+// New starts a feed.
+func New(o Options) *Feed {
+	f := &Feed{
+		o: o, started: o.Clock.Now().UnixNano(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
+		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
+	}
+	f.view.Store(&View{Services: map[string][]roster.Upstream{}})
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.wg.Go(f.run)
+	return f
+}
+
+// Close ends the feed.
+func (f *Feed) Close() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+// View returns the present knowledge.
+func (f *Feed) View() *View { return f.view.Load() }
+
+// SetReady says whether this node takes new callers. The control nodes are told at once.
+func (f *Feed) SetReady(ready bool) {
+	if f.ready.Swap(ready) == ready {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default: // a wake is planned already
+	}
+}
+
+// Answered returns when a control node last answered.
+func (f *Feed) Answered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered
+}
+
+const tickEvery = 50 * time.Millisecond
+
+func (f *Feed) run() {
+	tick := f.o.Clock.NewTimer(0)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C():
+			tick.Reset(tickEvery)
+		case <-f.wake:
+			f.askAllNext()
+		case <-f.ctx.Done():
+			return
+		}
+		f.askDue(f.o.Clock.Now())
+	}
+}
+
+// askAllNext makes a question to each control node due.
+func (f *Feed) askAllNext() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sources {
+		s.asked = time.Time{}
+	}
+}
+
+// askDue starts the questions that are due.
+func (f *Feed) askDue(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.o.Seeds() {
+		f.addSource(a)
+	}
+	primary := f.primary()
+	for _, s := range f.sources {
+		every := roundEvery
+		if s == primary {
+			every = primaryEvery
+		}
+		if !s.asking && now.Sub(s.asked) >= every {
+			s.asking, s.asked = true, now
+			f.wg.Go(func() { f.ask(s) })
+		}
+	}
+	if !f.lost && now.Sub(f.answered) > lostAfter {
+		f.lost = true
+		f.o.Events.Emit(event.ControlLost, event.F("age_ms", now.Sub(f.answered).Milliseconds()), event.F("control", len(f.sources)))
+	}
+}
+
+func (f *Feed) addSource(address string) {
+	if address != "" && f.sources[address] == nil && len(f.sources) < maxControl {
+		f.sources[address] = &source{address: address}
+	}
+}
+
+// primary returns the control node that answers fastest among those that are sure; nil if none is.
+func (f *Feed) primary() *source {
+	var best *source
+	for _, s := range f.sources {
+		if !s.sure || s.failed > 0 {
+			continue
+		}
+		if best == nil || s.took < best.took || s.took == best.took && s.address < best.address {
+			best = s
+		}
+	}
+	return best
+}
+
+func (f *Feed) ask(s *source) {
+	f.mu.Lock()
+	f.report++
+	q := Ask{Entry: f.o.Self, Epoch: s.epoch, Seen: s.seen, Version: f.version}
+	q.Entry.Started, q.Entry.Report, q.Entry.Ready = f.started, f.report, f.ready.Load()
+	f.mu.Unlock()
+	body, err := cbor.Marshal(q)
+	if err != nil { // the question holds plain values only
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, askTimeout)
+	defer cancel()
+	began := f.o.Clock.Now()
+	reply, err := f.o.Hub.Call(ctx, s.address, peer.KindFollow, body)
+	var tell Tell
+	if err == nil {
+		err = cbor.Unmarshal(reply, &tell)
+	}
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.asking = false
+	if err != nil {
+		f.failed(s)
+		return
+	}
+	s.failed, s.sure = 0, tell.Sure
+	// A moving average, so that one slow answer does not change the primary node.
+	if took := now.Sub(began); s.took == 0 {
+		s.took = took
+	} else {
+		s.took += (took - s.took) / 8
+	}
+	f.take(now, s, tell)
+}
+
+// failed counts a question without an answer. A node that is not a seed and does not answer for long is forgotten.
+func (f *Feed) failed(s *source) {
+	s.failed++
+	if s.failed > maxFailed && !slices.Contains(f.o.Seeds(), s.address) {
+		delete(f.sources, s.address)
+	}
+}
+
+// maxFailed is the number of rounds after which a control node counts as removed.
+const maxFailed = 20
+
+func (f *Feed) take(now time.Time, s *source, tell Tell) {
+	f.answered = now
+	if f.lost {
+		f.lost = false
+		f.o.Events.Emit(event.ControlFound, event.F("control", s.address))
+	}
+	s.epoch, s.seen = tell.Epoch, tell.Delta.Version
+	for _, a := range tell.Control {
+		f.addSource(a)
+	}
+	changed := f.takeDelta(now, tell.Delta, tell.Sure)
+	if tell.Document != nil && tell.Document.Version > f.version {
+		changed = f.takeDocument(tell.Document, s.address) || changed
+	}
+	if changed {
+		f.publish(now)
+	}
+}
+
+// takeDocument puts a configuration in force. It was checked before the group took it.
+func (f *Feed) takeDocument(d *vdoc.Document, from string) bool {
+	cfg, err := f.o.Dialect.DecodeConfig(d.Body)
+	if err != nil {
+		f.o.Events.Emit(event.ConfigRejected, event.F("revision", d.Version), event.F("peer", from), event.F("reason", err))
+		return false
+	}
+	f.table, f.version = conf.NewTable(cfg), d.Version
+	f.o.Events.Emit(event.ConfigInForce, event.F("revision", d.Version))
+	return true
+}
+
+func (f *Feed) takeDelta(now time.Time, d roster.Delta, sure bool) bool {
+	changed := false
+	for _, u := range d.Upstreams {
+		have := f.upstreams[u.ID]
+		if have != nil && !replaces(u, have.Upstream) {
+			continue
+		}
+		u.Age = 0
+		if have == nil || have.Upstream != u {
+			changed = true
+		}
+		f.upstreams[u.ID] = &known{u, now}
+	}
+	for _, e := range d.Entries {
+		if !sure && !e.Ready {
+			continue // a control node that is cut off takes the others for gone
+		}
+		heard := now.Add(-time.Duration(e.Age) * time.Millisecond)
+		e.Age = 0
+		have := f.entries[e.Node]
+		if have != nil && (e.Started < have.Started || e.Started == have.Started && e.Report < have.Report) {
+			continue
+		}
+		f.entries[e.Node] = &knownEntry{e, heard}
+		changed = true
+	}
+	for id, u := range f.upstreams {
+		if (u.Silent || u.State == roster.Gone) && now.Sub(u.told) > forgetAfter {
+			delete(f.upstreams, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// replaces reports whether a control node's record is at least as new as the one held. Equal ones differ in Silent only,
+// and the newer word counts.
+func replaces(u, have roster.Upstream) bool {
+	if u.Born != have.Born {
+		return u.Born > have.Born
+	}
+	if have.State == roster.Gone {
+		return false
+	}
+	return u.State == roster.Gone || u.Sequence >= have.Sequence
+}
+
+func (f *Feed) publish(now time.Time) {
+	v := &View{Table: f.table, Services: map[string][]roster.Upstream{}}
+	for _, u := range f.upstreams {
+		if u.State != roster.Gone {
+			v.Services[u.Service] = append(v.Services[u.Service], u.Upstream)
+		}
+	}
+	for _, list := range v.Services {
+		slices.SortFunc(list, func(a, b roster.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	}
+	for id, e := range f.entries {
+		if now.Sub(e.heard) > forgetAfter {
+			delete(f.entries, id)
+			continue
+		}
+		v.Entries = append(v.Entries, e.Entry)
+	}
+	slices.SortFunc(v.Entries, func(a, b roster.Entry) int { return strings.Compare(a.Node, b.Node) })
+	f.view.Store(v)
+	if f.o.Changed != nil {
+		f.o.Changed(v)
+	}
+}
--- /dev/null
+++ b/internal/gate/front/exchange.go
@@ -0,0 +1,263 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/wire/httpd"
+)
+
+// exchange is one request of a caller on its way through the node.
+type exchange struct {
+	f     *Front
+	w     http.ResponseWriter
+	r     *http.Request
+	began time.Time
+	id    string
+
+	table   *conf.Table
+	route   *conf.Route
+	service string
+	team    *conf.Team
+	body    []byte
+	end     time.Time // when the final answer must be given
+
+	ctx     context.Context // ends with the caller, or at end
+	cancel  context.CancelFunc
+	timeout bool
+
+	plan     *staging
+	sent     int  // upstreams that the request was sent to and that may have run it
+	refusals int  // upstreams that said that they did not run it
+	maybeRan bool // some upstream may have run it
+	started  bool // a part of the answer was passed on
+	upstream string
+	staged   time.Duration
+	failed   map[string]bool // upstreams that failed this request
+}
+
+// refusal is an answer of this node.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// Defaults of refusals.
+const (
+	retrySoon  = 300 * time.Millisecond // another node or a moment later may serve it
+	retryLater = time.Second
+)
+
+func (x *exchange) serve() {
+	if refused := x.accept(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
+	if !x.readBody() {
+		return
+	}
+	x.limitTime()
+	defer x.cancel()
+	x.f.countRequest(x.service)
+	x.forward()
+}
+
+// accept finds the route of the request and checks its key.
+func (x *exchange) accept() *refusal {
+	x.table = x.f.o.View().Table
+	if x.table == nil {
+		return &refusal{http.StatusServiceUnavailable, "no configuration is in force yet", retrySoon}
+	}
+	if x.id == "" {
+		return &refusal{http.StatusBadRequest, "the request has no id", 0}
+	}
+	if size, most := headerBytes(x.r), x.table.Config.Limits.HeaderBytes; most > 0 && size > most {
+		return &refusal{http.StatusRequestHeaderFieldsTooLarge, "the header is too large", 0}
+	}
+	x.route = x.table.Match(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil {
+		return &refusal{http.StatusNotFound, "no route matches", 0}
+	}
+	if x.table.NeedsKey(x.route) {
+		key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), x.f.o.Dialect.Headers.KeyScheme+" ")
+		if ok {
+			x.team, ok = x.table.Team(key)
+		}
+		if !ok {
+			return &refusal{http.StatusUnauthorized, "the key is not known", 0}
+		}
+	}
+	x.service = x.f.split(x.route)
+	return nil
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
+// readBody reads the whole body, so that it can be sent again. It returns false if the request has ended.
+func (x *exchange) readBody() bool {
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return true
+	}
+	most := int64(x.table.Config.Limits.BodyBytes)
+	in := io.Reader(x.r.Body)
+	if most > 0 {
+		in = http.MaxBytesReader(x.w, x.r.Body, most)
+	}
+	body, err := io.ReadAll(in)
+	switch {
+	case err == nil:
+		x.body = body
+		return true
+	case httpd.TooLarge(err):
+		x.refuse(refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0})
+	default:
+		x.log(0, "the body ended early: "+err.Error())
+		panic(http.ErrAbortHandler) // closes the connection; the caller has gone or breaks the protocol
+	}
+	return false
+}
+
+// limitTime sets when the request ends: at the caller's deadline or the route's timeout, whichever is first.
+func (x *exchange) limitTime() {
+	left := x.route.Timeout.Duration()
+	if ms, err := strconv.ParseFloat(x.r.Header.Get(x.f.o.Dialect.Headers.Deadline), 64); err == nil && ms > 0 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	x.end = x.began.Add(left)
+	var cancel context.CancelFunc
+	x.ctx, cancel = context.WithCancel(x.r.Context())
+	timer := x.f.o.Clock.AfterFunc(x.left(), cancel)
+	x.cancel = func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+func (x *exchange) left() time.Duration { return x.end.Sub(x.f.o.Clock.Now()) }
+
+// gone reports whether the caller has left.
+func (x *exchange) gone() bool { return x.r.Context().Err() != nil }
+
+// expired reports whether the time of the request is over.
+func (x *exchange) expired() bool { return !x.gone() && x.ctx.Err() != nil }
+
+// forward runs the stages and sends the request on.
+func (x *exchange) forward() {
+	if len(x.route.Stages) > 0 {
+		s, refused := x.newStaging()
+		if refused == nil {
+			x.plan = s
+			defer s.end()
+			refused = s.run()
+		}
+		x.staged = x.f.o.Clock.Now().Sub(x.began)
+		if refused != nil {
+			x.refuse(*refused)
+			return
+		}
+	}
+	if x.route.Kind == conf.Stream {
+		x.stream()
+		return
+	}
+	x.plain()
+}
+
+// refuse gives an answer of this node.
+func (x *exchange) refuse(f refusal) {
+	if x.gone() {
+		x.log(0, "the caller has left")
+		panic(http.ErrAbortHandler) // no one reads an answer
+	}
+	if x.started {
+		x.log(0, f.reason)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
+	}
+	h := x.w.Header()
+	if x.id != "" {
+		h.Set(x.f.o.Dialect.Headers.RequestID, x.id)
+	}
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := f.reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(f.status)
+	_, _ = io.WriteString(x.w, body) // the caller is gone; there is nothing left to do for it
+	x.logRefusal(f)
+}
+
+// giveUp returns the answer to a request whose time is over or that cannot be sent on.
+func (x *exchange) giveUp(reason string, retryAfter time.Duration) refusal {
+	switch {
+	case x.maybeRan && x.expired():
+		return refusal{http.StatusGatewayTimeout, reason, 0}
+	case x.maybeRan:
+		return refusal{http.StatusBadGateway, reason, 0}
+	}
+	return refusal{http.StatusServiceUnavailable, reason, retryAfter}
+}
+
+func (x *exchange) name() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
+func (x *exchange) logRefusal(f refusal) {
+	x.f.counters.refuse(f.status)
+	if x.sent > 0 || x.maybeRan {
+		x.log(f.status, f.reason)
+		return
+	}
+	version := uint64(0)
+	if x.table != nil {
+		version = x.table.Config.Version
+	}
+	x.f.o.Events.Emit(event.ForwardRefused, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
+		event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()), event.F("version", version))
+}
+
+// log writes the line of a request that has ended. Status 0 means that the connection was closed without a whole answer.
+func (x *exchange) log(status int, reason string) {
+	elapsed := x.f.o.Clock.Now().Sub(x.began)
+	x.f.counters.finish(status, elapsed)
+	x.f.o.Events.Emit(event.ForwardFinished, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
+		event.F("status", status), event.F("upstream", x.upstream), event.F("attempts", x.sent+x.refusals),
+		event.F("stage_ms", x.staged.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()),
+		event.F("ran", x.ranText()), event.F("reason", reason))
+}
+
+func (x *exchange) ranText() string {
+	switch {
+	case x.maybeRan:
+		return "maybe"
+	case x.sent > 0:
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/gate/front/staging.go
@@ -0,0 +1,218 @@
+package front
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/maker"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/stage"
+)
+
+// staging runs the stages of one request.
+type staging struct {
+	x       *exchange
+	plan    *stage.Plan
+	pending int
+	results chan stageResult
+	owners  []string // nodes that were given pieces
+	reason  stage.Reason
+}
+
+// stageResult is the end of the pieces of one stage that were asked for together.
+type stageResult struct {
+	items []stage.Item
+	made  []maker.Made
+}
+
+// newStaging reads how many pieces each stage has.
+func (x *exchange) newStaging() (*staging, *refusal) {
+	names := x.f.o.Dialect.Headers
+	var counts []int
+	for _, text := range strings.Split(x.r.Header.Get(names.Pieces), ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil {
+			return nil, &refusal{http.StatusBadRequest, "the numbers of pieces cannot be read", 0}
+		}
+		counts = append(counts, n)
+	}
+	plan, err := stage.NewPlan(x.id, x.r.Header.Get(names.PieceKey), x.route.Stages, counts)
+	if err != nil {
+		return nil, &refusal{http.StatusBadRequest, err.Error(), 0}
+	}
+	return &staging{x: x, plan: plan, results: make(chan stageResult, len(counts)*(1+maxRounds))}, nil
+}
+
+// maxRounds bounds how often a stage can be asked for.
+const maxRounds = 8
+
+// run makes all pieces. The refusal is true: the request itself has not been sent.
+func (s *staging) run() *refusal {
+	s.start()
+	for !s.plan.Finished() {
+		if s.pending == 0 {
+			return s.failed()
+		}
+		select {
+		case r := <-s.results:
+			s.pending--
+			if !s.take(r) {
+				return s.failed()
+			}
+			s.start()
+		case <-s.x.ctx.Done():
+			return s.failed()
+		}
+	}
+	return nil
+}
+
+func (s *staging) failed() *refusal {
+	x := s.x
+	reason := "the stages did not end in time"
+	if s.reason != stage.ReasonNone {
+		reason = "a piece of a stage was not made: " + s.reason.String()
+	}
+	r := x.giveUp(reason, retrySoon)
+	return &r
+}
+
+// start asks for the pieces that can be made now, one group for each stage.
+func (s *staging) start() {
+	x := s.x
+	items := s.plan.Ready()
+	for len(items) > 0 {
+		number := items[0].Stage
+		n := 1
+		for n < len(items) && items[n].Stage == number {
+			n++
+		}
+		group := items[:n]
+		items = items[n:]
+		service := x.route.Stages[number].Service
+		dataCentre := s.place(service)
+		owner := x.f.o.Maker.Owner(service, dataCentre)
+		if !slices.Contains(s.owners, owner) {
+			s.owners = append(s.owners, owner)
+		}
+		jobs := s.jobs(group)
+		s.pending++
+		x.f.wg.Go(func() {
+			made, err := x.f.o.Maker.Make(x.ctx, service, dataCentre, jobs)
+			if err != nil { // the request has ended
+				made = make([]maker.Made, len(group))
+				for i := range made {
+					made[i].Reason = stage.ReasonLost
+				}
+			}
+			s.results <- stageResult{group, made}
+		})
+	}
+}
+
+// jobs gives pieces their times: each is due early enough for the stages after it.
+func (s *staging) jobs(group []stage.Item) []stage.Job {
+	x := s.x
+	number := group[0].Stage
+	st := x.route.Stages[number]
+	after := time.Duration(0)
+	if service := x.table.Service(st.Service); service != nil && service.Pool != nil {
+		one := service.Pool.CallTime.Duration() + time.Duration(service.Pool.Batch)*service.Pool.ItemTime.Duration()/2
+		after = time.Duration(s.plan.Depth(number)-1) * one
+	}
+	due := x.began.Add(x.route.Target.Duration() - after)
+	jobs := make([]stage.Job, len(group))
+	for i, item := range group {
+		jobs[i] = stage.Job{Item: item, Bytes: st.Bytes, Due: due, Deadline: x.end.Add(-after)}
+	}
+	return jobs
+}
+
+// place chooses the data centre in which a stage runs: the nearest one with an upstream that takes work.
+func (s *staging) place(service string) string {
+	f := s.x.f
+	best, least := f.o.DataCentre, -1
+	for _, u := range f.o.View().Services[service] {
+		if u.State != roster.Ready || u.Silent {
+			continue
+		}
+		if d := f.distance(u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
+			best, least = u.DataCentre, d
+		}
+	}
+	return best
+}
+
+// take records results; false means that the request cannot go on.
+func (s *staging) take(r stageResult) bool {
+	var freed []stage.Freed
+	for i, item := range r.items {
+		m := r.made[i]
+		if m.Handle != "" {
+			freed = append(freed, s.plan.Made(item.Stage, item.Piece, m.Handle, m.Source)...)
+			continue
+		}
+		s.reason = m.Reason
+		if !s.plan.Failed(item.Stage, item.Piece, m.Reason) {
+			s.free(freed)
+			return false
+		}
+	}
+	s.free(freed)
+	return true
+}
+
+func (s *staging) free(list []stage.Freed) {
+	type group struct{ service, source string }
+	groups := map[group][]string{}
+	for _, f := range list {
+		g := group{f.Service, f.Source}
+		groups[g] = append(groups[g], f.Handle)
+	}
+	for g, handles := range groups {
+		s.x.f.o.Maker.Free(g.service, g.source, handles)
+	}
+}
+
+// again makes the results of the last stages once more, after an upstream found that they are gone.
+func (s *staging) again() *refusal {
+	if !s.plan.Gone() {
+		r := s.x.giveUp("the results of the stages were lost", retrySoon)
+		return &r
+	}
+	return s.run()
+}
+
+// release gives up the results, once the upstream has read them. They can be made again.
+func (s *staging) release() { s.free(s.plan.All()) }
+
+// end gives up everything that is left of a request.
+func (s *staging) end() {
+	s.x.cancel()
+	s.release()
+	if s.pending == 0 {
+		return
+	}
+	s.x.f.o.Maker.Cancel(s.x.id, s.owners)
+	// Results that arrive now are freed.
+	left := s.pending
+	s.x.f.wg.Go(func() {
+		for range left {
+			r := <-s.results
+			for i, m := range r.made {
+				if m.Handle != "" {
+					s.free([]stage.Freed{{Service: s.x.route.Stages[r.items[i].Stage].Service, Source: m.Source, Handle: m.Handle}})
+				}
+			}
+		}
+	})
+}
+
+// restage makes lost inputs again, so that the request can be sent once more.
+func (x *exchange) restage() *refusal {
+	x.refusals++
+	return x.plan.again()
+}
--- /dev/null
+++ b/internal/gate/maker/maker.go
@@ -0,0 +1,327 @@
+// Package maker has the pieces of stages made: it brings them together from all entry nodes of a data centre, so that the
+// calls of the stage upstreams are full, and sends the calls.
+//
+// For each service and data centre one entry node, chosen by rendezvous hashing over those that are ready, keeps the queue
+// (package stage). The others hand their pieces to it. Two nodes that differ for a moment about who that is both call the
+// upstreams, which queue or refuse what is too much; no agreement is needed.
+//
+// Usage:
+//
+//	m := maker.New(maker.Options{Node: "e1", Peer: peerAddress, View: feed.View, Hub: hub, Pool: pool, ...})
+//	made, err := m.Make(ctx, "encoders", "dc-a", jobs) // one result for each job, in order
+//	m.Free("encoders", made[0].Source, handles)
+//	m.Cancel(requestID)
+package maker
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/feed"
+	"github.com/berylledge/berylledge/internal/gate/lingo"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/stage"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+	"github.com/berylledge/berylledge/internal/wire/upcon"
+)
+
+// Options configure a Maker.
+type Options struct {
+	Node    string
+	Peer    string // own peer address
+	Dialect *lingo.Dialect
+	Clock   clock.Clock
+	Events  *event.Log
+	View    func() *feed.View
+	Hub     *peer.Hub
+	Pool    *upcon.Pool
+}
+
+// Made is the result of one job.
+type Made struct {
+	stage.Outcome
+	Upstream string `cbor:"3,keyasint,omitempty"`
+	Source   string `cbor:"4,keyasint,omitempty"` // peer address of the node that keeps account of the result
+}
+
+// Times of a Maker.
+const (
+	pumpEvery = 20 * time.Millisecond // while jobs wait for a pause or for room
+	avoidFor  = 2 * time.Second       // a node that did not answer is not given pieces
+	maxHand   = 2                     // nodes that one group of jobs is handed to
+)
+
+// Maker is a running maker.
+type Maker struct {
+	o      Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	queues  map[place]*queue
+	waiting map[uint64]func(stage.Reply)
+	nextTag uint64
+	avoid   map[string]time.Time // by peer address
+}
+
+type place struct{ service, dataCentre string }
+
+type queue struct {
+	place
+	*stage.Queue
+	timed bool // a pump is planned
+}
+
+// ask is a message between entry nodes. Free and Cancel come without an answer.
+type ask struct {
+	Service    string    `cbor:"1,keyasint,omitempty"`
+	DataCentre string    `cbor:"2,keyasint,omitempty"`
+	Jobs       []wireJob `cbor:"3,keyasint,omitempty"`
+	Free       []string  `cbor:"4,keyasint,omitempty"`
+	Cancel     string    `cbor:"5,keyasint,omitempty"`
+}
+
+// wireJob carries times as durations, because the clocks of two VMs differ.
+type wireJob struct {
+	Item  stage.Item    `cbor:"1,keyasint"`
+	Bytes int64         `cbor:"2,keyasint"`
+	Due   time.Duration `cbor:"3,keyasint"`
+	Left  time.Duration `cbor:"4,keyasint"`
+}
+
+// New starts a maker.
+func New(o Options) *Maker {
+	m := &Maker{o: o, queues: map[place]*queue{}, waiting: map[uint64]func(stage.Reply){}, avoid: map[string]time.Time{}}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
+// Close ends the maker. Calls under way are given up.
+func (m *Maker) Close() {
+	m.cancel()
+	m.wg.Wait()
+}
+
+// Make has jobs of one service made in a data centre and waits for all of them. The error says that no node took them.
+func (m *Maker) Make(ctx context.Context, service, dataCentre string, jobs []stage.Job) ([]Made, error) {
+	for range maxHand {
+		owner := m.owner(place{service, dataCentre})
+		if owner == m.o.Peer {
+			return m.makeHere(ctx, place{service, dataCentre}, jobs), nil
+		}
+		made, err := m.hand(ctx, owner, service, dataCentre, jobs)
+		if err == nil {
+			return made, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		m.mu.Lock()
+		m.avoid[owner] = m.o.Clock.Now().Add(avoidFor)
+		m.mu.Unlock()
+	}
+	return m.makeHere(ctx, place{service, dataCentre}, jobs), nil
+}
+
+// owner returns the peer address of the entry node that keeps the queue of a place.
+func (m *Maker) owner(p place) string {
+	now := m.o.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best, address := uint64(0), ""
+	for _, e := range m.o.View().Entries {
+		if !e.Ready || e.DataCentre != p.dataCentre || now.Before(m.avoid[e.Peer]) {
+			continue
+		}
+		if score := weight(e.Node, p.service); address == "" || score > best {
+			best, address = score, e.Peer
+		}
+	}
+	if address == "" {
+		return m.o.Peer
+	}
+	return address
+}
+
+func weight(node, service string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node + "\x00" + service)) // never fails
+	x := h.Sum64()
+	// FNV leaves similar names with similar upper bits; this spreads them.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// hand brings jobs to another entry node.
+func (m *Maker) hand(ctx context.Context, owner, service, dataCentre string, jobs []stage.Job) ([]Made, error) {
+	now := m.o.Clock.Now()
+	q := ask{Service: service, DataCentre: dataCentre}
+	for _, j := range jobs {
+		q.Jobs = append(q.Jobs, wireJob{j.Item, j.Bytes, j.Due.Sub(now), j.Deadline.Sub(now)})
+	}
+	body, err := cbor.Marshal(q)
+	if err != nil { // jobs hold plain values only
+		panic(err)
+	}
+	reply, err := m.o.Hub.Call(ctx, owner, peer.KindPieces, body)
+	if err != nil {
+		return nil, err
+	}
+	var made []Made
+	if err := cbor.Unmarshal(reply, &made); err != nil {
+		return nil, err
+	}
+	if len(made) != len(jobs) {
+		return nil, errors.Newf("%d results for %d pieces", len(made), len(jobs))
+	}
+	return made, nil
+}
+
+// makeHere puts jobs into the queue of this node and waits for all of them.
+func (m *Maker) makeHere(ctx context.Context, p place, jobs []stage.Job) []Made {
+	made := make([]Made, len(jobs))
+	done := make(chan struct{})
+	left := len(jobs)
+	if left == 0 {
+		return made
+	}
+	m.mu.Lock()
+	q := m.queue(p)
+	if q == nil {
+		m.mu.Unlock()
+		for i := range made {
+			made[i].Reason = stage.ReasonRefused
+		}
+		return made
+	}
+	tags := make([]uint64, len(jobs))
+	for i, j := range jobs {
+		m.nextTag++
+		j.Tag, tags[i] = m.nextTag, m.nextTag
+		m.waiting[j.Tag] = func(r stage.Reply) { // called with the lock held
+			made[i] = Made{Outcome: r.Outcome, Upstream: r.Upstream, Source: m.o.Peer}
+			if left--; left == 0 {
+				close(done)
+			}
+		}
+		q.Add(j)
+	}
+	m.pump(q)
+	m.mu.Unlock()
+	select {
+	case <-done:
+		return made
+	case <-ctx.Done():
+	case <-m.ctx.Done():
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, tag := range tags {
+		delete(m.waiting, tag)
+	}
+	out := slices.Clone(made)
+	for i := range out {
+		if out[i].Handle == "" && out[i].Reason == stage.ReasonNone {
+			out[i].Reason = stage.ReasonLate
+		}
+	}
+	return out
+}
+
+// queue returns the queue of a place with its present upstreams; nil if the service does not run stages.
+func (m *Maker) queue(p place) *queue {
+	view := m.o.View()
+	if view.Table == nil {
+		return nil
+	}
+	service := view.Table.Service(p.service)
+	if service == nil || service.Pool == nil {
+		return nil
+	}
+	q := m.queues[p]
+	if q == nil {
+		q = &queue{place: p, Queue: stage.NewQueue(*service.Pool)}
+		m.queues[p] = q
+	}
+	q.SetPool(*service.Pool)
+	q.SetTargets(targets(view, p))
+	return q
+}
+
+func targets(view *feed.View, p place) []stage.Target {
+	var out []stage.Target
+	for _, u := range view.Services[p.service] {
+		if u.DataCentre == p.dataCentre {
+			out = append(out, stage.Target{ID: u.ID, Address: u.Address, Avoid: u.Silent || u.State != roster.Ready})
+		}
+	}
+	return out
+}
+
+// pump sends the calls that are due. The lock is held.
+func (m *Maker) pump(q *queue) {
+	if m.ctx.Err() != nil {
+		return
+	}
+	calls, replies := q.Next(m.o.Clock.Now())
+	m.deliver(q, replies)
+	for _, c := range calls {
+		m.wg.Go(func() { m.call(q, c) })
+	}
+	if q.Len() > 0 && !q.timed {
+		q.timed = true
+		m.o.Clock.AfterFunc(pumpEvery, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			q.timed = false
+			if fresh := m.queue(q.place); fresh != nil {
+				m.pump(fresh)
+			}
+		})
+	}
+}
+
+func (m *Maker) deliver(q *queue, replies []stage.Reply) {
+	for _, r := range replies {
+		if r.Handle == "" {
+			m.o.Events.Emit(event.PieceFailed, event.F("request", r.Request), event.F("stage", r.Stage),
+				event.F("piece", r.Piece), event.F("upstream", r.Upstream), event.F("reason", r.Reason))
+		}
+		if f := m.waiting[r.Tag]; f != nil {
+			delete(m.waiting, r.Tag)
+			f(r)
+			continue
+		}
+		if r.Handle != "" { // the one who wanted it has gone
+			m.freeHere(q, []string{r.Handle})
+		}
+	}
+}
+
+// call sends one call and hands its end to the queue.
+func (m *Maker) call(q *queue, c stage.Call) {
+	result, outcomes, err := m.send(c)
+	if err != nil {
+		m.o.Events.Emit(event.CallFailed, event.F("upstream", c.Upstream), event.F("pieces", len(c.Jobs)),
+			event.F("outcome", result), event.F("reason", err))
+	}
+	m.mu.Lock()
+	replies, unwanted := q.Done(m.o.Clock.Now(), c.ID, result, outcomes)
+	m.deliver(q, replies)
+	m.freeHere(q, unwanted)
+	if fresh := m.queue(q.place); fresh != nil {
+		m.pump(fresh)
+	}
+	m.mu.Unlock()
+}
--- /dev/null
+++ b/internal/gate/roster/roster_test.go
@@ -0,0 +1,109 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func board() *Board {
+	return New(Config{SilentAfter: 4 * time.Second, ForgetAfter: 30 * time.Second, EntryAfter: 2 * time.Second})
+}
+
+func up(id string, born, sequence int64, state State) Upstream {
+	return Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "a", State: state, Born: born, Sequence: sequence}
+}
+
+func state(b *Board, id string) State {
+	u, _ := b.Find(id)
+	return u.State
+}
+
+// Guards against a delayed heartbeat that makes a draining or gone upstream ready again.
+func TestOlderHeartbeatChangesNothing(t *testing.T) {
+	b := board()
+	assert.Assert(t, b.Beat(start, up("r", 10, 3, Ready)))
+	assert.Assert(t, b.Beat(start, up("r", 10, 5, Draining)))
+	assert.Assert(t, !b.Beat(start, up("r", 10, 4, Ready)))
+	assert.Equal(t, state(b, "r"), Draining)
+	_, ok := b.Leave(start, "r")
+	assert.Assert(t, ok)
+	assert.Assert(t, !b.Beat(start, up("r", 10, 6, Ready)))
+	assert.Equal(t, state(b, "r"), Gone)
+	assert.Assert(t, b.Beat(start, up("r", 20, 1, Ready)), "a new start under the same id")
+	assert.Equal(t, state(b, "r"), Ready)
+}
+
+// Guards against work for a crashed upstream whose delayed heartbeat arrives after another one took its address.
+func TestAddressBelongsToTheLatestStart(t *testing.T) {
+	b := board()
+	b.Beat(start, up("old", 10, 1, Ready))
+	b.Beat(start, up("new", 50, 1, Ready))
+	assert.Equal(t, state(b, "old"), Gone)
+	b.Beat(start, up("late", 30, 9, Ready))
+	_, known := b.Find("late")
+	assert.Assert(t, !known)
+	assert.Equal(t, state(b, "new"), Ready)
+}
+
+// Guards against control nodes that differ for good after messages in another order or twice.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	batches := []Batch{
+		{Upstreams: []Upstream{up("r", 10, 1, Ready)}},
+		{Upstreams: []Upstream{up("r", 10, 7, Draining)}},
+		{Upstreams: []Upstream{up("r", 10, 0, Gone)}},
+	}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0, 1}, {2, 0, 1, 2}} {
+		b := board()
+		for _, i := range order {
+			b.Merge(start, batches[i])
+		}
+		assert.Equal(t, state(b, "r"), Gone, "%v", order)
+	}
+}
+
+// Guards against readers that miss a change or keep a removed record.
+func TestSinceTellsChangesAndRemovals(t *testing.T) {
+	b := board()
+	b.Beat(start, up("r", 10, 1, Ready))
+	d := b.Since(start, 0)
+	assert.Assert(t, d.Whole)
+	assert.Equal(t, len(d.Upstreams), 1)
+	b.Beat(start.Add(time.Second), up("r", 10, 2, Ready))
+	assert.Equal(t, len(b.Since(start, d.Version).Upstreams), 0, "a plain renewal is no change")
+	b.Tick(start.Add(6 * time.Second))
+	silent := b.Since(start, d.Version)
+	assert.Equal(t, len(silent.Upstreams), 1)
+	assert.Assert(t, silent.Upstreams[0].Silent)
+	b.Tick(start.Add(time.Minute))
+	gone := b.Since(start, silent.Version)
+	assert.Assert(t, gone.Whole)
+	assert.Equal(t, len(gone.Upstreams), 0)
+}
+
+// Guards against callers that are sent to a node that stops or has fallen silent, and against an empty answer while other
+// data centres serve.
+func TestServingPrefersTheCallersDataCentre(t *testing.T) {
+	b := board()
+	report := func(node, dc, region string, ready bool, n int64) {
+		b.Report(start, Entry{Node: node, Address: node + ":1", DataCentre: dc, Region: region, Ready: ready, Report: n})
+	}
+	names := func(entries []Entry) []string {
+		var out []string
+		for _, e := range entries {
+			out = append(out, e.Node)
+		}
+		return out
+	}
+	report("a1", "a", "north", true, 1)
+	report("a2", "a", "north", true, 1)
+	report("b1", "b", "north", true, 1)
+	report("c1", "c", "south", true, 1)
+	assert.DeepEqual(t, names(b.Serving(start, "a", "north")), []string{"a1", "a2"})
+	report("a2", "a", "north", false, 2)
+	assert.DeepEqual(t, names(b.Serving(start, "a", "north")), []string{"a1", "b1"})
+	assert.DeepEqual(t, names(b.Serving(start.Add(3*time.Second), "a", "north")), []string(nil))
+}
--- /dev/null
+++ b/internal/gate/stage/plan.go
@@ -0,0 +1,237 @@
+package stage
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+// maxRemade is the number of times that the pieces of one request are made once more because their results were lost.
+const maxRemade = 3
+
+// PiecesError refuses the piece counts of a request.
+type PiecesError struct{ Detail string }
+
+func (e *PiecesError) Error() string { return "pieces: " + e.Detail }
+
+// maxPieces bounds the pieces of one stage.
+const maxPieces = 10_000
+
+// Plan follows one request through its stages. It is not safe for concurrent use.
+type Plan struct {
+	request string
+	key     string
+	stages  []conf.Stage
+	pieces  [][]piece // by stage
+	last    []bool    // by stage: no other stage follows
+	remade  int
+}
+
+type piece struct {
+	handle  string
+	source  string // who keeps account of the result
+	asked   bool
+	readers int // stages that still need the result
+}
+
+// Freed is a result that no one needs any more.
+type Freed struct {
+	Service string
+	Source  string
+	Handle  string
+}
+
+// NewPlan returns the plan of a request with counts pieces in each stage. A stage with 0 pieces is left out.
+func NewPlan(request, key string, stages []conf.Stage, counts []int) (*Plan, error) {
+	if len(counts) != len(stages) {
+		return nil, &PiecesError{fmt.Sprintf("%d counts are given for %d stages", len(counts), len(stages))}
+	}
+	p := &Plan{request: request, key: key, stages: stages, last: make([]bool, len(stages))}
+	for i, n := range counts {
+		if n < 0 || n > maxPieces {
+			return nil, &PiecesError{fmt.Sprintf("stage %d has %d", i, n)}
+		}
+		p.last[i] = !slices.ContainsFunc(stages, func(s conf.Stage) bool { return slices.Contains(s.After, i) })
+		p.pieces = append(p.pieces, make([]piece, n))
+	}
+	for i := range stages {
+		for j := range p.pieces[i] {
+			p.pieces[i][j].readers = p.readersOf(i)
+		}
+	}
+	return p, nil
+}
+
+// readersOf counts the stages with pieces that need the results of a stage.
+func (p *Plan) readersOf(stage int) int {
+	n := 0
+	for i, s := range p.stages {
+		if len(p.pieces) > i && len(p.pieces[i]) > 0 && slices.Contains(s.After, stage) {
+			n++
+		}
+	}
+	return n
+}
+
+// Depth returns the number of stages that must run one after the other from a stage on, itself included.
+func (p *Plan) Depth(stage int) int {
+	depth := 0
+	for i, s := range p.stages {
+		if len(p.pieces[i]) > 0 && slices.Contains(s.After, stage) {
+			depth = max(depth, p.Depth(i))
+		}
+	}
+	return depth + 1
+}
+
+// Ready returns the pieces that can be made now and were not returned before. The caller sets their time left.
+func (p *Plan) Ready() []Item {
+	var out []Item
+	for i := range p.stages {
+		inputs, ok := p.inputsOf(i)
+		if !ok {
+			continue
+		}
+		for j := range p.pieces[i] {
+			if p.pieces[i][j].asked {
+				continue
+			}
+			p.pieces[i][j].asked = true
+			item := Item{Request: p.request, Stage: i, Piece: j, Inputs: inputs}
+			if len(p.stages[i].After) == 0 {
+				item.Key = p.key
+			}
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
+// inputsOf returns the handles that a stage needs; false while one is missing.
+func (p *Plan) inputsOf(stage int) ([]string, bool) {
+	var out []string
+	for _, a := range p.stages[stage].After {
+		for _, x := range p.pieces[a] {
+			if x.handle == "" {
+				return nil, false
+			}
+			out = append(out, x.handle)
+		}
+	}
+	return out, true
+}
+
+// Made records a result, and returns results that are not needed any more.
+func (p *Plan) Made(stage, position int, handle, source string) []Freed {
+	x := &p.pieces[stage][position]
+	if x.handle != "" { // made twice, after a call that seemed lost
+		return []Freed{{p.stages[stage].Service, source, handle}}
+	}
+	x.handle, x.source = handle, source
+	if slices.ContainsFunc(p.pieces[stage], func(y piece) bool { return y.handle == "" }) {
+		return nil
+	}
+	var out []Freed
+	for _, a := range p.stages[stage].After {
+		out = append(out, p.release(a)...)
+	}
+	return out
+}
+
+// release notes that one reader of a stage's results is done.
+func (p *Plan) release(stage int) []Freed {
+	var out []Freed
+	for j := range p.pieces[stage] {
+		x := &p.pieces[stage][j]
+		x.readers--
+		if x.readers <= 0 && !p.last[stage] && x.handle != "" {
+			out = append(out, Freed{p.stages[stage].Service, x.source, x.handle})
+		}
+	}
+	return out
+}
+
+// Failed records that a piece was not made. It returns false when the request cannot go on; otherwise the piece, and the
+// inputs that may be gone, are returned by Ready again.
+func (p *Plan) Failed(stage, position int, reason Reason) bool {
+	if reason == ReasonLate || reason == ReasonRefused {
+		return false
+	}
+	p.remade++
+	if p.remade > maxRemade {
+		return false
+	}
+	p.pieces[stage][position].asked = false
+	if reason == ReasonGone {
+		for _, a := range p.stages[stage].After {
+			p.remake(a)
+		}
+	}
+	return true
+}
+
+// Gone records that the results of the last stages no longer exist; see Failed.
+func (p *Plan) Gone() bool {
+	p.remade++
+	if p.remade > maxRemade {
+		return false
+	}
+	for i, last := range p.last {
+		if last {
+			p.remake(i)
+		}
+	}
+	return true
+}
+
+// remake makes the pieces of a stage once more, and before them those whose results were freed.
+func (p *Plan) remake(stage int) {
+	for j := range p.pieces[stage] {
+		p.pieces[stage][j] = piece{readers: p.readersOf(stage)}
+	}
+	for _, a := range p.stages[stage].After {
+		p.remake(a)
+	}
+}
+
+// Finished reports whether all pieces are made.
+func (p *Plan) Finished() bool {
+	for _, stage := range p.pieces {
+		for _, x := range stage {
+			if x.handle == "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Inputs returns the handles of the last stages' results, in order.
+func (p *Plan) Inputs() []string {
+	var out []string
+	for i, last := range p.last {
+		if !last {
+			continue
+		}
+		for _, x := range p.pieces[i] {
+			out = append(out, x.handle)
+		}
+	}
+	return out
+}
+
+// All returns the results that exist, for a request that ends. Afterwards the plan holds none.
+func (p *Plan) All() []Freed {
+	var out []Freed
+	for i := range p.pieces {
+		for j := range p.pieces[i] {
+			x := &p.pieces[i][j]
+			if x.handle != "" && (p.last[i] || x.readers > 0) {
+				out = append(out, Freed{p.stages[i].Service, x.source, x.handle})
+				x.handle, x.readers = "", 0
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gate/stage/queue.go
@@ -0,0 +1,379 @@
+package stage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+// Job is a piece that waits to be made.
+type Job struct {
+	Item
+	Bytes    int64     // approximate size of its result
+	Due      time.Time // by when it should be made, so that its request is on time
+	Deadline time.Time // from when on its result is of no use
+	Tag      uint64    // chosen by the caller; returned with the result
+}
+
+// Call is a call to be sent to an upstream.
+type Call struct {
+	ID       uint64
+	Upstream string
+	Address  string
+	Jobs     []Job
+	// Patience is how long the call may take before the upstream counts as silent.
+	Patience time.Duration
+}
+
+// Reply is the end of a job.
+type Reply struct {
+	Job
+	Outcome
+	Upstream string
+}
+
+// Target is an upstream of the service.
+type Target struct {
+	ID      string
+	Address string
+	Avoid   bool // it is silent or drains
+}
+
+// CallResult says how a call ended.
+type CallResult uint8
+
+// The results of a call.
+const (
+	Answered CallResult = iota + 1
+	Full                // the upstream did not run it because its queue is full
+	Moved               // another upstream has the address by now
+	Broken              // not sent, or not answered in time
+)
+
+// Times of a Queue.
+const (
+	fullPause    = 30 * time.Millisecond // before the next call to an upstream that was full
+	brokenPause  = 500 * time.Millisecond
+	mostPause    = 8 * time.Second
+	patienceX    = 6 // times the time that a call should take
+	patienceMore = 500 * time.Millisecond
+	maxTries     = 3 // calls that one job is part of
+)
+
+type target struct {
+	Target
+	present bool
+	calls   int
+	pause   time.Time
+	fails   int
+	room    map[string]held // results by handle
+	used    int64           // bytes of results and of those being made
+}
+
+type held struct {
+	bytes int64
+	until time.Time // when the upstream forgets it by itself
+}
+
+type open struct {
+	target string
+	jobs   []Job
+}
+
+// Queue hands the pieces of one service in one data centre to its upstreams. It is not safe for concurrent use.
+type Queue struct {
+	pool    conf.Pool
+	targets map[string]*target
+	jobs    []Job
+	tries   map[Key]int
+	open    map[uint64]open
+	dropped map[Key]bool // cancelled while part of a call
+	nextID  uint64
+}
+
+// Key names a job.
+type Key struct {
+	Request string
+	Stage   int
+	Piece   int
+}
+
+func keyOf(j Job) Key { return Key{j.Request, j.Stage, j.Piece} }
+
+// NewQueue returns an empty queue.
+func NewQueue(pool conf.Pool) *Queue {
+	return &Queue{
+		pool: pool, targets: map[string]*target{}, tries: map[Key]int{}, open: map[uint64]open{}, dropped: map[Key]bool{},
+	}
+}
+
+// SetPool changes the description of the upstreams.
+func (q *Queue) SetPool(pool conf.Pool) { q.pool = pool }
+
+// SetTargets changes the upstreams.
+func (q *Queue) SetTargets(list []Target) {
+	for _, t := range q.targets {
+		t.present = false
+	}
+	for _, t := range list {
+		have := q.targets[t.ID]
+		if have == nil {
+			have = &target{room: map[string]held{}}
+			q.targets[t.ID] = have
+		}
+		have.Target, have.present = t, true
+	}
+	for id, t := range q.targets {
+		if !t.present && t.calls == 0 {
+			delete(q.targets, id)
+		}
+	}
+}
+
+// Len returns the number of jobs that wait, and Calls that of calls under way.
+func (q *Queue) Len() int { return len(q.jobs) }
+
+// Calls returns the number of calls under way.
+func (q *Queue) Calls() int { return len(q.open) }
+
+// Add takes a job.
+func (q *Queue) Add(j Job) { q.jobs = append(q.jobs, j) }
+
+// Cancel drops the jobs of a request. Results of calls under way are freed when they come.
+func (q *Queue) Cancel(request string) {
+	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool { return j.Request == request })
+	for _, o := range q.open {
+		for _, j := range o.jobs {
+			if j.Request == request {
+				q.dropped[keyOf(j)] = true
+			}
+		}
+	}
+}
+
+// Next returns calls to send now, and replies to jobs that cannot be made any more.
+func (q *Queue) Next(now time.Time) ([]Call, []Reply) {
+	q.expire(now)
+	replies := q.dropLate(now)
+	if len(q.jobs) == 0 {
+		return nil, replies
+	}
+	if !slices.ContainsFunc(q.sorted(), func(t *target) bool { return t.present && !t.Avoid }) {
+		return nil, append(replies, q.refuseAll()...)
+	}
+	q.order(now)
+	var calls []Call
+	for _, t := range q.sorted() {
+		for q.mayCall(t, now) {
+			jobs := q.fill(t)
+			if len(jobs) == 0 {
+				break
+			}
+			calls = append(calls, q.begin(t, jobs))
+		}
+	}
+	return calls, replies
+}
+
+func (q *Queue) mayCall(t *target, now time.Time) bool {
+	return t.present && !t.Avoid && t.calls < q.pool.Slots && !now.Before(t.pause) && len(q.jobs) > 0
+}
+
+// sorted returns the targets with the least used room first.
+func (q *Queue) sorted() []*target {
+	out := make([]*target, 0, len(q.targets))
+	for _, t := range q.targets {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(a.calls, b.calls), cmp.Compare(a.used, b.used), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// callTime is the approximate time of a call with n pieces.
+func (q *Queue) callTime(n int) time.Duration {
+	return q.pool.CallTime.Duration() + time.Duration(n)*q.pool.ItemTime.Duration()
+}
+
+// dropLate gives up jobs whose result could not be used any more.
+func (q *Queue) dropLate(now time.Time) []Reply {
+	var out []Reply
+	end := now.Add(q.callTime(1))
+	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
+		late := end.After(j.Deadline)
+		if late {
+			out = append(out, q.reply(j, Outcome{Reason: ReasonLate}, ""))
+		}
+		return late
+	})
+	return out
+}
+
+func (q *Queue) refuseAll() []Reply {
+	var out []Reply
+	for _, j := range q.jobs {
+		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
+	}
+	q.jobs = nil
+	return out
+}
+
+func (q *Queue) reply(j Job, o Outcome, upstream string) Reply {
+	delete(q.tries, keyOf(j))
+	return Reply{j, o, upstream}
+}
+
+// order sorts the jobs: those that can still be on time come first, by when they are due; the others follow by their
+// deadline. Without this, one burst beyond capacity makes each request after it late as well.
+func (q *Queue) order(now time.Time) {
+	end := now.Add(q.callTime(1))
+	slices.SortStableFunc(q.jobs, func(a, b Job) int {
+		lateA, lateB := end.After(a.Due), end.After(b.Due)
+		switch {
+		case lateA && !lateB:
+			return 1
+		case lateB && !lateA:
+			return -1
+		case lateA:
+			return a.Deadline.Compare(b.Deadline)
+		}
+		return a.Due.Compare(b.Due)
+	})
+}
+
+// fill takes the first jobs that fit into one call and into the upstream's memory.
+func (q *Queue) fill(t *target) []Job {
+	free := int64(q.pool.RoomMB*1e6) - t.used
+	var out []Job
+	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
+		if len(out) >= q.pool.Batch || j.Bytes > free {
+			return false
+		}
+		free -= j.Bytes
+		out = append(out, j)
+		return true
+	})
+	return out
+}
+
+func (q *Queue) begin(t *target, jobs []Job) Call {
+	q.nextID++
+	t.calls++
+	for _, j := range jobs {
+		t.used += j.Bytes
+		q.tries[keyOf(j)]++
+	}
+	q.open[q.nextID] = open{t.ID, jobs}
+	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*patienceX/2 + patienceMore
+	return Call{ID: q.nextID, Upstream: t.ID, Address: t.Address, Jobs: jobs, Patience: patience}
+}
+
+// Done takes the end of a call. It returns replies, and handles that no one wants.
+func (q *Queue) Done(now time.Time, id uint64, result CallResult, outcomes []Outcome) ([]Reply, []string) {
+	o := q.open[id]
+	delete(q.open, id)
+	t := q.targets[o.target]
+	t.calls--
+	if result == Answered && len(outcomes) != len(o.jobs) {
+		result = Broken
+	}
+	switch result {
+	case Answered:
+		t.fails = 0
+	case Full:
+		t.pause = now.Add(fullPause)
+	case Moved, Broken:
+		t.pause = now.Add(min(brokenPause<<t.fails, mostPause))
+		t.fails = min(t.fails+1, 8)
+	}
+	var replies []Reply
+	var unwanted []string
+	for i, j := range o.jobs {
+		out := Outcome{Reason: ReasonLost}
+		if result == Answered {
+			out = outcomes[i]
+		}
+		if out.Handle != "" {
+			t.room[out.Handle] = held{j.Bytes, now.Add(q.pool.HandleFor.Duration())}
+		} else {
+			t.used -= j.Bytes
+		}
+		if q.dropped[keyOf(j)] {
+			delete(q.dropped, keyOf(j))
+			delete(q.tries, keyOf(j))
+			if out.Handle != "" {
+				unwanted = append(unwanted, out.Handle)
+			}
+			continue
+		}
+		if q.again(j, result, out) {
+			q.jobs = append(q.jobs, j)
+			continue
+		}
+		replies = append(replies, q.reply(j, out, o.target))
+	}
+	if !t.present && t.calls == 0 {
+		delete(q.targets, t.ID)
+	}
+	return replies, unwanted
+}
+
+// again reports whether a job goes back into the queue.
+func (q *Queue) again(j Job, result CallResult, out Outcome) bool {
+	if out.Handle != "" {
+		return false
+	}
+	if result == Full {
+		q.tries[keyOf(j)]-- // it was not run
+		return true
+	}
+	if q.tries[keyOf(j)] >= maxTries {
+		return false
+	}
+	return result != Answered || out.Reason == ReasonNoRoom || out.Reason == ReasonError
+}
+
+// Free takes handles whose results are not needed any more and returns them by the address of the upstream that has them.
+func (q *Queue) Free(handles []string) map[string][]string {
+	out := map[string][]string{}
+	for _, h := range handles {
+		for _, t := range q.targets {
+			if r, ok := t.room[h]; ok {
+				t.used -= r.bytes
+				delete(t.room, h)
+				out[t.Address] = append(out[t.Address], h)
+			}
+		}
+	}
+	return out
+}
+
+// expire forgets results that their upstreams have forgotten.
+func (q *Queue) expire(now time.Time) {
+	for _, t := range q.targets {
+		for h, r := range t.room {
+			if now.After(r.until) {
+				t.used -= r.bytes
+				delete(t.room, h)
+			}
+		}
+	}
+}
+
+// Wait returns how long the jobs that wait keep the upstreams busy, roughly.
+func (q *Queue) Wait() time.Duration {
+	ready := 0
+	for _, t := range q.targets {
+		if t.present && !t.Avoid {
+			ready++
+		}
+	}
+	if ready == 0 || q.pool.Batch < 1 {
+		return 0
+	}
+	calls := len(q.jobs)/q.pool.Batch + len(q.open)
+	return time.Duration(calls) * q.callTime(q.pool.Batch) / time.Duration(ready)
+}
--- /dev/null
+++ b/internal/gate/stage/stage_test.go
@@ -0,0 +1,189 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// chain is a graph in which stage 0 is independent and stages 1 to 3 follow each other.
+func chain() []conf.Stage {
+	return []conf.Stage{
+		{Service: "board", Bytes: 100}, {Service: "board", Bytes: 1},
+		{Service: "yard", After: []int{1}}, {Service: "portal", After: []int{2}},
+	}
+}
+
+func newPlan(t *testing.T, counts ...int) *Plan {
+	t.Helper()
+	p, err := NewPlan("r", "key", chain(), counts)
+	assert.NilError(t, err)
+	return p
+}
+
+func names(items []Item) []string {
+	var out []string
+	for _, i := range items {
+		out = append(out, fmt.Sprintf("%d.%d%v", i.Stage, i.Piece, i.Inputs))
+	}
+	return out
+}
+
+// Guards against pieces that are made before their inputs, with a part of them, or twice, and against inputs of the model
+// engine that lack a piece.
+func TestPlanFollowsTheGraph(t *testing.T) {
+	p := newPlan(t, 2, 1, 2, 1)
+	assert.DeepEqual(t, names(p.Ready()), []string{"0.0[]", "0.1[]", "1.0[]"})
+	assert.Equal(t, len(p.Ready()), 0)
+	p.Made(1, 0, "b", "x")
+	assert.DeepEqual(t, names(p.Ready()), []string{"2.0[b]", "2.1[b]"})
+	p.Made(2, 1, "c1", "x")
+	assert.Equal(t, len(p.Ready()), 0)
+	freed := p.Made(2, 0, "c0", "x")
+	assert.DeepEqual(t, freed, []Freed{{"board", "x", "b"}})
+	assert.DeepEqual(t, names(p.Ready()), []string{"3.0[c0 c1]"})
+	p.Made(3, 0, "d", "y")
+	assert.Assert(t, !p.Finished())
+	p.Made(0, 0, "a0", "x")
+	p.Made(0, 1, "a1", "x")
+	assert.Assert(t, p.Finished())
+	assert.DeepEqual(t, p.Inputs(), []string{"a0", "a1", "d"})
+	assert.Equal(t, len(p.All()), 3)
+	assert.Equal(t, len(p.All()), 0)
+}
+
+// Guards against a stage without pieces that blocks the stages after it.
+func TestPlanLeavesOutStagesWithoutPieces(t *testing.T) {
+	p := newPlan(t, 0, 1, 1, 1)
+	assert.DeepEqual(t, names(p.Ready()), []string{"1.0[]"})
+	assert.Equal(t, p.Depth(1), 3)
+	empty := newPlan(t, 0, 0, 0, 0)
+	assert.Assert(t, empty.Finished())
+	assert.Equal(t, len(empty.Inputs()), 0)
+	_, err := NewPlan("r", "", chain(), []int{1})
+	assert.ErrorContains(t, err, "4 stages")
+}
+
+// Guards against a request that is lost because a result vanished with its upstream, and against endless repetition.
+func TestPlanMakesLostInputsAgain(t *testing.T) {
+	p := newPlan(t, 0, 1, 1, 0)
+	p.Ready()
+	p.Made(1, 0, "b", "x")
+	p.Ready()
+	assert.Assert(t, p.Failed(2, 0, ReasonGone))
+	assert.DeepEqual(t, names(p.Ready()), []string{"1.0[]"})
+	p.Made(1, 0, "b2", "x")
+	assert.DeepEqual(t, names(p.Ready()), []string{"2.0[b2]"})
+	assert.Assert(t, p.Failed(2, 0, ReasonError))
+	assert.Assert(t, p.Failed(2, 0, ReasonLost))
+	assert.Assert(t, !p.Failed(2, 0, ReasonLost))
+	assert.Assert(t, !newPlan(t, 0, 1, 0, 0).Failed(1, 0, ReasonLate))
+}
+
+func queue() *Queue {
+	q := NewQueue(conf.Pool{Slots: 1, Queue: 2, Batch: 4, CallTime: 150, ItemTime: 10, RoomMB: 0.001, HandleFor: 4000})
+	q.SetTargets([]Target{{ID: "u1", Address: "a1"}})
+	return q
+}
+
+func job(request string, due time.Duration, bytes int64) Job {
+	return Job{Item: Item{Request: request}, Bytes: bytes, Due: t0.Add(due), Deadline: t0.Add(10 * time.Second)}
+}
+
+func requests(jobs []Job) []string {
+	var out []string
+	for _, j := range jobs {
+		out = append(out, j.Request)
+	}
+	return out
+}
+
+// Load pattern: more pieces than one call takes, with different urgency. Guards against calls that are not filled, and
+// against a late request that makes later ones late as well.
+func TestQueueFillsCallsByUrgency(t *testing.T) {
+	q := queue()
+	q.Add(job("late", 10*time.Millisecond, 1))
+	q.Add(job("slow", 3*time.Second, 1))
+	for i := range 4 {
+		q.Add(job(fmt.Sprint("urgent", i), time.Second+time.Duration(i), 1))
+	}
+	calls, _ := q.Next(t0)
+	assert.Equal(t, len(calls), 1)
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"urgent0", "urgent1", "urgent2", "urgent3"})
+	more, _ := q.Next(t0)
+	assert.Equal(t, len(more), 0, "the upstream has one slot")
+	outcomes := []Outcome{{Handle: "h0"}, {Handle: "h1"}, {Handle: "h2"}, {Handle: "h3"}}
+	replies, _ := q.Done(t0, calls[0].ID, Answered, outcomes)
+	assert.Equal(t, len(replies), 4)
+	calls, _ = q.Next(t0)
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"slow", "late"})
+}
+
+// Load pattern: results that fill an upstream's memory. Guards against calls whose results find no room, and against room
+// that is lost when results are freed or expire.
+func TestQueueKeepsAccountOfRoom(t *testing.T) {
+	q := queue()
+	q.Add(job("a", time.Second, 900))
+	q.Add(job("b", time.Second, 900))
+	q.Add(job("small", 2*time.Second, 50))
+	calls, _ := q.Next(t0)
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"a", "small"})
+	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "ha"}, {Handle: "hs"}})
+	none, _ := q.Next(t0)
+	assert.Equal(t, len(none), 0)
+	assert.DeepEqual(t, q.Free([]string{"ha"}), map[string][]string{"a1": {"ha"}})
+	calls, _ = q.Next(t0)
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"b"})
+	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "hb"}})
+	q.Add(job("c", 9*time.Second, 900))
+	calls, _ = q.Next(t0.Add(5 * time.Second))
+	assert.Equal(t, len(calls), 1, "the upstream has forgotten its results")
+}
+
+// Guards against pieces that are lost with an upstream, and against one that is asked on and on although it fails.
+func TestQueueTurnsToAnotherUpstream(t *testing.T) {
+	q := queue()
+	q.Add(job("a", time.Second, 1))
+	calls, _ := q.Next(t0)
+	replies, _ := q.Done(t0, calls[0].ID, Broken, nil)
+	assert.Equal(t, len(replies), 0)
+	calls, _ = q.Next(t0)
+	assert.Equal(t, len(calls), 0, "the upstream is left alone for a while")
+	q.SetTargets([]Target{{ID: "u1", Address: "a1"}, {ID: "u2", Address: "a2"}})
+	calls, _ = q.Next(t0)
+	assert.Equal(t, calls[0].Upstream, "u2")
+	q.SetTargets([]Target{{ID: "u1", Avoid: true}})
+	q.Add(job("b", time.Second, 1))
+	_, replies = q.Next(t0)
+	assert.Equal(t, replies[0].Reason, ReasonRefused)
+}
+
+// Guards against results of cancelled requests that keep an upstream's memory.
+func TestCancelledResultsAreFreed(t *testing.T) {
+	q := queue()
+	q.Add(job("a", time.Second, 1))
+	calls, _ := q.Next(t0)
+	q.Cancel("a")
+	replies, unwanted := q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "h"}})
+	assert.Equal(t, len(replies), 0)
+	assert.DeepEqual(t, unwanted, []string{"h"})
+}
+
+// Guards against a refusal by a full upstream that counts as a failed attempt.
+func TestFullUpstreamIsAskedAgain(t *testing.T) {
+	q := queue()
+	q.Add(job("a", time.Second, 1))
+	for i := range 5 {
+		now := t0.Add(time.Duration(i) * 50 * time.Millisecond)
+		calls, _ := q.Next(now)
+		assert.Equal(t, len(calls), 1, "round %d", i)
+		replies, _ := q.Done(now, calls[0].ID, Full, nil)
+		assert.Equal(t, len(replies), 0)
+	}
+}
--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -212,7 +212,8 @@
 	case peer.KindAskCrash:
 		reply, err = n.suspectNews(table.CrashNews{})
 		return reply, true, err
-	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindEvents, peer.KindCrash, peer.KindOperate:
+	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindEvents, peer.KindCrash, peer.KindOperate,
+		peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces:
 	}
 	return nil, false, nil
 }
--- /dev/null
+++ b/internal/node/gated/gated.go
@@ -0,0 +1,365 @@
+package gated
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/desk"
+	"github.com/berylledge/berylledge/internal/gate/feed"
+	"github.com/berylledge/berylledge/internal/gate/front"
+	"github.com/berylledge/berylledge/internal/gate/lingo"
+	"github.com/berylledge/berylledge/internal/gate/maker"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/keep"
+	"github.com/berylledge/berylledge/internal/state/vdoc"
+	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+	"github.com/berylledge/berylledge/internal/wire/upcon"
+)
+
+// Options are what a process needs besides its settings.
+type Options struct {
+	Dialect *lingo.Dialect
+	Clock   clock.Clock
+	Logger  hclog.Logger
+	Path    string // settings file, read again when it changes
+}
+
+// Process is a running process.
+type Process struct {
+	s      Settings
+	o      Options
+	events *event.Log
+	seeds  atomic.Pointer[[]string] // peer addresses
+	hub    *peer.Hub
+	ready  chan struct{} // closed when all parts that handle messages exist
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	member *keep.Member // control nodes
+	desk   *desk.Desk
+
+	feed  *feed.Feed // entry nodes
+	maker *maker.Maker
+	front *front.Front
+	pool  *upcon.Pool
+	http  *http.Server
+
+	servers  []*httpd.Server
+	draining atomic.Bool
+}
+
+// reloadEvery is how often the settings file is looked at; it may change without a signal.
+const reloadEvery = time.Second
+
+// New starts a process.
+func New(s Settings, o Options) (*Process, error) {
+	p := &Process{
+		s: s, o: o, ready: make(chan struct{}),
+		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger, Keep: keptEvents}),
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.setSeeds(s)
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	close(p.ready)
+	p.wg.Go(p.watchSettings)
+	p.events.Emit(event.ProcessStarted, event.F("roles", p.roles()), event.F("address", s.Listen.Callers+s.Listen.Control))
+	return p, nil
+}
+
+// keptEvents is the number of events kept for the time line; a small VM has no memory for more.
+const keptEvents = 1024
+
+func (p *Process) roles() string {
+	var out []string
+	if p.s.Listen.Callers != "" {
+		out = append(out, "entry")
+	}
+	if p.s.Listen.Control != "" {
+		out = append(out, "control")
+	}
+	return strings.Join(out, ",")
+}
+
+func (p *Process) setSeeds(s Settings) {
+	list := s.seedPeers()
+	p.seeds.Store(&list)
+}
+
+func (p *Process) seedPeers() []string { return *p.seeds.Load() }
+
+func (p *Process) start() error {
+	var err error
+	address := p.s.peerAddress(p.s.IP)
+	p.hub, err = peer.New(peer.Options{ID: p.s.Node, Address: address, Clock: p.o.Clock, Events: p.events, Handle: p.handle})
+	if err != nil {
+		return err
+	}
+	if p.s.Listen.Control != "" {
+		if err := p.startControl(address); err != nil {
+			return err
+		}
+	}
+	if p.s.Listen.Callers != "" {
+		if err := p.startEntry(address); err != nil {
+			return err
+		}
+	}
+	if p.s.Metrics > 0 {
+		return p.serve("metrics", net.JoinHostPort(p.s.IP, itoa(p.s.Metrics)), []rest.Route{
+			{Method: http.MethodGet, Path: "/metrics", Handler: p.metrics},
+		})
+	}
+	return nil
+}
+
+// serve starts a server for go-zero routes.
+func (p *Process) serve(name, address string, routes []rest.Route) error {
+	s, err := httpd.New(httpd.Options{Name: name, Address: address, MaxBytes: maxConfigBytes}, routes)
+	if err != nil {
+		return err
+	}
+	p.servers = append(p.servers, s)
+	return nil
+}
+
+// maxConfigBytes bounds what operators and upstreams send.
+const maxConfigBytes = 8 << 20
+
+func (p *Process) startControl(address string) error {
+	var err error
+	p.member, err = keep.New(keep.Options{
+		Address: address, Data: p.s.Data, First: p.s.FirstStart, Seeds: p.seedPeers, Voters: 2*p.s.Losses + 1 + spareVoters,
+		Clock: p.o.Clock, Events: p.events, Hub: p.hub, Seed: uint64(p.o.Clock.Now().UnixNano()), Notify: p.stored,
+	})
+	if err != nil {
+		return err
+	}
+	beat := p.s.BeatMS.Duration()
+	if beat == 0 {
+		beat = defaultBeat
+	}
+	valid := entryValid
+	if most := seconds(p.s.Bounds.EntryValidS, entryValid); most < valid {
+		valid = most
+	}
+	p.desk = desk.New(desk.Options{
+		Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Member: p.member, Hub: p.hub, BeatTo: p.s.Listen.Control,
+		BeatEvery: beat, EntryValid: valid,
+	})
+	if err := p.serve("control", p.s.Listen.Control, p.desk.ControlRoutes()); err != nil {
+		return err
+	}
+	if p.s.Listen.Directory == "" {
+		return nil
+	}
+	return p.serve("directory", p.s.Listen.Directory, p.desk.DirectoryRoutes())
+}
+
+// spareVoters is added to the smallest group that bears the losses, so that the group keeps its majority while one member
+// is restarted during a loss.
+const spareVoters = 2
+
+func (p *Process) stored(d vdoc.Document) {
+	p.events.Emit(event.ConfigAccepted, event.F("revision", d.Version), event.F("operator", ""), event.F("change", ""))
+}
+
+func (p *Process) startEntry(address string) error {
+	listener, err := net.Listen("tcp", p.s.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	p.pool = upcon.New(upcon.Options{Clock: p.o.Clock, IDHeader: p.o.Dialect.Headers.RequestID})
+	// The callback may run before New has returned, so it waits for the assignment.
+	assigned := make(chan struct{})
+	changed := func(v *feed.View) {
+		<-assigned
+		p.viewChanged(v)
+	}
+	p.feed = feed.New(feed.Options{
+		Self: roster.Entry{
+			Node: p.s.Node, Address: p.s.Listen.Callers, Peer: address, DataCentre: p.s.DataCentre, Region: p.s.Region,
+		},
+		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Changed: changed,
+	})
+	close(assigned)
+	p.maker = maker.New(maker.Options{
+		Node: p.s.Node, Peer: address, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.feed.View,
+		Hub: p.hub, Pool: p.pool,
+	})
+	b := p.s.Bounds
+	ratio := b.RetryRatio
+	if ratio == 0 {
+		ratio = defaultRetryRatio
+	}
+	p.front = front.New(front.Options{
+		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
+		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker,
+		Budget: front.Budget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
+		Seed:   uint64(p.o.Clock.Now().UnixNano()),
+	})
+	idle := newIdle(p.o.Clock, p.idleTime)
+	p.http = &http.Server{Handler: p.front, ConnState: idle.state, ErrorLog: log.New(io.Discard, "", 0)}
+	p.wg.Go(func() { _ = p.http.Serve(listener) }) // returns http.ErrServerClosed after Shutdown or Close
+	if p.s.Listen.Ready == "" {
+		return nil
+	}
+	return p.serve("ready", p.s.Listen.Ready, []rest.Route{
+		{Method: http.MethodGet, Path: p.o.Dialect.Paths.Ready, Handler: p.answerReady},
+	})
+}
+
+// viewChanged makes the node ready once it has a configuration and knows an upstream.
+func (p *Process) viewChanged(v *feed.View) {
+	if v.Table != nil && len(v.Services) > 0 && !p.draining.Load() {
+		p.feed.SetReady(true)
+	}
+}
+
+func (p *Process) isReady() bool { return p.feed.View().Table != nil && !p.draining.Load() }
+
+func (p *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if p.isReady() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(w, "not ready", http.StatusServiceUnavailable)
+}
+
+// idleTime is how long a caller's connection may stay unused.
+func (p *Process) idleTime() time.Duration {
+	if t := p.feed.View().Table; t != nil && t.Config.Limits.IdleTime > 0 {
+		return t.Config.Limits.IdleTime.Duration()
+	}
+	return 0
+}
+
+// handle takes the messages of the other processes.
+func (p *Process) handle(ctx context.Context, from string, kind peer.Kind, body []byte) ([]byte, error) {
+	select {
+	case <-p.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if p.member != nil {
+		if reply, ok, err := p.member.Handle(ctx, kind, body); ok {
+			return reply, err
+		}
+		if reply, ok, err := p.desk.Handle(ctx, kind, body); ok {
+			return reply, err
+		}
+	}
+	if p.maker != nil && kind == peer.KindPieces {
+		return p.maker.Handle(ctx, body)
+	}
+	return nil, errors.Newf("messages of kind %d from %s are not handled here", kind, from)
+}
+
+// watchSettings reads the settings file again when it has changed.
+func (p *Process) watchSettings() {
+	if p.o.Path == "" {
+		return
+	}
+	last, _ := os.ReadFile(p.o.Path) // read a moment ago; an error shows in the next round
+	for clock.Sleep(p.ctx, p.o.Clock, reloadEvery) == nil {
+		now, err := os.ReadFile(p.o.Path)
+		if err != nil || string(now) == string(last) {
+			continue
+		}
+		last = now
+		p.Reload()
+	}
+}
+
+// Reload reads the settings file and takes the seeds from it. Other settings need a restart. A file that cannot be used
+// changes nothing.
+func (p *Process) Reload() {
+	s, err := ReadSettings(p.o.Path)
+	if err != nil {
+		p.events.Emit(event.ProcessReload, event.F("seeds", ""), event.F("reason", err))
+		return
+	}
+	p.setSeeds(s)
+	p.events.Emit(event.ProcessReload, event.F("seeds", strings.Join(s.Seeds, ",")), event.F("reason", ""))
+}
+
+// Times of a planned stop, as parts of the time until the process is killed.
+const (
+	lingerPart = 0.3  // callers that know the address may still connect
+	finishPart = 0.92 // requests in flight are finished until then
+)
+
+// Drain stops the process as planned. It returns the number of requests that were cut off.
+func (p *Process) Drain(ctx context.Context) int {
+	stop := seconds(p.s.Bounds.StopS, defaultStop)
+	began := p.o.Clock.Now()
+	if p.front == nil {
+		return 0
+	}
+	p.draining.Store(true)
+	p.feed.SetReady(false)
+	p.front.Drain()
+	p.events.Emit(event.DrainStarted, event.F("in_flight", p.front.InFlight()), event.F("wait_ms", stop.Milliseconds()))
+	_ = clock.Sleep(ctx, p.o.Clock, time.Duration(lingerPart*float64(stop))) // a second signal ends the wait
+	left := time.Duration(finishPart*float64(stop)) - p.o.Clock.Now().Sub(began)
+	finish, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := p.o.Clock.AfterFunc(left, cancel)
+	defer timer.Stop()
+	_ = p.http.Shutdown(finish) // what is left is counted below
+	cut := p.front.InFlight()
+	p.events.Emit(event.DrainFinished, event.F("cut_off", cut))
+	return cut
+}
+
+// Close ends the process at once.
+func (p *Process) Close() {
+	p.cancel()
+	if p.http != nil {
+		_ = p.http.Close()
+	}
+	if p.front != nil {
+		p.front.Close()
+	}
+	if p.maker != nil {
+		p.maker.Close()
+	}
+	if p.feed != nil {
+		p.feed.Close()
+	}
+	if p.pool != nil {
+		p.pool.Close()
+	}
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	if p.desk != nil {
+		p.desk.Close()
+	}
+	if p.member != nil {
+		_ = p.member.Close() // an error of the disk was reported as an event
+	}
+	if p.hub != nil {
+		p.hub.Close()
+	}
+	p.wg.Wait()
+	p.events.Emit(event.ProcessStopped, event.F("reason", "closed"))
+}
--- /dev/null
+++ b/internal/state/vdoc/vdoc_test.go
@@ -0,0 +1,58 @@
+package vdoc
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func apply(t *testing.T, r *Replica, version uint64, body string) Result {
+	t.Helper()
+	data, err := Encode(Document{Version: version, Body: []byte(body)})
+	assert.NilError(t, err)
+	result, err := DecodeResult(r.Apply(1, data))
+	assert.NilError(t, err)
+	return result
+}
+
+// Guards against a resent or overtaken configuration that replaces a newer one, and against two contents under one version.
+func TestOnlyAHigherVersionReplaces(t *testing.T) {
+	var seen []uint64
+	r := New(func(d Document) { seen = append(seen, d.Version) })
+	for _, c := range []struct {
+		version uint64
+		body    string
+		want    Result
+	}{
+		{3, "a", Result{true, 3}},
+		{3, "other", Result{false, 3}},
+		{2, "old", Result{false, 3}},
+		{9, "b", Result{true, 9}},
+		{3, "a", Result{false, 9}},
+	} {
+		assert.Equal(t, apply(t, r, c.version, c.body), c.want)
+	}
+	assert.Equal(t, string(r.Latest().Body), "b")
+	assert.DeepEqual(t, seen, []uint64{3, 9})
+}
+
+// Guards against a restore of an older snapshot that takes a newer document back.
+func TestRestoreKeepsTheNewerDocument(t *testing.T) {
+	old := New(func(Document) {})
+	apply(t, old, 4, "old")
+	snapshot, err := old.Snapshot()
+	assert.NilError(t, err)
+	r := New(func(Document) {})
+	apply(t, r, 5, "new")
+	assert.NilError(t, r.Restore(snapshot))
+	assert.Equal(t, r.Latest().Version, uint64(5))
+}
+
+// Guards against a damaged command that stops the member or differs between members.
+func TestUnreadableCommandChangesNothing(t *testing.T) {
+	r := New(func(Document) {})
+	apply(t, r, 4, "x")
+	result, err := DecodeResult(r.Apply(2, []byte{0xff, 0x01}))
+	assert.NilError(t, err)
+	assert.Equal(t, result, Result{false, 4})
+}
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -141,16 +141,26 @@
 	defer conn.Close()
 	idle := l.hub.o.Clock.NewTimer(idleTimeout)
 	defer idle.Stop()
+	ping := l.hub.o.Clock.NewTimer(pingEvery)
+	defer ping.Stop()
 	for data := first; ; {
-		_ = conn.SetWriteDeadline(l.hub.o.Clock.Now().Add(writeTimeout))
-		if conn.WriteMessage(websocket.BinaryMessage, data) != nil {
-			return
+		if data != nil {
+			_ = conn.SetWriteDeadline(l.hub.o.Clock.Now().Add(writeTimeout))
+			if conn.WriteMessage(websocket.BinaryMessage, data) != nil {
+				return
+			}
+			l.hub.bytesOut.Add(int64(len(data)))
+			l.hub.sent.Add(1)
+			idle.Reset(idleTimeout)
 		}
-		l.hub.bytesOut.Add(int64(len(data)))
-		l.hub.sent.Add(1)
-		idle.Reset(idleTimeout)
 		select {
 		case data = <-l.out:
+		case <-ping.C():
+			data = nil
+			if conn.WriteControl(websocket.PingMessage, nil, l.hub.o.Clock.Now().Add(writeTimeout)) != nil {
+				return
+			}
+			ping.Reset(pingEvery)
 		case <-idle.C():
 			return
 		case <-ctx.Done():
@@ -159,12 +169,20 @@
 	}
 }
 
+// read takes the answers on a connection. Without an answer to a ping within silentAfter it ends the connection.
 func (l *link) read(conn *websocket.Conn) {
+	alive := func() { _ = conn.SetReadDeadline(l.hub.o.Clock.Now().Add(silentAfter)) }
+	alive()
+	conn.SetPongHandler(func(string) error {
+		alive()
+		return nil
+	})
 	for {
 		_, data, err := conn.ReadMessage()
 		if err != nil {
 			return
 		}
+		alive()
 		l.hub.bytesIn.Add(int64(len(data)))
 		l.hub.received.Add(1)
 		e, err := l.hub.decode(data)
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -38,7 +38,8 @@
 // Kind says which package a message belongs to.
 type Kind uint8
 
-// The kinds of messages. KindPropose, KindEvents, KindStatus, KindQuery, KindOperate and KindAskCrash are questions of Call.
+// The kinds of messages. KindPropose, KindEvents, KindStatus, KindQuery, KindOperate, KindAskCrash, KindAdmit, KindFollow and
+// KindPieces are questions of Call.
 const (
 	KindMember   Kind = 1
 	KindSpread   Kind = 2
@@ -52,6 +53,17 @@
 	KindOperate  Kind = 10 // of operators, to any process
 	KindCrash    Kind = 11
 	KindAskCrash Kind = 12
+	KindAdmit    Kind = 13 // of a member that wants to be added to a control group
+	KindRoster   Kind = 14 // registrations of upstreams and entry nodes, between control nodes
+	KindFollow   Kind = 15 // of an entry node, to a control node
+	KindPieces   Kind = 16 // work on stages, between entry nodes
+)
+
+// Times of the check whether a connection still carries data: one that has gone silent breaks nothing by itself, and all
+// messages on it would be lost until the kernel gives up.
+const (
+	pingEvery   = time.Second
+	silentAfter = 2500 * time.Millisecond
 )
 
 // Envelope surrounds each message.
--- /dev/null
+++ b/internal/wire/upcon/upcon.go
@@ -0,0 +1,470 @@
+// Package upcon sends HTTP/1.1 requests to upstreams over kept connections and says, for each failure, whether the upstream
+// may have run the request.
+//
+// It exists beside net/http's Transport because that one sends some requests again by itself when a kept connection turns
+// out to be closed, does not say whether a byte was written, and hands out an answer without a look at whose it is. Work
+// that may run only once needs all three. The parsing of answers is net/http's.
+//
+// Usage:
+//
+//	p := upcon.New(upcon.Options{Clock: c, IDHeader: "Request-Id"})
+//	resp, err := p.Send(ctx, upcon.Request{Address: "10.0.0.9:80", Method: "POST", Target: "/a?b", Host: "h", ID: id, ...})
+//	var failed *upcon.SendError
+//	if errors.As(err, &failed) && failed.Outcome == upcon.NotSent { ... }
+//	io.Copy(dst, resp.Body)
+//	resp.Body.Close()
+//
+// # Whose answer it is
+//
+// An answer must repeat the id of its request. Bytes that come without a request, after the end of an answer or under
+// another id spoil the connection: it is closed, and no other request sees them. A connection is used again only after a
+// whole answer whose length was given, and only if nothing has arrived on it since.
+//
+// # Early answers
+//
+// An upstream may answer before it has read the whole body. If the rest has not been written when the answer ends, the
+// connection is closed, so that nothing else stands where the rest of the body is due.
+package upcon
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+)
+
+// Outcome says what became of a request that got no answer.
+type Outcome uint8
+
+// The outcomes.
+const (
+	NotSent  Outcome = iota + 1 // no byte reached a connection
+	MaybeRan                    // the upstream may have run it, or still run it
+)
+
+// String names the outcome for log lines.
+func (o Outcome) String() string {
+	if o == NotSent {
+		return "not_sent"
+	}
+	return "maybe_ran"
+}
+
+// SendError is a request without a usable answer.
+type SendError struct {
+	Address string
+	Outcome Outcome
+	Refused bool // the upstream's VM answered that nothing listens there
+	Cause   error
+}
+
+func (e *SendError) Error() string {
+	return fmt.Sprintf("upstream %s, %s: %v", e.Address, e.Outcome, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
+// Causes of a SendError.
+var (
+	ErrForeign  = errors.New("the answer does not carry the id of the request")
+	ErrAllInUse = errors.New("all connections to the upstream are in use")
+)
+
+// Options configure a Pool.
+type Options struct {
+	Clock       clock.Clock
+	IDHeader    string        // header that carries a request's id and is repeated in its answer
+	DialTimeout time.Duration // 0 means DefaultDialTimeout
+	IdleFor     time.Duration // longest time that a kept connection stays unused; 0 means DefaultIdleFor
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultIdleFor     = 4 * time.Second
+)
+
+const (
+	// keepAliveMargin is how long before the time that the upstream states a connection is given up, so that a request
+	// does not cross its close.
+	keepAliveMargin = time.Second
+	// asideBytes is the size from which a body is written beside the reading of the answer.
+	asideBytes = 16 << 10
+)
+
+// Pool keeps connections. It is safe for concurrent use.
+type Pool struct {
+	o Options
+
+	mu     sync.Mutex
+	hosts  map[string]*host
+	closed bool
+	dialed int64
+}
+
+type host struct {
+	idle []*conn // last used last
+	open int
+}
+
+// New returns a pool without connections.
+func New(o Options) *Pool {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.IdleFor == 0 {
+		o.IdleFor = DefaultIdleFor
+	}
+	return &Pool{o: o, hosts: map[string]*host{}}
+}
+
+// Request is a request to one upstream.
+type Request struct {
+	Address string
+	Method  string
+	Target  string // path and query as they are sent
+	Host    string
+	Header  http.Header
+	Body    []byte
+	HasBody bool   // a length is sent even if the body is empty
+	ID      string // must be repeated in the answer; empty: not checked
+	Limit   int    // most connections to the address; 0: no limit
+}
+
+// Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body.
+type Response struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body, -1 if not known
+	// Unframed is true if only the end of the connection ends the body.
+	Unframed bool
+	Body     io.ReadCloser
+	Reused   bool // it came over a kept connection
+}
+
+// Send sends a request and reads the head of its answer. When ctx ends the connection is closed, also while the body is
+// being read. Errors: *SendError.
+func (p *Pool) Send(ctx context.Context, r Request) (*Response, error) {
+	c, reused, err := p.take(ctx, r.Address, r.Limit)
+	if err != nil {
+		return nil, &SendError{r.Address, NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
+	}
+	stop := context.AfterFunc(ctx, c.abort)
+	c.stop = stop
+	resp, err := c.exchange(r, p.o.IDHeader)
+	if err == nil {
+		resp.Reused = reused
+		return resp, nil
+	}
+	c.close()
+	outcome := MaybeRan
+	if !c.wrote {
+		outcome = NotSent
+	}
+	if ctx.Err() != nil {
+		err = errors.CombineErrors(ctx.Err(), err)
+	}
+	return nil, &SendError{r.Address, outcome, false, err}
+}
+
+// Close closes the connections that are not in use.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var all []*conn
+	for _, h := range p.hosts {
+		all = append(all, h.idle...)
+		h.idle = nil
+	}
+	p.mu.Unlock()
+	for _, c := range all {
+		c.close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	now := p.o.Clock.Now()
+	p.mu.Lock()
+	var old []*conn
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.After(c.until) {
+				old = append(old, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		h.idle = kept
+		if h.open == 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
+
+// Dialed returns the number of connections made so far.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+func (p *Pool) host(address string) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+// take returns a kept connection that is still clean, or a new one.
+func (p *Pool) take(ctx context.Context, address string, limit int) (c *conn, reused bool, err error) {
+	for {
+		c = p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if p.o.Clock.Now().Before(c.until) && c.clean() {
+			return c, true, nil
+		}
+		c.close()
+	}
+	p.mu.Lock()
+	h := p.host(address)
+	if limit > 0 && h.open >= limit {
+		p.mu.Unlock()
+		return nil, false, ErrAllInUse
+	}
+	h.open++
+	p.dialed++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: p.o.DialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.mu.Lock()
+		h.open--
+		p.mu.Unlock()
+		return nil, false, err
+	}
+	return &conn{pool: p, host: h, address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, false, nil
+}
+
+const readBuffer = 4 << 10
+
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+// conn is one connection. It belongs to one request at a time.
+type conn struct {
+	pool    *Pool
+	host    *host
+	address string
+	nc      net.Conn
+	br      *bufio.Reader
+	until   time.Time // when it may no longer be used
+	stop    func() bool
+	wrote   bool // a byte of the present request was written
+	written chan error
+	once    sync.Once
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.nc.Close()
+		c.pool.mu.Lock()
+		c.host.open--
+		c.pool.mu.Unlock()
+	})
+}
+
+// abort ends a request whose context has ended. It only closes the socket, which makes the reader and writer return.
+func (c *conn) abort() { _ = c.nc.Close() }
+
+// clean reports whether nothing has arrived on an idle connection and it is open.
+func (c *conn) clean() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(fd), one[:])
+		idle = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && idle
+}
+
+// exchange writes the request and reads the head of the answer.
+func (c *conn) exchange(r Request, idHeader string) (*Response, error) {
+	c.wrote, c.written = false, make(chan error, 1)
+	head := encodeHead(r)
+	if len(r.Body) <= asideBytes {
+		c.written <- c.write(append(head, r.Body...))
+	} else {
+		// The head goes out here, so that wrote is settled before the answer is awaited.
+		if err := c.write(head); err != nil {
+			c.written <- err
+		} else {
+			body, written := r.Body, c.written
+			go func() {
+				_, err := c.nc.Write(body)
+				written <- err
+			}()
+		}
+	}
+	if !c.wrote {
+		return nil, <-c.written
+	}
+	hr, err := readHead(c.br, r.Method)
+	if err != nil {
+		return nil, err
+	}
+	if r.ID != "" && hr.Header.Get(idHeader) != r.ID {
+		return nil, ErrForeign
+	}
+	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength}
+	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
+	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor)}
+	return resp, nil
+}
+
+func (c *conn) write(data []byte) error {
+	n, err := c.nc.Write(data)
+	c.wrote = n > 0
+	return err
+}
+
+// readHead skips informational answers.
+func readHead(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		hr, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if hr.StatusCode >= http.StatusOK {
+			return hr, nil
+		}
+	}
+}
+
+func encodeHead(r Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// keepFor returns how long a connection may stay idle after an answer.
+func keepFor(h http.Header, most time.Duration) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			most = min(most, time.Duration(seconds)*time.Second-keepAliveMargin)
+		}
+	}
+	return most
+}
+
+// body reads an answer and gives the connection back at its end.
+type body struct {
+	c        *conn
+	in       io.ReadCloser
+	reusable bool
+	keep     time.Duration
+	ended    bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.in.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+		b.finish()
+		return n, io.EOF
+	}
+	return n, err
+}
+
+// Close gives up the rest of the answer, and the connection with it.
+func (b *body) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.c.stop()
+		b.c.close()
+	}
+	return nil
+}
+
+func (b *body) finish() {
+	c := b.c
+	stopped := c.stop()
+	select {
+	case err := <-c.written:
+		b.reusable = b.reusable && err == nil
+	default:
+		b.reusable = false
+	}
+	if !stopped || !b.reusable || b.keep <= 0 || c.br.Buffered() > 0 {
+		c.close()
+		return
+	}
+	p := c.pool
+	c.until = p.o.Clock.Now().Add(b.keep)
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		c.host.idle = append(c.host.idle, c)
+	}
+	p.mu.Unlock()
+	if closed {
+		c.close()
+	}
+}
