Order stage pieces by worth to the request, for each region in one queue

Change: one queue for each service and region; a request begins with all its pieces; side stages begin late; room is learned from refusals; pieces of requests that will be late yield by two ranks; a place of a full call goes to a starved rank; what would be late behind two rounds of calls is refused at once. Engines of a region share prompts.

--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -104,20 +104,32 @@
 // InFlight returns the number of requests that have no final answer yet.
 func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
 
-// distance orders data centres by how far they are from this node.
-func (f *Front) distance(dataCentre string) int {
+// distance orders data centres by how far they are from another one.
+func (f *Front) distance(from, to string) int {
 	switch {
-	case dataCentre == f.o.DataCentre:
+	case from == to:
 		return 0
-	case f.o.RegionOf[dataCentre] == f.o.Region:
+	case f.o.RegionOf[from] == f.o.RegionOf[to]:
 		return 1
 	}
 	return 2
 }
 
+// near says how far a data centre is from this node. Requests that look for a cache see a region as one place: to read a
+// prompt again costs more than a way between its data centres.
+func (f *Front) near(w pick.Want) func(string) int {
+	return func(dataCentre string) int {
+		d := f.distance(f.o.DataCentre, dataCentre)
+		if w.Affinity != "" && d == 1 {
+			return 0
+		}
+		return d
+	}
+}
+
 // choose picks an upstream of a service and counts a request to it.
 func (f *Front) choose(service string, w pick.Want) (roster.Upstream, bool) {
-	w.Near = f.distance
+	w.Near = f.near(w)
 	list := f.o.View().Services[service]
 	now := f.o.Clock.Now()
 	f.mu.Lock()
@@ -129,6 +141,16 @@
 	return u, ok
 }
 
+// peek returns the upstream that choose would pick now.
+func (f *Front) peek(service string, w pick.Want) (roster.Upstream, bool) {
+	w.Near = f.near(w)
+	list := f.o.View().Services[service]
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooser.Choose(now, list, w)
+}
+
 func (f *Front) ended(id string, r pick.Result, took time.Duration) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -20,6 +20,7 @@
 	results chan stageResult
 	owners  []string // nodes that were given pieces
 	reason  stage.Reason
+	home    string // data centre of the engine that will probably run the request
 }
 
 // stageResult is the end of the pieces of one stage that were asked for together.
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, &refusal{http.StatusBadRequest, err.Error(), 0}
 	}
-	return &staging{x: x, plan: plan, results: make(chan stageResult, len(counts)*(1+maxRounds))}, nil
+	return &staging{x: x, plan: plan, home: x.home(), results: make(chan stageResult, len(counts)*(1+maxRounds))}, nil
 }
 
 // maxRounds bounds how often a stage can be asked for.
@@ -93,15 +94,15 @@
 		group := items[:n]
 		items = items[n:]
 		service := x.route.Stages[number].Service
-		dataCentre := s.place(service)
-		owner := x.f.o.Maker.Owner(service, dataCentre)
+		area := s.place(service)
+		owner := x.f.o.Maker.Owner(service, area)
 		if !slices.Contains(s.owners, owner) {
 			s.owners = append(s.owners, owner)
 		}
 		jobs := s.jobs(group)
 		s.pending++
 		x.f.wg.Go(func() {
-			made, err := x.f.o.Maker.Make(x.ctx, service, dataCentre, jobs)
+			made, err := x.f.o.Maker.Make(x.ctx, service, area, jobs)
 			if err != nil { // the request has ended
 				made = make([]maker.Made, len(group))
 				for i := range made {
@@ -126,24 +127,26 @@
 	due := x.began.Add(x.route.Target.Duration() - after)
 	jobs := make([]stage.Job, len(group))
 	for i, item := range group {
-		jobs[i] = stage.Job{Item: item, Bytes: st.Bytes, Due: due, Deadline: x.end.Add(-after)}
+		jobs[i] = stage.Job{
+			Item: item, Rank: x.rank(), Home: s.home, Bytes: st.Bytes, Due: due, Deadline: x.end.Add(-after),
+		}
 	}
 	return jobs
 }
 
-// place chooses the data centre in which a stage runs: the nearest one with an upstream that takes work.
+// place chooses the region in which a stage runs: the nearest one to the model engine with an upstream that takes work.
 func (s *staging) place(service string) string {
 	f := s.x.f
-	best, least := f.o.DataCentre, -1
+	best, least := s.home, -1
 	for _, u := range f.o.View().Services[service] {
 		if u.State != roster.Ready || u.Silent {
 			continue
 		}
-		if d := f.distance(u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
+		if d := f.distance(s.home, u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
 			best, least = u.DataCentre, d
 		}
 	}
-	return best
+	return f.o.RegionOf[best]
 }
 
 // take records results; false means that the request cannot go on.
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -72,11 +72,7 @@
 	if s.last != "" {
 		h.Set(names.LastEvent, s.last)
 	}
-	rank := x.route.Priority
-	if x.team != nil && x.team.Priority != nil {
-		rank = *x.team.Priority
-	}
-	h.Set(names.Priority, strconv.Itoa(min(firstPriority+max(rank, 0), lastPriority)))
+	h.Set(names.Priority, strconv.Itoa(min(firstPriority+max(x.rank(), 0), lastPriority)))
 	if x.plan != nil {
 		if inputs := x.plan.plan.Inputs(); len(inputs) > 0 {
 			h.Set(names.Inputs, strings.Join(inputs, ","))
@@ -254,3 +250,21 @@
 	}
 	return x.r.Header.Get(x.f.o.Dialect.Headers.Model) + "/" + strings.Join(ids, ",")
 }
+
+// rank is the urgency of the request, 0 for the most urgent.
+func (x *exchange) rank() int {
+	if x.team != nil && x.team.Priority != nil {
+		return *x.team.Priority
+	}
+	return x.route.Priority
+}
+
+// home returns the data centre of the engine that has the request's prompt, or would get it. Stages run there, so that
+// their results do not cross data centres.
+func (x *exchange) home() string {
+	u, ok := x.f.peek(x.service, pick.Want{Affinity: x.affinity()})
+	if !ok {
+		return x.f.o.DataCentre
+	}
+	return u.DataCentre
+}
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -1,14 +1,14 @@
-// Package maker has the pieces of stages made: it brings them together from all entry nodes of a data centre, so that the
+// Package maker has the pieces of stages made: it brings them together from all entry nodes of a region, so that the
 // calls of the stage upstreams are full, and sends the calls.
 //
-// For each service and data centre one entry node, chosen by rendezvous hashing over those that are ready, keeps the queue
+// For each service and region one entry node, chosen by rendezvous hashing over those that are ready, keeps the queue
 // (package stage). The others hand their pieces to it. Two nodes that differ for a moment about who that is both call the
 // upstreams, which queue or refuse what is too much; no agreement is needed.
 //
 // Usage:
 //
 //	m := maker.New(maker.Options{Node: "e1", Peer: peerAddress, View: feed.View, Hub: hub, Pool: pool, ...})
-//	made, err := m.Make(ctx, "encoders", "dc-a", jobs) // one result for each job, in order
+//	made, err := m.Make(ctx, "encoders", "north", jobs) // one result for each job, in order
 //	m.Free("encoders", made[0].Source, handles)
 //	m.Cancel(requestID)
 package maker
@@ -35,14 +35,16 @@
 
 // Options configure a Maker.
 type Options struct {
-	Node    string
-	Peer    string // own peer address
-	Dialect *lingo.Dialect
-	Clock   clock.Clock
-	Events  *event.Log
-	View    func() *feed.View
-	Hub     *peer.Hub
-	Pool    *upcon.Pool
+	Node string
+	Peer string // own peer address
+	// RegionOf gives the regions by data centre.
+	RegionOf map[string]string
+	Dialect  *lingo.Dialect
+	Clock    clock.Clock
+	Events   *event.Log
+	View     func() *feed.View
+	Hub      *peer.Hub
+	Pool     *upcon.Pool
 }
 
 // Made is the result of one job.
@@ -73,7 +75,7 @@
 	avoid   map[string]time.Time // by peer address
 }
 
-type place struct{ service, dataCentre string }
+type place struct{ service, area string } // area is a region
 
 type queue struct {
 	place
@@ -83,11 +85,11 @@
 
 // ask is a message between entry nodes. Free and Cancel come without an answer.
 type ask struct {
-	Service    string    `cbor:"1,keyasint,omitempty"`
-	DataCentre string    `cbor:"2,keyasint,omitempty"`
-	Jobs       []wireJob `cbor:"3,keyasint,omitempty"`
-	Free       []string  `cbor:"4,keyasint,omitempty"`
-	Cancel     string    `cbor:"5,keyasint,omitempty"`
+	Service string    `cbor:"1,keyasint,omitempty"`
+	Area    string    `cbor:"2,keyasint,omitempty"`
+	Jobs    []wireJob `cbor:"3,keyasint,omitempty"`
+	Free    []string  `cbor:"4,keyasint,omitempty"`
+	Cancel  string    `cbor:"5,keyasint,omitempty"`
 }
 
 // wireJob carries times as durations, because the clocks of two VMs differ.
@@ -96,6 +98,8 @@
 	Bytes int64         `cbor:"2,keyasint"`
 	Due   time.Duration `cbor:"3,keyasint"`
 	Left  time.Duration `cbor:"4,keyasint"`
+	Rank  int           `cbor:"5,keyasint,omitempty"`
+	Home  string        `cbor:"6,keyasint,omitempty"`
 }
 
 // New starts a maker.
@@ -111,14 +115,14 @@
 	m.wg.Wait()
 }
 
-// Make has jobs of one service made in a data centre and waits for all of them. The error says that no node took them.
-func (m *Maker) Make(ctx context.Context, service, dataCentre string, jobs []stage.Job) ([]Made, error) {
+// Make has jobs of one service made in a region and waits for all of them. The error says that no node took them.
+func (m *Maker) Make(ctx context.Context, service, area string, jobs []stage.Job) ([]Made, error) {
 	for range maxHand {
-		owner := m.owner(place{service, dataCentre})
+		owner := m.owner(place{service, area})
 		if owner == m.o.Peer {
-			return m.makeHere(ctx, place{service, dataCentre}, jobs), nil
+			return m.makeHere(ctx, place{service, area}, jobs), nil
 		}
-		made, err := m.hand(ctx, owner, service, dataCentre, jobs)
+		made, err := m.hand(ctx, owner, service, area, jobs)
 		if err == nil {
 			return made, nil
 		}
@@ -129,7 +133,7 @@
 		m.avoid[owner] = m.o.Clock.Now().Add(avoidFor)
 		m.mu.Unlock()
 	}
-	return m.makeHere(ctx, place{service, dataCentre}, jobs), nil
+	return m.makeHere(ctx, place{service, area}, jobs), nil
 }
 
 // owner returns the peer address of the entry node that keeps the queue of a place.
@@ -139,7 +143,7 @@
 	defer m.mu.Unlock()
 	best, address := uint64(0), ""
 	for _, e := range m.o.View().Entries {
-		if !e.Ready || e.DataCentre != p.dataCentre || now.Before(m.avoid[e.Peer]) {
+		if !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer]) {
 			continue
 		}
 		if score := weight(e.Node, p.service); address == "" || score > best {
@@ -164,11 +168,11 @@
 }
 
 // hand brings jobs to another entry node.
-func (m *Maker) hand(ctx context.Context, owner, service, dataCentre string, jobs []stage.Job) ([]Made, error) {
+func (m *Maker) hand(ctx context.Context, owner, service, area string, jobs []stage.Job) ([]Made, error) {
 	now := m.o.Clock.Now()
-	q := ask{Service: service, DataCentre: dataCentre}
+	q := ask{Service: service, Area: area}
 	for _, j := range jobs {
-		q.Jobs = append(q.Jobs, wireJob{j.Item, j.Bytes, j.Due.Sub(now), j.Deadline.Sub(now)})
+		q.Jobs = append(q.Jobs, wireJob{j.Item, j.Bytes, j.Due.Sub(now), j.Deadline.Sub(now), j.Rank, j.Home})
 	}
 	body, err := cbor.Marshal(q)
 	if err != nil { // jobs hold plain values only
@@ -255,15 +259,17 @@
 		m.queues[p] = q
 	}
 	q.SetPool(*service.Pool)
-	q.SetTargets(targets(view, p))
+	q.SetTargets(m.targets(view, p))
 	return q
 }
 
-func targets(view *feed.View, p place) []stage.Target {
+func (m *Maker) targets(view *feed.View, p place) []stage.Target {
 	var out []stage.Target
 	for _, u := range view.Services[p.service] {
-		if u.DataCentre == p.dataCentre {
-			out = append(out, stage.Target{ID: u.ID, Address: u.Address, Avoid: u.Silent || u.State != roster.Ready})
+		if m.o.RegionOf[u.DataCentre] == p.area {
+			out = append(out, stage.Target{
+				ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Avoid: u.Silent || u.State != roster.Ready,
+			})
 		}
 	}
 	return out
--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -145,8 +145,8 @@
 	m.o.Hub.Send(address, peer.KindPieces, body)
 }
 
-// Owner returns the peer address of the node that keeps the queue of a service in a data centre.
-func (m *Maker) Owner(service, dataCentre string) string { return m.owner(place{service, dataCentre}) }
+// Owner returns the peer address of the node that keeps the queue of a service in a region.
+func (m *Maker) Owner(service, area string) string { return m.owner(place{service, area}) }
 
 // Handle takes a message of another entry node.
 func (m *Maker) Handle(ctx context.Context, body []byte) ([]byte, error) {
@@ -167,12 +167,14 @@
 	jobs := make([]stage.Job, len(q.Jobs))
 	var last time.Duration
 	for i, j := range q.Jobs {
-		jobs[i] = stage.Job{Item: j.Item, Bytes: j.Bytes, Due: now.Add(j.Due), Deadline: now.Add(j.Left)}
+		jobs[i] = stage.Job{
+			Item: j.Item, Rank: j.Rank, Home: j.Home, Bytes: j.Bytes, Due: now.Add(j.Due), Deadline: now.Add(j.Left),
+		}
 		last = max(last, j.Left)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := m.o.Clock.AfterFunc(last, cancel)
 	defer timer.Stop()
-	return cbor.Marshal(m.makeHere(ctx, place{q.Service, q.DataCentre}, jobs))
+	return cbor.Marshal(m.makeHere(ctx, place{q.Service, q.Area}, jobs))
 }
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -85,12 +85,27 @@
 	return depth + 1
 }
 
+// left returns the number of stages that must still run one after the other.
+func (p *Plan) left() int {
+	left := 0
+	for i := range p.stages {
+		if slices.ContainsFunc(p.pieces[i], func(x piece) bool { return x.handle == "" }) {
+			left = max(left, p.Depth(i))
+		}
+	}
+	return left
+}
+
 // Ready returns the pieces that can be made now and were not returned before. The caller sets their time left.
+//
+// A stage beside a longer chain begins only when the rest of that chain takes as long as the stage: its results would
+// otherwise take up memory while the request waits for the chain.
 func (p *Plan) Ready() []Item {
 	var out []Item
+	left := p.left()
 	for i := range p.stages {
 		inputs, ok := p.inputsOf(i)
-		if !ok {
+		if !ok || p.Depth(i) < left {
 			continue
 		}
 		for j := range p.pieces[i] {
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -11,6 +11,8 @@
 // Job is a piece that waits to be made.
 type Job struct {
 	Item
+	Rank     int       // 0 is the most urgent
+	Home     string    // data centre in which the result is needed
 	Bytes    int64     // approximate size of its result
 	Due      time.Time // by when it should be made, so that its request is on time
 	Deadline time.Time // from when on its result is of no use
@@ -36,9 +38,10 @@
 
 // Target is an upstream of the service.
 type Target struct {
-	ID      string
-	Address string
-	Avoid   bool // it is silent or drains
+	ID         string
+	Address    string
+	DataCentre string
+	Avoid      bool // it is silent or drains
 }
 
 // CallResult says how a call ended.
@@ -54,7 +57,8 @@
 
 // Times of a Queue.
 const (
-	fullPause    = 30 * time.Millisecond // before the next call to an upstream that was full
+	fullPause    = 30 * time.Millisecond  // before the next call to an upstream that was full
+	roomPause    = 100 * time.Millisecond // the same, without room for a result, unless one is freed earlier
 	brokenPause  = 500 * time.Millisecond
 	mostPause    = 8 * time.Second
 	patienceX    = 6 // times the time that a call should take
@@ -62,6 +66,14 @@
 	maxTries     = 3 // calls that one job is part of
 )
 
+// Parameters of the order.
+const (
+	lateRanks  = 2    // a piece whose request will be late counts as this much less urgent
+	roundsHeld = 2    // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	roomShrink = 0.97 // of the room that was in use when a result found none
+	roomGrow   = 1.01 // for each result that was freed
+)
+
 type target struct {
 	Target
 	present bool
@@ -70,11 +82,14 @@
 	fails   int
 	room    map[string]held // results by handle
 	used    int64           // bytes of results and of those being made
+	limit   float64         // bytes that it seems to have room for; sizes are approximate
+	blocked time.Time       // until then a result finds no room, unless one is freed
 }
 
 type held struct {
-	bytes int64
-	until time.Time // when the upstream forgets it by itself
+	request string
+	bytes   int64
+	until   time.Time // when the upstream forgets it by itself
 }
 
 type open struct {
@@ -82,17 +97,20 @@
 	jobs   []Job
 }
 
-// Queue hands the pieces of one service in one data centre to its upstreams. It is not safe for concurrent use.
+// Queue hands the pieces of one service in one region to its upstreams. It is not safe for concurrent use.
 type Queue struct {
 	pool    conf.Pool
 	targets map[string]*target
 	jobs    []Job
 	tries   map[Key]int
 	open    map[uint64]open
-	dropped map[Key]bool // cancelled while part of a call
+	dropped map[Key]bool   // cancelled while part of a call
+	begun   map[string]int // results and pieces under way here, by request
 	nextID  uint64
 }
 
+const bytesPerMB = 1e6
+
 // Key names a job.
 type Key struct {
 	Request string
@@ -106,6 +124,7 @@
 func NewQueue(pool conf.Pool) *Queue {
 	return &Queue{
 		pool: pool, targets: map[string]*target{}, tries: map[Key]int{}, open: map[uint64]open{}, dropped: map[Key]bool{},
+		begun: map[string]int{},
 	}
 }
 
@@ -120,18 +139,33 @@
 	for _, t := range list {
 		have := q.targets[t.ID]
 		if have == nil {
-			have = &target{room: map[string]held{}}
+			have = &target{room: map[string]held{}, limit: q.pool.RoomMB * bytesPerMB}
 			q.targets[t.ID] = have
 		}
 		have.Target, have.present = t, true
 	}
 	for id, t := range q.targets {
 		if !t.present && t.calls == 0 {
+			q.forget(t)
 			delete(q.targets, id)
 		}
 	}
 }
 
+// forget drops the account of a target that has left.
+func (q *Queue) forget(t *target) {
+	for _, r := range t.room {
+		q.leave(r.request)
+	}
+}
+
+// leave counts one result or piece of a request less.
+func (q *Queue) leave(request string) {
+	if q.begun[request]--; q.begun[request] <= 0 {
+		delete(q.begun, request)
+	}
+}
+
 // Len returns the number of jobs that wait, and Calls that of calls under way.
 func (q *Queue) Len() int { return len(q.jobs) }
 
@@ -163,18 +197,18 @@
 	if !slices.ContainsFunc(q.sorted(), func(t *target) bool { return t.present && !t.Avoid }) {
 		return nil, append(replies, q.refuseAll()...)
 	}
-	q.order(now)
 	var calls []Call
 	for _, t := range q.sorted() {
 		for q.mayCall(t, now) {
-			jobs := q.fill(t)
+			q.order(now, t.DataCentre)
+			jobs := q.fill(t, now)
 			if len(jobs) == 0 {
 				break
 			}
 			calls = append(calls, q.begin(t, jobs))
 		}
 	}
-	return calls, replies
+	return calls, append(replies, q.refuseLate(now)...)
 }
 
 func (q *Queue) mayCall(t *target, now time.Time) bool {
@@ -226,32 +260,102 @@
 	return Reply{j, o, upstream}
 }
 
-// order sorts the jobs: those that can still be on time come first, by when they are due; the others follow by their
-// deadline. Without this, one burst beyond capacity makes each request after it late as well.
-func (q *Queue) order(now time.Time) {
-	end := now.Add(q.callTime(1))
+// late reports whether a job that starts now makes its request late.
+func (q *Queue) late(j Job, now time.Time) bool { return now.Add(q.callTime(1)).After(j.Due) }
+
+// class orders jobs before their times do. Requests that hold memory here come first, because it is free again only when
+// they are done. A request that will be late is worth little, so it yields to some that can still be on time; without this,
+// one burst beyond capacity makes each request after it late as well. Pieces with inputs do not yield: their request has been
+// worked on, and the inputs would be forgotten.
+func (q *Queue) class(j Job, now time.Time) int {
+	switch {
+	case q.begun[j.Request] > 0:
+		return -1
+	case len(j.Inputs) == 0 && q.late(j, now):
+		return j.Rank + lateRanks
+	}
+	return j.Rank
+}
+
+// order sorts the jobs for an upstream in a data centre. Of equal ones, those whose result is needed there come first.
+func (q *Queue) order(now time.Time, dataCentre string) {
 	slices.SortStableFunc(q.jobs, func(a, b Job) int {
-		lateA, lateB := end.After(a.Due), end.After(b.Due)
-		switch {
-		case lateA && !lateB:
+		classA, classB := q.class(a, now), q.class(b, now)
+		if classA != classB {
+			return cmp.Compare(classA, classB)
+		}
+		if (a.Home == dataCentre) != (b.Home == dataCentre) {
+			if a.Home == dataCentre {
+				return -1
+			}
 			return 1
-		case lateB && !lateA:
-			return -1
-		case lateA:
-			return a.Deadline.Compare(b.Deadline)
 		}
-		return a.Due.Compare(b.Due)
+		if q.late(a, now) {
+			return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.Request, b.Request))
+		}
+		return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Request, b.Request))
+	})
+}
+
+// refuseLate gives up jobs that would be late anyway while more than roundsHeld rounds of calls wait.
+func (q *Queue) refuseLate(now time.Time) []Reply {
+	ready := 0
+	for _, t := range q.targets {
+		if t.present && !t.Avoid {
+			ready++
+		}
+	}
+	keep := ready * q.pool.Batch * roundsHeld
+	if len(q.jobs) <= keep {
+		return nil
+	}
+	q.order(now, "")
+	var out []Reply
+	at := 0
+	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
+		at++
+		if at <= keep || q.begun[j.Request] > 0 || len(j.Inputs) > 0 || !q.late(j, now) {
+			return false
+		}
+		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
+		return true
 	})
+	return out
 }
 
-// fill takes the first jobs that fit into one call and into the upstream's memory.
-func (q *Queue) fill(t *target) []Job {
-	free := int64(q.pool.RoomMB*1e6) - t.used
+// fill takes the first jobs that fit into one call and into the upstream's memory. A request is begun only if all of its
+// pieces that wait here fit: a part of them would hold memory while the rest waits for some.
+//
+// While more jobs wait than the call takes, its last place goes to the first job of a less urgent rank that can still
+// be on time, so that no rank is without service.
+func (q *Queue) fill(t *target, now time.Time) []Job {
+	limit := min(t.limit, q.pool.RoomMB*bytesPerMB)
+	free := int64(limit) - t.used
+	needs := map[string]int64{}
+	for _, j := range q.jobs {
+		needs[j.Request] += j.Bytes
+	}
+	last := -1
+	if len(q.jobs) > q.pool.Batch && q.pool.Batch > 2 {
+		last = q.starved(now)
+	}
 	var out []Job
+	at := -1
 	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
-		if len(out) >= q.pool.Batch || j.Bytes > free {
+		at++
+		places := q.pool.Batch
+		if last > at {
+			places--
+		}
+		need := j.Bytes
+		if q.begun[j.Request] == 0 && float64(needs[j.Request]) <= limit {
+			need = needs[j.Request]
+		}
+		if len(out) >= places || need > free || j.Bytes > 0 && now.Before(t.blocked) {
 			return false
 		}
+		needs[j.Request] -= j.Bytes
+		q.begun[j.Request]++
 		free -= j.Bytes
 		out = append(out, j)
 		return true
@@ -259,6 +363,20 @@
 	return out
 }
 
+// starved returns the position of the job of a less urgent rank that has waited longest and can be on time; -1 for none.
+func (q *Queue) starved(now time.Time) int {
+	best := -1
+	for i, j := range q.jobs {
+		if j.Rank <= q.jobs[0].Rank || q.late(j, now) {
+			continue
+		}
+		if best < 0 || j.Due.Before(q.jobs[best].Due) {
+			best = i
+		}
+	}
+	return best
+}
+
 func (q *Queue) begin(t *target, jobs []Job) Call {
 	q.nextID++
 	t.calls++
@@ -297,9 +415,14 @@
 			out = outcomes[i]
 		}
 		if out.Handle != "" {
-			t.room[out.Handle] = held{j.Bytes, now.Add(q.pool.HandleFor.Duration())}
+			t.room[out.Handle] = held{j.Request, j.Bytes, now.Add(q.pool.HandleFor.Duration())}
 		} else {
 			t.used -= j.Bytes
+			q.leave(j.Request)
+		}
+		if out.Reason == ReasonNoRoom {
+			t.limit = max(roomShrink*float64(t.used), float64(j.Bytes))
+			t.blocked = now.Add(roomPause)
 		}
 		if q.dropped[keyOf(j)] {
 			delete(q.dropped, keyOf(j))
@@ -316,6 +439,7 @@
 		replies = append(replies, q.reply(j, out, o.target))
 	}
 	if !t.present && t.calls == 0 {
+		q.forget(t)
 		delete(q.targets, t.ID)
 	}
 	return replies, unwanted
@@ -326,14 +450,14 @@
 	if out.Handle != "" {
 		return false
 	}
-	if result == Full {
+	if result == Full || result == Answered && out.Reason == ReasonNoRoom {
 		q.tries[keyOf(j)]-- // it was not run
 		return true
 	}
 	if q.tries[keyOf(j)] >= maxTries {
 		return false
 	}
-	return result != Answered || out.Reason == ReasonNoRoom || out.Reason == ReasonError
+	return result != Answered || out.Reason == ReasonError
 }
 
 // Free takes handles whose results are not needed any more and returns them by the address of the upstream that has them.
@@ -343,6 +467,9 @@
 		for _, t := range q.targets {
 			if r, ok := t.room[h]; ok {
 				t.used -= r.bytes
+				t.limit = min(t.limit*roomGrow, q.pool.RoomMB*bytesPerMB)
+				t.blocked = time.Time{}
+				q.leave(r.request)
 				delete(t.room, h)
 				out[t.Address] = append(out[t.Address], h)
 			}
@@ -357,6 +484,7 @@
 		for h, r := range t.room {
 			if now.After(r.until) {
 				t.used -= r.bytes
+				q.leave(r.request)
 				delete(t.room, h)
 			}
 		}
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -202,7 +202,7 @@
 	})
 	close(assigned)
 	p.maker = maker.New(maker.Options{
-		Node: p.s.Node, Peer: address, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.feed.View,
+		Node: p.s.Node, Peer: address, RegionOf: p.s.Regions, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.feed.View,
 		Hub: p.hub, Pool: p.pool,
 	})
 	b := p.s.Bounds
