Log when the first event of a forwarded request was passed on

Cause: the log did not say whether a late stream lost its time in the stages or at the engine. Change: first_ms beside stage_ms.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -145,7 +145,7 @@
 
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
-	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it.", []string{"request", "route", "team", "status", "upstream", "attempts", "stage_ms", "elapsed_ms", "ran", "reason"}, "See docs/OPERATIONS.md."},
+	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it.", []string{"request", "route", "team", "status", "upstream", "attempts", "stage_ms", "first_ms", "elapsed_ms", "ran", "reason"}, "See docs/OPERATIONS.md."},
 	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
 	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
 	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -38,7 +38,8 @@
 	maybeRan bool // some upstream may have run it
 	started  bool // a part of the answer was passed on
 	upstream string
-	staged   time.Duration
+	staged   time.Duration // until the stages were done
+	first    time.Duration // until the first event or the answer was passed on
 	failed   map[string]bool // upstreams that failed this request
 }
 
@@ -248,7 +249,7 @@
 	x.f.counters.finish(status, elapsed)
 	x.f.o.Events.Emit(event.ForwardFinished, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
 		event.F("status", status), event.F("upstream", x.upstream), event.F("attempts", x.sent+x.refusals),
-		event.F("stage_ms", x.staged.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()),
+		event.F("stage_ms", x.staged.Milliseconds()), event.F("first_ms", x.first.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()),
 		event.F("ran", x.ranText()), event.F("reason", reason))
 }
 
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -148,6 +148,7 @@
 		return
 	}
 	x.started = true
+	x.first = x.f.o.Clock.Now().Sub(x.began)
 	x.copyHead(a)
 	x.w.WriteHeader(a.Status)
 }
