Place requests on engines from one node of each region

Change: gate/engine, a machine that places requests by prompt tokens still to be read and by parts that engines have read; one entry node of a region keeps it for each service. The other nodes ask it once for each request, and choose by themselves when it does not answer within 150 ms. Stages run near the engine that was chosen.

--- /dev/null
+++ b/internal/gate/engine/engine.go
@@ -0,0 +1,306 @@
+// Package engine places requests on model engines. A Placer knows all requests that the entry nodes of a region send to the
+// engines of one service, since they ask it for a place first; so it knows the prompts that still have to be read, and which
+// parts of prompts each engine has read before. Reports of engines would be some hundred milliseconds old.
+//
+// Usage:
+//
+//	p := engine.New()
+//	p.SetTargets(list)
+//	ticket, id, ok := p.Place(now, engine.Request{Parts: parts, Prompt: 17020, Output: 120})
+//	p.First(ticket)               // the first event came, so the prompt has been read
+//	p.End(now, ticket, engine.Served)
+//
+// # Choice
+//
+// The cost of an engine is the number of prompt tokens that it has to read before the request's first token: those of the
+// requests placed there before, and those of the request's own prompt that it does not have. Urgent requests do not count
+// less urgent ones, which engines put behind. Tokens of shared parts count more, since a part that is read again also takes
+// the place of another one.
+package engine
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// Part is one part of a prompt; requests with the same first parts share them.
+type Part struct {
+	ID     string `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// Request is what a Placer must know of a request.
+type Request struct {
+	Model   string   `cbor:"1,keyasint,omitempty"`
+	Parts   []Part   `cbor:"2,keyasint,omitempty"` // in order; the last one is the request's own
+	Prompt  int      `cbor:"3,keyasint,omitempty"` // tokens
+	Output  int      `cbor:"4,keyasint,omitempty"` // most tokens
+	Rank    int      `cbor:"5,keyasint,omitempty"`
+	Exclude []string `cbor:"6,keyasint,omitempty"` // engines that failed it
+}
+
+// Target is an engine.
+type Target struct {
+	ID          string
+	Slots       int
+	CacheTokens int64
+	Avoid       bool
+}
+
+// Result says how a request ended at its engine.
+type Result uint8
+
+// The results.
+const (
+	Served Result = iota + 1
+	Failed        // the engine did not answer, or broke off
+	Full          // it refused the request
+	Left          // this side gave up
+)
+
+// Parameters of the choice.
+const (
+	sharedCost  = 1.5             // of a token of a shared part, against a token that must be read anyway
+	runCost     = 40              // tokens for each running request, which all slow each other down
+	firstPause  = time.Second     // after a failure
+	mostPause   = 8 * time.Second // after several
+	fullPause   = 200 * time.Millisecond
+	ticketFor   = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
+	cacheMargin = 0.8              // part of an engine's memory that is taken to hold parts of prompts
+)
+
+type ticket struct {
+	target string
+	unread int // prompt tokens that must still be read
+	rank   int
+	tokens int
+	at     time.Time
+}
+
+type target struct {
+	Target
+	present bool
+	tickets map[uint64]*ticket
+	parts   map[string]*part // by chain of ids
+	held    int64            // tokens of parts
+	clock   uint64           // grows with each use of a part
+	pause   time.Time
+	fails   int
+}
+
+type part struct {
+	tokens int
+	used   uint64
+}
+
+// Placer places requests. It is not safe for concurrent use.
+type Placer struct {
+	targets map[string]*target
+	tickets map[uint64]*ticket
+	next    uint64
+}
+
+// New returns a Placer without engines.
+func New() *Placer { return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}} }
+
+// SetTargets changes the engines. One that comes back under the same id starts with an empty memory only if it was gone.
+func (p *Placer) SetTargets(list []Target) {
+	for _, t := range p.targets {
+		t.present = false
+	}
+	for _, t := range list {
+		have := p.targets[t.ID]
+		if have == nil {
+			have = &target{tickets: map[uint64]*ticket{}, parts: map[string]*part{}}
+			p.targets[t.ID] = have
+		}
+		have.Target, have.present = t, true
+	}
+	for id, t := range p.targets {
+		if !t.present && len(t.tickets) == 0 {
+			delete(p.targets, id)
+		}
+	}
+}
+
+// Place chooses an engine and counts the request there; false if there is none.
+func (p *Placer) Place(now time.Time, r Request) (uint64, string, bool) {
+	p.expire(now)
+	chains := r.chains()
+	best := p.best(now, r, chains, false)
+	if best == nil {
+		best = p.best(now, r, chains, true)
+	}
+	if best == nil {
+		return 0, "", false
+	}
+	p.next++
+	t := &ticket{best.ID, best.unread(r, chains), r.Rank, r.Prompt + r.Output, now}
+	p.tickets[p.next] = t
+	best.tickets[p.next] = t
+	best.remember(r, chains)
+	return p.next, best.ID, true
+}
+
+// best returns the engine with the least cost. Engines that are paused or full count only with any.
+func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
+	var out *target
+	var least float64
+	for _, t := range p.targets {
+		if !t.present || slices.Contains(r.Exclude, t.ID) {
+			continue
+		}
+		usable := !t.Avoid && !now.Before(t.pause) && (t.Slots == 0 || len(t.tickets) < t.Slots)
+		if !usable && !paused {
+			continue
+		}
+		cost := t.cost(r, chains)
+		if out == nil || cost < least || cost == least && prefers(t.ID, out.ID, chains) {
+			out, least = t, cost
+		}
+	}
+	return out
+}
+
+// prefers orders engines with equal cost by rendezvous hashing of the shared parts, so that each has its own.
+func prefers(a, b string, chains []string) bool {
+	key := ""
+	if len(chains) > 1 {
+		key = chains[len(chains)-2]
+	}
+	return cmp.Or(cmp.Compare(weight(a, key), weight(b, key)), cmp.Compare(a, b)) > 0
+}
+
+func weight(id, key string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id + "\x00" + key)) // never fails
+	x := h.Sum64()
+	// FNV leaves similar names with similar upper bits; this spreads them.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// chains returns for each part the ids up to it, since a part is of use only after the same parts.
+func (r Request) chains() []string {
+	out := make([]string, len(r.Parts))
+	chain := r.Model
+	for i, x := range r.Parts {
+		chain += "," + x.ID
+		out[i] = chain
+	}
+	return out
+}
+
+// unread returns the tokens of a prompt that the engine has to read.
+func (t *target) unread(r Request, chains []string) int {
+	unread := r.Prompt
+	for i, x := range r.Parts {
+		if t.parts[chains[i]] == nil {
+			break
+		}
+		unread -= x.Tokens
+	}
+	return max(unread, 0)
+}
+
+func (t *target) cost(r Request, chains []string) float64 {
+	cost := float64(t.unread(r, chains))
+	for i, x := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		if t.parts[chains[i]] == nil {
+			cost += (sharedCost - 1) * float64(x.Tokens)
+		}
+	}
+	for _, other := range t.tickets {
+		cost += runCost
+		if other.rank <= r.Rank {
+			cost += float64(other.unread)
+		}
+	}
+	return cost
+}
+
+// remember notes the parts that the engine will have read, and drops those used least lately when it has no room.
+func (t *target) remember(r Request, chains []string) {
+	for i, x := range r.Parts {
+		t.clock++
+		have := t.parts[chains[i]]
+		if have == nil {
+			have = &part{tokens: x.Tokens}
+			t.parts[chains[i]] = have
+			t.held += int64(x.Tokens)
+		}
+		have.used = t.clock
+	}
+	running := int64(0)
+	for _, other := range t.tickets {
+		running += int64(other.tokens)
+	}
+	room := max(int64(cacheMargin*float64(t.CacheTokens))-running, 0)
+	for t.CacheTokens > 0 && t.held > room && len(t.parts) > len(r.Parts) {
+		t.dropOldest()
+	}
+}
+
+func (t *target) dropOldest() {
+	oldest := ""
+	for chain, x := range t.parts {
+		if oldest == "" || x.used < t.parts[oldest].used {
+			oldest = chain
+		}
+	}
+	t.held -= int64(t.parts[oldest].tokens)
+	delete(t.parts, oldest)
+}
+
+// First notes that the prompt of a request has been read.
+func (p *Placer) First(id uint64) {
+	if t := p.tickets[id]; t != nil {
+		t.unread = 0
+	}
+}
+
+// End takes the result of a request.
+func (p *Placer) End(now time.Time, id uint64, r Result) {
+	t := p.tickets[id]
+	if t == nil {
+		return
+	}
+	p.drop(id)
+	at := p.targets[t.target]
+	if at == nil {
+		return
+	}
+	switch r {
+	case Served:
+		at.fails = 0
+	case Failed:
+		at.pause = now.Add(min(firstPause<<at.fails, mostPause))
+		at.fails = min(at.fails+1, 8)
+		// It may have been restarted and have nothing of what it had.
+		at.parts, at.held = map[string]*part{}, 0
+	case Full:
+		at.pause = now.Add(fullPause)
+	case Left:
+	}
+}
+
+func (p *Placer) drop(id uint64) {
+	t := p.tickets[id]
+	delete(p.tickets, id)
+	if at := p.targets[t.target]; at != nil {
+		delete(at.tickets, id)
+	}
+}
+
+// expire drops tickets of nodes that have not ended them.
+func (p *Placer) expire(now time.Time) {
+	for id, t := range p.tickets {
+		if now.Sub(t.at) > ticketFor {
+			p.drop(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/engine/engine_test.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func placer(n int) *Placer {
+	p := New()
+	var list []Target
+	for i := range n {
+		list = append(list, Target{ID: fmt.Sprint("e", i), Slots: 64, CacheTokens: 100_000})
+	}
+	p.SetTargets(list)
+	return p
+}
+
+func review(doc string, own int) Request {
+	return Request{Parts: []Part{{doc, 13_000}, {doc + "-own", own}}, Prompt: 13_000 + own, Output: 100}
+}
+
+func place(t *testing.T, p *Placer, r Request) (uint64, string) {
+	t.Helper()
+	ticket, id, ok := p.Place(t0, r)
+	assert.Assert(t, ok)
+	return ticket, id
+}
+
+// Load pattern: requests about a few long documents, one after the other. Guards against a document that each engine reads.
+func TestRequestsReturnToTheEngineThatReadTheirDocument(t *testing.T) {
+	p := placer(3)
+	home := map[string]string{}
+	for range 4 {
+		for i := range 9 {
+			doc := fmt.Sprint("doc", i)
+			ticket, id := place(t, p, review(doc, 100))
+			if home[doc] == "" {
+				home[doc] = id
+			}
+			assert.Equal(t, id, home[doc])
+			p.First(ticket)
+			p.End(t0, ticket, Served)
+		}
+	}
+}
+
+// Load pattern: many users ask about one document at once. Guards against one engine that gets all of them while the others
+// are idle.
+func TestABurstAboutOneDocumentSpreads(t *testing.T) {
+	p := placer(3)
+	count := map[string]int{}
+	for i := range 12 {
+		r := review("doc", 4000)
+		r.Parts[1].ID = fmt.Sprint("own", i)
+		_, id := place(t, p, r)
+		count[id]++
+	}
+	assert.Equal(t, len(count), 3, "%v", count)
+}
+
+// Load pattern: one very long prompt among short ones. Guards against short requests that wait for it.
+func TestShortRequestsAvoidALongPrompt(t *testing.T) {
+	p := placer(2)
+	ticket, long := place(t, p, Request{Prompt: 50_000, Parts: []Part{{"x", 50_000}}})
+	for range 5 {
+		_, id := place(t, p, Request{Prompt: 1000, Parts: []Part{{"y", 1000}}})
+		assert.Assert(t, id != long)
+	}
+	p.First(ticket)
+	_, id := place(t, p, Request{Prompt: 1000, Parts: []Part{{"z", 1000}}})
+	assert.Equal(t, id, long, "it has read the prompt")
+}
+
+// Guards against engines that fail and still get the requests of their documents, and against a service without engines
+// after each failed once.
+func TestFailedEngineIsLeftAlone(t *testing.T) {
+	p := placer(2)
+	ticket, first := place(t, p, review("doc", 10))
+	p.End(t0, ticket, Failed)
+	for range 20 {
+		ticket, id := place(t, p, review("doc", 10))
+		assert.Assert(t, id != first)
+		p.End(t0, ticket, Served)
+	}
+	other := review("doc", 10)
+	other.Exclude = []string{"e0", "e1"}
+	_, _, ok := p.Place(t0, other)
+	assert.Assert(t, !ok)
+	other.Exclude = []string{"e0"}
+	_, id := place(t, p, other)
+	assert.Equal(t, id, "e1")
+}
+
+// Guards against tickets of a node that died, which would count as load for good.
+func TestTicketsExpire(t *testing.T) {
+	p := placer(1)
+	place(t, p, review("doc", 10))
+	_, _, ok := p.Place(t0.Add(time.Minute), review("doc", 10))
+	assert.Assert(t, ok)
+	assert.Equal(t, len(p.tickets), 1)
+}
+
+// Guards against a memory of parts that an engine has long replaced.
+func TestForgetsPartsThatHaveNoRoom(t *testing.T) {
+	p := placer(1)
+	for i := range 20 {
+		ticket, _ := place(t, p, review(fmt.Sprint("doc", i), 10))
+		p.First(ticket)
+		p.End(t0, ticket, Served)
+	}
+	e := p.targets["e0"]
+	assert.Assert(t, e.held <= 80_000, "%d", e.held)
+	r := review("doc0", 10)
+	assert.Equal(t, e.unread(r, r.chains()), 13_010)
+}
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
@@ -33,13 +34,14 @@
 	timeout bool
 
 	plan     *staging
-	sent     int  // upstreams that the request was sent to and that may have run it
-	refusals int  // upstreams that said that they did not run it
-	maybeRan bool // some upstream may have run it
-	started  bool // a part of the answer was passed on
+	seat     *seat // place at a model engine; nil: none was given
+	sent     int   // upstreams that the request was sent to and that may have run it
+	refusals int   // upstreams that said that they did not run it
+	maybeRan bool  // some upstream may have run it
+	started  bool  // a part of the answer was passed on
 	upstream string
-	staged   time.Duration // until the stages were done
-	first    time.Duration // until the first event or the answer was passed on
+	staged   time.Duration   // until the stages were done
+	first    time.Duration   // until the first event or the answer was passed on
 	failed   map[string]bool // upstreams that failed this request
 }
 
@@ -159,6 +161,10 @@
 
 // forward runs the stages and sends the request on.
 func (x *exchange) forward() {
+	if x.usesEngines() {
+		x.seat = x.seatFor()
+		defer func() { x.f.noteEnd(x.seat, engine.Left) }() // a ticket that has ended already is not known any more
+	}
 	if len(x.route.Stages) > 0 {
 		s, refused := x.newStaging()
 		if refused == nil {
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -33,11 +33,13 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/maker"
 	"github.com/berylledge/berylledge/internal/gate/pick"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
 
@@ -53,6 +55,7 @@
 	View       func() *feed.View
 	Pool       *upcon.Pool
 	Maker      *maker.Maker
+	Hub        *peer.Hub
 	Budget     Budget
 	Seed       uint64
 }
@@ -71,6 +74,7 @@
 	chooser *pick.Chooser
 	budget  *budget
 	rng     *rand.Rand
+	placers map[placeKey]*engine.Placer // of engines, where this node keeps them
 }
 
 const sweepEvery = time.Second
@@ -79,6 +83,7 @@
 func New(o Options) *Front {
 	f := &Front{
 		o: o, chooser: pick.New(), budget: newBudget(o.Budget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
+		placers: map[placeKey]*engine.Placer{},
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.wg.Go(func() {
@@ -141,14 +146,11 @@
 	return u, ok
 }
 
-// peek returns the upstream that choose would pick now.
-func (f *Front) peek(service string, w pick.Want) (roster.Upstream, bool) {
-	w.Near = f.near(w)
-	list := f.o.View().Services[service]
-	now := f.o.Clock.Now()
+// begin counts a request to an upstream that was chosen elsewhere.
+func (f *Front) begin(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chooser.Choose(now, list, w)
+	f.chooser.Begin(id)
 }
 
 func (f *Front) ended(id string, r pick.Result, took time.Duration) {
--- /dev/null
+++ b/internal/gate/front/placing.go
@@ -0,0 +1,224 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/feed"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+)
+
+// placeTimeout is how long an entry node waits for a place before it chooses by itself. It is well above a round trip in a
+// region and well below the time until a first token.
+const placeTimeout = 150 * time.Millisecond
+
+// placeAsk is a message about places at the engines of a service in a region. Ended and Read come without an answer.
+type placeAsk struct {
+	Service string          `cbor:"1,keyasint"`
+	Area    string          `cbor:"2,keyasint"`
+	Request *engine.Request `cbor:"3,keyasint,omitempty"`
+	Ticket  uint64          `cbor:"4,keyasint,omitempty"`
+	Read    bool            `cbor:"5,keyasint,omitempty"` // the first event of the ticket's request came
+	Ended   engine.Result   `cbor:"6,keyasint,omitempty"` // how it ended
+}
+
+type placeTell struct {
+	Ticket uint64 `cbor:"1,keyasint"`
+	ID     string `cbor:"2,keyasint"` // empty: there is no engine
+}
+
+// seat is a request's place at an engine.
+type seat struct {
+	service, area, owner string
+	ticket               uint64
+	upstream             roster.Upstream
+	read                 bool
+}
+
+type placeKey struct{ service, area string }
+
+// usesEngines reports whether the requests of the route go to model engines.
+func (x *exchange) usesEngines() bool {
+	s := x.table.Service(x.service)
+	return s != nil && s.Engine != nil
+}
+
+// seatFor asks the node that places requests on the engines of the region for a place; nil if it knows none.
+func (x *exchange) seatFor() *seat {
+	f := x.f
+	s := &seat{service: x.service, area: f.area(x.service)}
+	s.owner = f.o.Maker.Owner(x.service, s.area)
+	r := x.engineRequest()
+	q := placeAsk{Service: s.service, Area: s.area, Request: &r}
+	var tell placeTell
+	if s.owner == f.o.Maker.Self() {
+		tell = f.place(q)
+	} else {
+		ctx, cancel := context.WithCancel(x.ctx)
+		timer := f.o.Clock.AfterFunc(placeTimeout, cancel)
+		reply, err := f.o.Hub.Call(ctx, s.owner, peer.KindPlace, encodePlace(q))
+		timer.Stop()
+		cancel()
+		if err != nil || cbor.Unmarshal(reply, &tell) != nil {
+			f.o.Maker.Avoid(s.owner)
+			s.owner = f.o.Maker.Self()
+			tell = f.place(q)
+		}
+	}
+	for _, u := range f.o.View().Services[x.service] {
+		if u.ID == tell.ID {
+			s.ticket, s.upstream = tell.Ticket, u
+			return s
+		}
+	}
+	return nil
+}
+
+// engineRequest reads what a placer must know from the headers. What cannot be read is left out.
+func (x *exchange) engineRequest() engine.Request {
+	names := x.f.o.Dialect.Headers
+	r := engine.Request{Model: x.r.Header.Get(names.Model), Rank: x.rank()}
+	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
+	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
+	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
+	for _, text := range strings.Split(x.r.Header.Get(names.Prefix), ",") {
+		id, size, _ := strings.Cut(strings.TrimSpace(text), ":")
+		tokens, err := strconv.Atoi(size)
+		if err != nil {
+			break // the parts after it cannot be compared
+		}
+		r.Parts = append(r.Parts, engine.Part{ID: id, Tokens: tokens})
+	}
+	for id := range x.failed {
+		r.Exclude = append(r.Exclude, id)
+	}
+	return r
+}
+
+// area is the region whose engines serve this node: its own, if one of them takes work, or else the first that has one.
+func (f *Front) area(service string) string {
+	best := f.o.Region
+	found := false
+	for _, u := range f.o.View().Services[service] {
+		if u.State != roster.Ready || u.Silent {
+			continue
+		}
+		region := f.o.RegionOf[u.DataCentre]
+		if region == f.o.Region {
+			return region
+		}
+		if !found || region < best {
+			best, found = region, true
+		}
+	}
+	return best
+}
+
+// place gives a place from the placer that this node keeps.
+func (f *Front) place(q placeAsk) placeTell {
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.placer(placeKey{q.Service, q.Area})
+	ticket, id, ok := p.Place(now, *q.Request)
+	if !ok {
+		return placeTell{}
+	}
+	return placeTell{ticket, id}
+}
+
+// placer returns the placer of a service with its present engines. The lock is held.
+func (f *Front) placer(k placeKey) *engine.Placer {
+	p := f.placers[k]
+	if p == nil {
+		p = engine.New()
+		f.placers[k] = p
+	}
+	p.SetTargets(f.engines(f.o.View(), k))
+	return p
+}
+
+func (f *Front) engines(v *feed.View, k placeKey) []engine.Target {
+	var out []engine.Target
+	slots, tokens := 0, int64(0)
+	if v.Table != nil {
+		if s := v.Table.Service(k.service); s != nil && s.Engine != nil {
+			slots, tokens = s.Engine.Slots, s.Engine.CacheTokens
+		}
+	}
+	for _, u := range v.Services[k.service] {
+		if u.State == roster.Ready && f.o.RegionOf[u.DataCentre] == k.area {
+			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent})
+		}
+	}
+	return out
+}
+
+// noteRead tells the placer that the prompt of a request has been read.
+func (f *Front) noteRead(s *seat) {
+	if s == nil || s.read {
+		return
+	}
+	s.read = true
+	f.tellPlacer(s, placeAsk{Ticket: s.ticket, Read: true})
+}
+
+// noteEnd tells the placer how a request ended.
+func (f *Front) noteEnd(s *seat, r engine.Result) {
+	if s != nil {
+		f.tellPlacer(s, placeAsk{Ticket: s.ticket, Ended: r})
+	}
+}
+
+func (f *Front) tellPlacer(s *seat, q placeAsk) {
+	q.Service, q.Area = s.service, s.area
+	if s.owner == f.o.Maker.Self() {
+		f.takePlace(q)
+		return
+	}
+	f.o.Hub.Send(s.owner, peer.KindPlace, encodePlace(q))
+}
+
+// takePlace takes news of a ticket.
+func (f *Front) takePlace(q placeAsk) {
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.placers[placeKey{q.Service, q.Area}]
+	if p == nil {
+		return // this node was started after the place was given
+	}
+	if q.Read {
+		p.First(q.Ticket)
+	}
+	if q.Ended != 0 {
+		p.End(now, q.Ticket, q.Ended)
+	}
+}
+
+// HandlePlace takes a message of another entry node.
+func (f *Front) HandlePlace(body []byte) ([]byte, error) {
+	var q placeAsk
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	if q.Request == nil {
+		f.takePlace(q)
+		return nil, nil
+	}
+	return cbor.Marshal(f.place(q))
+}
+
+func encodePlace(q placeAsk) []byte {
+	body, err := cbor.Marshal(q)
+	if err != nil { // the message holds plain values only
+		panic(err)
+	}
+	return body
+}
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/pick"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
@@ -50,13 +51,13 @@
 	if refused := x.mayAttempt(); refused != nil {
 		return nil, refused
 	}
-	u, ok := x.f.choose(x.service, pick.Want{Affinity: affinity, Exclude: x.failed})
+	u, ok := x.upstreamFor(affinity)
 	if !ok {
 		r := x.giveUp("no upstream of the service takes work", retryLater)
 		return nil, &r
 	}
 	if (x.sent > 0 || x.refusals > 0) && !x.f.mayRepeat(x.service) {
-		x.f.ended(u.ID, pick.Cancelled, 0)
+		x.finished(&answer{from: u}, pick.Cancelled)
 		r := x.giveUp("the retry budget is used up", retryLater)
 		return nil, &r
 	}
@@ -76,6 +77,35 @@
 	return x.judge(a)
 }
 
+// upstreamFor returns the upstream for the next attempt and counts a request to it. A request for model engines uses its
+// place; when that has failed, it asks for another one.
+func (x *exchange) upstreamFor(affinity string) (roster.Upstream, bool) {
+	if x.usesEngines() {
+		if x.seat == nil || x.failed[x.seat.upstream.ID] {
+			x.seat = x.seatFor()
+		}
+		if x.seat != nil {
+			x.f.begin(x.seat.upstream.ID)
+			return x.seat.upstream, true
+		}
+	}
+	return x.f.choose(x.service, pick.Want{Affinity: affinity, Exclude: x.failed})
+}
+
+// seatResults translates the end of a request for the placer.
+var seatResults = map[pick.Result]engine.Result{
+	pick.Good: engine.Served, pick.Fault: engine.Served, pick.Full: engine.Full, pick.Cancelled: engine.Left,
+	pick.Broken: engine.Failed, pick.Replaced: engine.Failed,
+}
+
+// finished takes the end of an attempt.
+func (x *exchange) finished(a *answer, r pick.Result) {
+	x.f.ended(a.from.ID, r, a.head)
+	if x.seat != nil && x.seat.upstream.ID == a.from.ID {
+		x.f.noteEnd(x.seat, seatResults[r])
+	}
+}
+
 // mayAttempt checks what the request has used up.
 func (x *exchange) mayAttempt() *refusal {
 	var r refusal
@@ -119,11 +149,11 @@
 		event.F("attempt", x.sent+1), event.F("outcome", outcome), event.F("reason", err))
 	switch {
 	case x.ctx.Err() != nil:
-		x.f.ended(a.from.ID, pick.Cancelled, 0)
+		x.finished(a, pick.Cancelled)
 	case errors.Is(err, upcon.ErrAllInUse):
-		x.f.ended(a.from.ID, pick.Full, 0)
+		x.finished(a, pick.Full)
 	default:
-		x.f.ended(a.from.ID, pick.Broken, 0)
+		x.finished(a, pick.Broken)
 	}
 	if outcome == upcon.MaybeRan {
 		x.sent++
@@ -139,12 +169,12 @@
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
 		discard(a)
-		x.f.ended(a.from.ID, pick.Replaced, 0)
+		x.finished(a, pick.Replaced)
 		return nil, x.refused(a)
 	case a.Header.Get(h.NotRun) != "":
 		if a.Status == http.StatusConflict && x.plan != nil {
 			discard(a)
-			x.f.ended(a.from.ID, pick.Good, a.head)
+			x.finished(a, pick.Good)
 			return nil, x.restage()
 		}
 		result := pick.Full
@@ -152,7 +182,7 @@
 			result = pick.Fault
 		}
 		discard(a)
-		x.f.ended(a.from.ID, result, 0)
+		x.finished(a, result)
 		return nil, x.refused(a)
 	case a.Status < 300 && !signed:
 		return nil, x.spoilt(a, errUnsigned)
@@ -264,7 +294,7 @@
 			continue
 		}
 		if whole && a.Status >= 500 && x.worthRepeating() {
-			x.f.ended(a.from.ID, pick.Fault, a.head)
+			x.finished(a, pick.Fault)
 			x.exclude(a.from.ID)
 			if again := x.repeatAfterFault(a, body); again {
 				continue
@@ -296,7 +326,7 @@
 		if err != nil {
 			result = pick.Broken
 		}
-		x.f.ended(a.from.ID, result, a.head)
+		x.finished(a, result)
 		x.upstream = first.from.ID
 		x.write(first, body)
 		return false
@@ -311,7 +341,7 @@
 	if a.Status >= 500 {
 		result = pick.Fault
 	}
-	x.f.ended(a.from.ID, result, a.head)
+	x.finished(a, result)
 	if whole {
 		x.write(a, body)
 		return
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -41,7 +41,7 @@
 		}
 		err := s.pass(a)
 		if err == nil {
-			x.f.ended(a.from.ID, pick.Good, a.head)
+			x.finished(a, pick.Good)
 			x.maybeRan = false
 			x.log(a.Status, "")
 			return
@@ -87,7 +87,7 @@
 	body, whole, err := readUpTo(a.Body, maxBuffered)
 	if err != nil || x.started {
 		_ = a.Body.Close()
-		x.f.ended(a.from.ID, pick.Broken, 0)
+		x.finished(a, pick.Broken)
 		x.maybeRan = true
 		x.refuse(x.giveUp("the upstream failed", 0))
 		return
@@ -114,7 +114,7 @@
 		if n > 0 {
 			if writeErr := s.events(a, buffer[:n]); writeErr != nil {
 				_ = a.Body.Close()
-				x.f.ended(a.from.ID, pick.Cancelled, 0)
+				x.finished(a, pick.Cancelled)
 				x.log(0, "the caller did not take the answer: "+writeErr.Error())
 				panic(http.ErrAbortHandler) // the caller has gone
 			}
@@ -164,6 +164,7 @@
 	s.begin(a)
 	if !s.first {
 		s.first = true
+		s.x.f.noteRead(s.x.seat)
 		if s.x.plan != nil {
 			s.x.plan.release()
 		}
@@ -260,12 +261,11 @@
 	return x.route.Priority
 }
 
-// home returns the data centre of the engine that has the request's prompt, or would get it. Stages run there, so that
-// their results do not cross data centres.
+// home returns the data centre of the engine that will run the request. Stages run there, so that their results do not
+// cross data centres.
 func (x *exchange) home() string {
-	u, ok := x.f.peek(x.service, pick.Want{Affinity: x.affinity()})
-	if !ok {
+	if x.seat == nil {
 		return x.f.o.DataCentre
 	}
-	return u.DataCentre
+	return x.seat.upstream.DataCentre
 }
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -129,13 +129,21 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		m.mu.Lock()
-		m.avoid[owner] = m.o.Clock.Now().Add(avoidFor)
-		m.mu.Unlock()
+		m.Avoid(owner)
 	}
 	return m.makeHere(ctx, place{service, area}, jobs), nil
 }
 
+// Avoid leaves out a node that did not answer when owners are chosen, for a while.
+func (m *Maker) Avoid(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.avoid[address] = m.o.Clock.Now().Add(avoidFor)
+}
+
+// Self returns the own peer address, as Owner gives it.
+func (m *Maker) Self() string { return m.o.Peer }
+
 // owner returns the peer address of the entry node that keeps the queue of a place.
 func (m *Maker) owner(p place) string {
 	now := m.o.Clock.Now()
--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -213,7 +213,7 @@
 		reply, err = n.suspectNews(table.CrashNews{})
 		return reply, true, err
 	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindEvents, peer.KindCrash, peer.KindOperate,
-		peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces:
+		peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace:
 	}
 	return nil, false, nil
 }
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -212,7 +212,7 @@
 	}
 	p.front = front.New(front.Options{
 		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
-		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker,
+		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker, Hub: p.hub,
 		Budget: front.Budget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
 		Seed:   uint64(p.o.Clock.Now().UnixNano()),
 	})
@@ -270,6 +270,9 @@
 	if p.maker != nil && kind == peer.KindPieces {
 		return p.maker.Handle(ctx, body)
 	}
+	if p.front != nil && kind == peer.KindPlace {
+		return p.front.HandlePlace(body)
+	}
 	return nil, errors.Newf("messages of kind %d from %s are not handled here", kind, from)
 }
 
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -38,8 +38,8 @@
 // Kind says which package a message belongs to.
 type Kind uint8
 
-// The kinds of messages. KindPropose, KindEvents, KindStatus, KindQuery, KindOperate, KindAskCrash, KindAdmit, KindFollow and
-// KindPieces are questions of Call.
+// The kinds of messages. KindPropose, KindEvents, KindStatus, KindQuery, KindOperate, KindAskCrash, KindAdmit, KindFollow,
+// KindPieces and KindPlace are questions of Call; the last two also carry messages without an answer.
 const (
 	KindMember   Kind = 1
 	KindSpread   Kind = 2
@@ -57,6 +57,7 @@
 	KindRoster   Kind = 14 // registrations of upstreams and entry nodes, between control nodes
 	KindFollow   Kind = 15 // of an entry node, to a control node
 	KindPieces   Kind = 16 // work on stages, between entry nodes
+	KindPlace    Kind = 17 // places at model engines, between entry nodes
 )
 
 // Times of the check whether a connection still carries data: one that has gone silent breaks nothing by itself, and all
