Let pieces in no hurry wait for an upstream near their engine

Change: a piece with at least four full calls of time stays for an upstream in the engine's data centre while that one can take it with its next calls.

--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -69,6 +69,7 @@
 // Parameters of the order.
 const (
 	lateRanks  = 2    // a piece whose request will be late counts as this much less urgent
+	slackCalls = 4    // a job with this many full calls of time waits for an upstream near its engine
 	roundsHeld = 2    // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	roomShrink = 0.97 // of the room that was in use when a result found none
 	roomGrow   = 1.01 // for each result that was freed
@@ -332,8 +333,10 @@
 	limit := min(t.limit, q.pool.RoomMB*bytesPerMB)
 	free := int64(limit) - t.used
 	needs := map[string]int64{}
+	waiting := map[string]int{}
 	for _, j := range q.jobs {
 		needs[j.Request] += j.Bytes
+		waiting[j.Home]++
 	}
 	last := -1
 	if len(q.jobs) > q.pool.Batch && q.pool.Batch > 2 {
@@ -351,7 +354,7 @@
 		if q.begun[j.Request] == 0 && float64(needs[j.Request]) <= limit {
 			need = needs[j.Request]
 		}
-		if len(out) >= places || need > free || j.Bytes > 0 && now.Before(t.blocked) {
+		if len(out) >= places || need > free || j.Bytes > 0 && now.Before(t.blocked) || q.leaveTo(j, t, waiting, now) {
 			return false
 		}
 		needs[j.Request] -= j.Bytes
@@ -363,6 +366,21 @@
 	return out
 }
 
+// leaveTo reports whether a job should wait for an upstream in the data centre that needs its result: one there takes it with
+// its next calls, and the job is in no hurry. Large results that cross data centres are dear.
+func (q *Queue) leaveTo(j Job, t *target, waiting map[string]int, now time.Time) bool {
+	if j.Home == t.DataCentre || now.Add(slackCalls*q.callTime(q.pool.Batch)).After(j.Due) {
+		return false
+	}
+	places := 0
+	for _, other := range q.targets {
+		if other.DataCentre == j.Home && other.present && !other.Avoid && !now.Before(other.pause) {
+			places += q.pool.Batch
+		}
+	}
+	return waiting[j.Home] <= places
+}
+
 // starved returns the position of the job of a less urgent rank that has waited longest and can be on time; -1 for none.
 func (q *Queue) starved(now time.Time) int {
 	best := -1
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -262,3 +262,20 @@
 	calls, _ := q.Next(t0)
 	assert.Assert(t, slices.Contains(requests(calls[0].Jobs), "low"))
 }
+
+// Load pattern: free upstreams in several data centres. Guards against large results that cross data centres for nothing, and
+// against urgent work that waits although another data centre is free.
+func TestResultsStayNearTheirEngine(t *testing.T) {
+	q := queue()
+	q.SetTargets([]Target{{ID: "u1", Address: "a1", DataCentre: "x"}, {ID: "u2", Address: "a2", DataCentre: "y"}})
+	patient, urgent := job("patient", 5*time.Second, 1), job("urgent", 300*time.Millisecond, 1)
+	patient.Home, urgent.Home = "x", "x"
+	q.Add(job("first", 300*time.Millisecond, 1))
+	q.Next(t0) // u1 is busy
+	q.Add(patient)
+	q.Add(urgent)
+	calls, _ := q.Next(t0)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, calls[0].Upstream, "u2")
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"urgent"})
+}
