--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -48,15 +48,14 @@
 
 // Times of the desk.
 const (
-	syncEvery    = time.Second
-	proposeWait  = 900 * time.Millisecond // operators turn to another node after a second
-	readWait     = 900 * time.Millisecond
-	leaveWait    = 800 * time.Millisecond
-	missedBeats  = 4 // heartbeats that may be missed before an upstream counts as silent
-	forgetAfter  = 45 * time.Second
-	entryAfter   = 2 * time.Second // without a report, an entry node is not given to callers
-	sureWithin   = 1500 * time.Millisecond
-	statusMillis = 100 * time.Millisecond
+	syncEvery   = time.Second
+	proposeWait = 900 * time.Millisecond // operators turn to another node after a second
+	readWait    = 900 * time.Millisecond
+	leaveWait   = 800 * time.Millisecond
+	missedBeats = 4 // heartbeats that may be missed before an upstream counts as silent
+	forgetAfter = 45 * time.Second
+	entryAfter  = 2 * time.Second // without a report, an entry node is not given to callers
+	statusEvery = 100 * time.Millisecond
 )
 
 // Desk is a running desk.
@@ -163,7 +162,7 @@
 	now := d.o.Clock.Now()
 	d.statusMu.Lock()
 	defer d.statusMu.Unlock()
-	if now.Sub(d.statusAt) < statusMillis {
+	if now.Sub(d.statusAt) < statusEvery {
 		return d.sure, d.others, d.voters
 	}
 	d.statusAt = now
@@ -183,7 +182,6 @@
 
 // Handle takes a message of another process; ok is false if its kind does not belong to this package.
 func (d *Desk) Handle(_ context.Context, kind peer.Kind, body []byte) (reply []byte, ok bool, err error) {
-	//exhaustive:ignore the other kinds belong to other packages
 	switch kind {
 	case peer.KindRoster:
 		var batch roster.Batch
@@ -196,9 +194,11 @@
 	case peer.KindFollow:
 		reply, err = d.follow(body)
 		return reply, true, err
-	default:
-		return nil, false, nil
+	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindRaft, peer.KindReply, peer.KindPropose, peer.KindEvents,
+		peer.KindStatus, peer.KindQuery, peer.KindOperate, peer.KindCrash, peer.KindAskCrash, peer.KindAdmit, peer.KindPieces,
+		peer.KindPlace:
 	}
+	return nil, false, nil
 }
 
 // follow answers an entry node.
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -29,9 +29,8 @@
 	body    []byte
 	end     time.Time // when the final answer must be given
 
-	ctx     context.Context // ends with the caller, or at end
-	cancel  context.CancelFunc
-	timeout bool
+	ctx    context.Context // ends with the caller, or at end
+	cancel context.CancelFunc
 
 	plan     *staging
 	seat     *seat // place at a model engine; nil: none was given
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -268,7 +268,6 @@
 
 // Handle takes a message of another process; ok is false if its kind does not belong to this package.
 func (m *Member) Handle(ctx context.Context, kind peer.Kind, body []byte) (reply []byte, ok bool, err error) {
-	//exhaustive:ignore the other kinds belong to other packages
 	switch kind {
 	case peer.KindRaft:
 		return nil, true, m.receive(body)
@@ -278,9 +277,10 @@
 	case peer.KindAdmit:
 		reply, err = m.admit(ctx, body)
 		return reply, true, err
-	default:
-		return nil, false, nil
+	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindPropose, peer.KindEvents, peer.KindQuery,
+		peer.KindOperate, peer.KindCrash, peer.KindAskCrash, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace:
 	}
+	return nil, false, nil
 }
 
 func (m *Member) hello() Hello {
