--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -146,6 +146,16 @@
 	return u, ok
 }
 
+// takesWork reports whether an upstream that was chosen earlier may still receive work.
+func (f *Front) takesWork(u roster.Upstream) bool {
+	for _, now := range f.o.View().Services[u.Service] {
+		if now.ID == u.ID {
+			return now.State == roster.Ready && now.Born == u.Born && now.Address == u.Address
+		}
+	}
+	return false
+}
+
 // begin counts a request to an upstream that was chosen elsewhere.
 func (f *Front) begin(id string) {
 	f.mu.Lock()
--- a/internal/gate/front/front_test.go
+++ b/internal/gate/front/front_test.go
@@ -255,7 +255,7 @@
 	assert.Equal(t, len(s.events.Select(event.Filter{Name: "forward_refused"})), 5, "each refusal has its line")
 }
 
-func streaming(resume bool) func(*conf.Route) {
+func streamRoute(resume bool) func(*conf.Route) {
 	return func(r *conf.Route) { r.Kind, r.Resume, r.Affinity = conf.Stream, resume, true }
 }
 
@@ -292,7 +292,7 @@
 // Guards against events that are lost, doubled or joined when a stream goes on at another upstream.
 func TestStreamGoesOnAfterABreak(t *testing.T) {
 	broke := false
-	s := newSite(t, streaming(true), breaking(t, &broke), breaking(t, &broke))
+	s := newSite(t, streamRoute(true), breaking(t, &broke), breaking(t, &broke))
 	got := s.do(s.request("/x/", "id1"))
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, events(1, 6))
@@ -302,7 +302,7 @@
 func TestStreamThatMayNotGoOnBreaksOff(t *testing.T) {
 	broke := false
 	a, b := breaking(t, &broke), breaking(t, &broke)
-	s := newSite(t, streaming(false), a, b)
+	s := newSite(t, streamRoute(false), a, b)
 	got := s.do(s.request("/x/", "id1"))
 	assert.Assert(t, got.err != nil)
 	assert.Equal(t, got.body, events(1, 3))
@@ -317,7 +317,7 @@
 		<-more
 		c.WriteString(chunk(events(2, 2)) + "0\r\n\r\n")
 	})
-	s := newSite(t, streaming(true), up)
+	s := newSite(t, streamRoute(true), up)
 	resp, err := s.server.Client().Do(s.request("/x/", "id1"))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
@@ -389,3 +389,18 @@
 	assert.Assert(t, b.repeat(now.Add(11*time.Second), "s", 5))
 	assert.Assert(t, !b.repeat(now, "other", 100))
 }
+
+// Guards against a request that is sent to an engine which began to leave while the request's stages ran.
+func TestSeatAtALeavingEngineIsGivenUp(t *testing.T) {
+	s := newSite(t, nil, good(t))
+	u := s.front.o.View().Services["desk"][0]
+	assert.Assert(t, s.front.takesWork(u))
+	s.front.o.View().Services["desk"][0].State = roster.Draining
+	assert.Assert(t, !s.front.takesWork(u))
+	again := u
+	again.Born++
+	s.front.o.View().Services["desk"][0] = again
+	assert.Assert(t, !s.front.takesWork(u), "another start has nothing of the first one")
+	delete(s.front.o.View().Services, "desk")
+	assert.Assert(t, !s.front.takesWork(u))
+}
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -78,9 +78,14 @@
 }
 
 // upstreamFor returns the upstream for the next attempt and counts a request to it. A request for model engines uses its
-// place; when that has failed, it asks for another one.
+// place. When that has failed, or the engine has
+// begun to leave while the stages ran, it asks for another one.
 func (x *exchange) upstreamFor(affinity string) (roster.Upstream, bool) {
 	if x.usesEngines() {
+		if x.seat != nil && !x.f.takesWork(x.seat.upstream) {
+			x.f.noteEnd(x.seat, engine.Left)
+			x.seat = nil
+		}
 		if x.seat == nil || x.failed[x.seat.upstream.ID] {
 			x.seat = x.seatFor()
 		}
