Refuse requests that the queues of later stages make late, before they begin

Change: the node that places requests of a region on engines knows all requests before their stages begin. It forecasts the stages of each from the pieces still to be made (engine.Forecast). A request that will be late by more than two full calls of queueing is refused at once with the time to return; while a later stage is behind, requests wait before their first stage, where they hold nothing.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -7,9 +7,14 @@
 //	p := engine.New()
 //	p.SetTargets(list)
 //	ticket, id, ok := p.Place(now, engine.Request{Parts: parts, Prompt: 17020, Output: 120})
+//	p.Staged(ticket, 0)           // the pieces of stage 0 are made
 //	p.First(ticket)               // the first event came, so the prompt has been read
 //	p.End(now, ticket, engine.Served)
 //
+// Since all requests of the region pass here before their stages begin, a Placer also knows the pieces that the region's
+// stage services still have to make, and forecasts how long a request would take (Forecast). The queues themselves show a
+// burst only when its requests reach them.
+//
 // # Choice
 //
 // The cost of an engine is the number of prompt tokens that it has to read before the request's first token: those of the
@@ -39,6 +44,7 @@
 	Output  int      `cbor:"4,keyasint,omitempty"` // most tokens
 	Rank    int      `cbor:"5,keyasint,omitempty"`
 	Exclude []string `cbor:"6,keyasint,omitempty"` // engines that failed it
+	Needs   []Need   `cbor:"7,keyasint,omitempty"` // stages that it has to pass before
 }
 
 // Target is an engine.
@@ -77,6 +83,7 @@
 	rank   int
 	tokens int
 	at     time.Time
+	needs  []Need // pieces that are still to be made
 }
 
 type target struct {
@@ -100,10 +107,16 @@
 	targets map[string]*target
 	tickets map[uint64]*ticket
 	next    uint64
+	pools   map[string]Pool
+	backlog map[string]*[Ranks]int // pieces to be made, by service and rank
 }
 
 // New returns a Placer without engines.
-func New() *Placer { return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}} }
+func New() *Placer {
+	return &Placer{
+		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, backlog: map[string]*[Ranks]int{},
+	}
+}
 
 // SetTargets changes the engines. One that comes back under the same id starts with an empty memory only if it was gone.
 func (p *Placer) SetTargets(list []Target) {
@@ -137,7 +150,8 @@
 		return 0, "", false
 	}
 	p.next++
-	t := &ticket{best.ID, best.unread(r, chains), r.Rank, r.Prompt + r.Output, now}
+	t := &ticket{target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now}
+	p.admit(t, r.Needs)
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
 	best.remember(r, chains)
@@ -291,6 +305,9 @@
 func (p *Placer) drop(id uint64) {
 	t := p.tickets[id]
 	delete(p.tickets, id)
+	for i := range t.needs {
+		p.unload(t, i)
+	}
 	if at := p.targets[t.target]; at != nil {
 		delete(at.tickets, id)
 	}
--- /dev/null
+++ b/internal/gate/engine/forecast.go
@@ -0,0 +1,124 @@
+package engine
+
+import "time"
+
+// Ranks is the number of ranks that are told apart; less urgent ones count as the last of them.
+const Ranks = 4
+
+// Need is a stage that a request has to pass before it reaches its engine.
+type Need struct {
+	Service string `cbor:"1,keyasint"`
+	After   []int  `cbor:"2,keyasint,omitempty"` // stages whose results it needs, by position
+	Pieces  int    `cbor:"3,keyasint"`
+}
+
+// Pool is what all upstreams of a stage service in the region can do together.
+type Pool struct {
+	Upstreams int
+	Batch     int
+	Call      time.Duration // of a call without pieces
+	Item      time.Duration // for each piece
+}
+
+func (p Pool) callTime(pieces int) time.Duration {
+	return p.Call + time.Duration(min(pieces, p.Batch))*p.Item
+}
+
+// rate is the number of pieces a second in full calls.
+func (p Pool) rate() float64 {
+	return float64(p.Upstreams*p.Batch) / p.callTime(p.Batch).Seconds()
+}
+
+// Forecast is what the stages of a request are expected to take.
+type Forecast struct {
+	Total time.Duration `cbor:"1,keyasint"` // until the last piece is made
+	Wait  time.Duration `cbor:"2,keyasint"` // the part of it that is spent in queues
+	Full  time.Duration `cbor:"3,keyasint"` // longest time of a full call among the stages
+	// Hold is how long the first stage should wait, so that the pieces of later stages do not queue with results that take
+	// up memory and expire.
+	Hold time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// noPoolWait stands for a service without upstreams.
+const noPoolWait = time.Hour
+
+func clampRank(rank int) int { return min(max(rank, 0), Ranks-1) }
+
+// SetPools changes the stage services of the region.
+func (p *Placer) SetPools(pools map[string]Pool) { p.pools = pools }
+
+// admit counts the pieces of a request as work to be done; done and drop take them off again.
+func (p *Placer) admit(t *ticket, needs []Need) {
+	for _, n := range needs {
+		p.work(n.Service)[clampRank(t.rank)] += n.Pieces
+	}
+	t.needs = append([]Need(nil), needs...)
+}
+
+func (p *Placer) work(service string) *[Ranks]int {
+	w := p.backlog[service]
+	if w == nil {
+		w = &[Ranks]int{}
+		p.backlog[service] = w
+	}
+	return w
+}
+
+// Staged notes that the pieces of one stage of a request have been made.
+func (p *Placer) Staged(id uint64, stage int) {
+	if t := p.tickets[id]; t != nil && stage >= 0 && stage < len(t.needs) {
+		p.unload(t, stage)
+	}
+}
+
+func (p *Placer) unload(t *ticket, stage int) {
+	p.work(t.needs[stage].Service)[clampRank(t.rank)] -= t.needs[stage].Pieces
+	t.needs[stage].Pieces = 0
+}
+
+// wait returns how long pieces that come now wait for the pieces of the same or more urgent ranks.
+func (p *Placer) wait(service string, rank int) time.Duration {
+	pool := p.pools[service]
+	if pool.Upstreams == 0 || pool.Batch == 0 {
+		return noPoolWait
+	}
+	ahead := 0
+	for r := range clampRank(rank) + 1 {
+		ahead += p.work(service)[r]
+	}
+	return time.Duration(float64(ahead) / pool.rate() * float64(time.Second))
+}
+
+// Forecast adds up waits and calls along the longest chain of a request's stages.
+func (p *Placer) Forecast(r Request) Forecast {
+	ends := make([]Forecast, len(r.Needs))
+	var out Forecast
+	for i, n := range r.Needs {
+		var begin Forecast
+		for _, a := range n.After {
+			if a >= 0 && a < i && ends[a].Total > begin.Total {
+				begin = ends[a]
+			}
+		}
+		ends[i] = begin
+		if n.Pieces > 0 {
+			// While the earlier stages run, the service works on what is before it.
+			pool := p.pools[n.Service]
+			wait := max(p.wait(n.Service, r.Rank)-begin.Total, 0)
+			if len(n.After) > 0 {
+				out.Hold = max(out.Hold, wait-heldCalls*pool.callTime(pool.Batch))
+			}
+			ends[i].Total += wait + pool.callTime(n.Pieces)
+			ends[i].Wait += wait
+			ends[i].Full = max(begin.Full, pool.callTime(pool.Batch))
+		}
+		if ends[i].Total > out.Total {
+			ends[i].Hold = out.Hold
+			out = ends[i]
+		}
+	}
+	return out
+}
+
+// heldCalls is the time, in full calls, that a piece with inputs may wait.
+const heldCalls = 2
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -25,12 +25,15 @@
 	Request *engine.Request `cbor:"3,keyasint,omitempty"`
 	Ticket  uint64          `cbor:"4,keyasint,omitempty"`
 	Read    bool            `cbor:"5,keyasint,omitempty"` // the first event of the ticket's request came
+	Staged  int             `cbor:"7,keyasint,omitempty"` // 1 + number of a stage whose pieces are made; 0: none
 	Ended   engine.Result   `cbor:"6,keyasint,omitempty"` // how it ended
 }
 
 type placeTell struct {
 	Ticket uint64 `cbor:"1,keyasint"`
 	ID     string `cbor:"2,keyasint"` // empty: there is no engine
+	// Forecast is that of the moment before the request was counted.
+	Forecast engine.Forecast `cbor:"3,keyasint"`
 }
 
 // seat is a request's place at an engine.
@@ -39,6 +42,7 @@
 	ticket               uint64
 	upstream             roster.Upstream
 	read                 bool
+	forecast             engine.Forecast
 }
 
 type placeKey struct{ service, area string }
@@ -73,7 +77,7 @@
 	}
 	for _, u := range f.o.View().Services[x.service] {
 		if u.ID == tell.ID {
-			s.ticket, s.upstream = tell.Ticket, u
+			s.ticket, s.upstream, s.forecast = tell.Ticket, u, tell.Forecast
 			return s
 		}
 	}
@@ -95,6 +99,9 @@
 		}
 		r.Parts = append(r.Parts, engine.Part{ID: id, Tokens: tokens})
 	}
+	if x.plan == nil { // the stages are still to be run
+		r.Needs = x.needs()
+	}
 	for id := range x.failed {
 		r.Exclude = append(r.Exclude, id)
 	}
@@ -126,11 +133,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.placer(placeKey{q.Service, q.Area})
+	forecast := p.Forecast(*q.Request)
 	ticket, id, ok := p.Place(now, *q.Request)
 	if !ok {
 		return placeTell{}
 	}
-	return placeTell{ticket, id}
+	return placeTell{ticket, id, forecast}
 }
 
 // placer returns the placer of a service with its present engines. The lock is held.
@@ -141,6 +149,7 @@
 		f.placers[k] = p
 	}
 	p.SetTargets(f.engines(f.o.View(), k))
+	p.SetPools(f.pools(k.area))
 	return p
 }
 
@@ -169,6 +178,13 @@
 	f.tellPlacer(s, placeAsk{Ticket: s.ticket, Read: true})
 }
 
+// noteStaged tells the placer that the pieces of a stage have been made.
+func (f *Front) noteStaged(s *seat, number int) {
+	if s != nil {
+		f.tellPlacer(s, placeAsk{Ticket: s.ticket, Staged: number + 1})
+	}
+}
+
 // noteEnd tells the placer how a request ended.
 func (f *Front) noteEnd(s *seat, r engine.Result) {
 	if s != nil {
@@ -197,6 +213,9 @@
 	if q.Read {
 		p.First(q.Ticket)
 	}
+	if q.Staged > 0 {
+		p.Staged(q.Ticket, q.Staged-1)
+	}
 	if q.Ended != 0 {
 		p.End(now, q.Ticket, q.Ended)
 	}
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -29,21 +29,32 @@
 	made  []maker.Made
 }
 
-// newStaging reads how many pieces each stage has.
-func (x *exchange) newStaging() (*staging, *refusal) {
-	names := x.f.o.Dialect.Headers
+// pieceCounts reads how many pieces each stage has.
+func (x *exchange) pieceCounts() ([]int, error) {
 	var counts []int
-	for _, text := range strings.Split(x.r.Header.Get(names.Pieces), ",") {
+	for _, text := range strings.Split(x.r.Header.Get(x.f.o.Dialect.Headers.Pieces), ",") {
 		n, err := strconv.Atoi(strings.TrimSpace(text))
 		if err != nil {
-			return nil, &refusal{http.StatusBadRequest, "the numbers of pieces cannot be read", 0}
+			return nil, err
 		}
 		counts = append(counts, n)
 	}
-	plan, err := stage.NewPlan(x.id, x.r.Header.Get(names.PieceKey), x.route.Stages, counts)
+	return counts, nil
+}
+
+// newStaging checks the pieces of a request and whether its stages can end in time.
+func (x *exchange) newStaging() (*staging, *refusal) {
+	counts, err := x.pieceCounts()
+	if err != nil {
+		return nil, &refusal{http.StatusBadRequest, "the numbers of pieces cannot be read", 0}
+	}
+	plan, err := stage.NewPlan(x.id, x.r.Header.Get(x.f.o.Dialect.Headers.PieceKey), x.route.Stages, counts)
 	if err != nil {
 		return nil, &refusal{http.StatusBadRequest, err.Error(), 0}
 	}
+	if refused := x.foresee(); refused != nil {
+		return nil, refused
+	}
 	return &staging{x: x, plan: plan, home: x.home(), results: make(chan stageResult, len(counts)*(1+maxRounds))}, nil
 }
 
@@ -52,6 +63,7 @@
 
 // run makes all pieces. The refusal is true: the request itself has not been sent.
 func (s *staging) run() *refusal {
+	s.hold()
 	s.start()
 	for !s.plan.Finished() {
 		if s.pending == 0 {
@@ -71,6 +83,21 @@
 	return nil
 }
 
+// hold waits until the later stages can take the request's pieces. It is done once: lost results are made again at once.
+func (s *staging) hold() {
+	x := s.x
+	if x.seat == nil || x.seat.forecast.Hold <= 0 {
+		return
+	}
+	timer := x.f.o.Clock.NewTimer(x.seat.forecast.Hold)
+	defer timer.Stop()
+	x.seat.forecast.Hold = 0
+	select {
+	case <-timer.C():
+	case <-x.ctx.Done():
+	}
+}
+
 func (s *staging) failed() *refusal {
 	x := s.x
 	reason := "the stages did not end in time"
@@ -165,6 +192,7 @@
 		}
 	}
 	s.free(freed)
+	s.x.f.noteStaged(s.x.seat, r.items[0].Stage)
 	return true
 }
 
