--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -131,7 +131,7 @@
 	{LinesLeftOut, "lines_left_out", hclog.Warn, "Log lines of one kind were left out, because there were more than the limit.", []string{"kind", "count"}, "See the counters at /metrics."},
 
 	{LeaderChanged, "leader_changed", hclog.Info, "The control group has another leader, as this member sees it.", []string{"leader", "term"}, ""},
-	{ControlFailed, "control_failed", hclog.Error, "This member of the control group has stopped, because its disk failed.", []string{"reason"}, "Replace the disk or the VM; see docs/operations.md."},
+	{ControlFailed, "control_failed", hclog.Error, "This member of the control group has stopped, because its disk failed.", []string{"reason"}, "Replace the disk or the VM; see docs/OPERATIONS.md."},
 	{MembersChanged, "members_changed", hclog.Info, "The members of the control group changed.", []string{"members"}, ""},
 
 	{GroupFormed, "group_formed", hclog.Info, "This member belongs to a control group; initial is false if it waits to be added.", []string{"cluster", "initial", "member"}, ""},
--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -73,6 +73,9 @@
 	Clock  clock.Clock  // source of time
 	Logger hclog.Logger // nil: events are only kept in the ring
 	Keep   int          // events kept; 0 means DefaultKeep
+	// PerSecond bounds the log lines of one kind in a second; 0 means no bound. What is left out is counted in a line of its
+	// own, and the events are kept all the same.
+	PerSecond int
 }
 
 // DefaultKeep is the number of events that a process keeps: about 2 MB at 250 bytes an event.
@@ -88,6 +91,16 @@
 	ring []Event
 	next int
 	full bool
+
+	perSecond int
+	quotas    map[Code]*quota
+}
+
+// quota counts the lines of one kind in the present second.
+type quota struct {
+	second  int64
+	printed int
+	leftOut int
 }
 
 // New returns an empty log.
@@ -95,7 +108,8 @@
 	if o.Keep <= 0 {
 		o.Keep = DefaultKeep
 	}
-	return &Log{node: o.Node, logger: o.Logger, hybrid: NewHybrid(o.Clock), ring: make([]Event, o.Keep)}
+	return &Log{node: o.Node, logger: o.Logger, hybrid: NewHybrid(o.Clock), ring: make([]Event, o.Keep),
+		perSecond: o.PerSecond, quotas: map[Code]*quota{}}
 }
 
 // Hybrid returns the clock that stamps the events; messages between processes carry its stamps.
@@ -112,8 +126,38 @@
 	l.ring[l.next] = e
 	l.next = (l.next + 1) % len(l.ring)
 	l.full = l.full || l.next == 0
+	ok, leftOut := l.allow(code, e.Stamp.Time().Unix())
 	l.mu.Unlock()
-	l.print(kind, fields)
+	if leftOut > 0 {
+		l.Emit(LinesLeftOut, F("kind", kind.Name), F("count", leftOut))
+	}
+	if ok {
+		l.print(kind, fields)
+	}
+}
+
+// allow reports whether a line of this kind is printed, and how many were left out in the last second that had any. The lock
+// is held.
+func (l *Log) allow(code Code, second int64) (bool, int) {
+	if l.perSecond <= 0 || code == LinesLeftOut {
+		return true, 0
+	}
+	q := l.quotas[code]
+	if q == nil {
+		q = &quota{}
+		l.quotas[code] = q
+	}
+	leftOut := 0
+	if q.second != second {
+		leftOut = q.leftOut
+		*q = quota{second: second}
+	}
+	if q.printed >= l.perSecond {
+		q.leftOut++
+		return false, leftOut
+	}
+	q.printed++
+	return true, leftOut
 }
 
 func (l *Log) print(kind Kind, fields []Field) {
--- a/internal/cli/cmds/gate.go
+++ b/internal/cli/cmds/gate.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/node/gated"
 )
@@ -75,7 +76,9 @@
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(hangUp)
-	logger := hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: level, Output: c.Root().Writer, JSONFormat: true})
+	sink := event.NewSink(c.Root().Writer)
+	defer sink.Close()
+	logger := hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: level, Output: sink, JSONFormat: true})
 	p, err := gated.New(s, gated.Options{Dialect: dialect, Clock: clock.Real(), Logger: logger, Path: path})
 	if err != nil {
 		return err
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -32,16 +32,18 @@
 	ctx    context.Context // ends with the caller, or at end
 	cancel context.CancelFunc
 
-	plan     *staging
-	seat     *seat // place at a model engine; nil: none was given
-	sent     int   // upstreams that the request was sent to and that may have run it
-	refusals int   // upstreams that said that they did not run it
-	maybeRan bool  // some upstream may have run it
-	started  bool  // a part of the answer was passed on
-	upstream string
-	staged   time.Duration   // until the stages were done
-	first    time.Duration   // until the first event or the answer was passed on
-	failed   map[string]bool // upstreams that failed this request
+	plan *staging
+	seat *seat // place at a model engine; nil: none was given
+	// movedAway is set once the request has been moved to another region because of a refusal.
+	movedAway bool
+	sent      int  // upstreams that the request was sent to and that may have run it
+	refusals  int  // upstreams that said that they did not run it
+	maybeRan  bool // some upstream may have run it
+	started   bool // a part of the answer was passed on
+	upstream  string
+	staged    time.Duration   // until the stages were done
+	first     time.Duration   // until the first event or the answer was passed on
+	failed    map[string]bool // upstreams that failed this request
 }
 
 // refusal is an answer of this node.
@@ -165,12 +167,13 @@
 		defer func() { x.f.noteEnd(x.seat, engine.Left) }() // a ticket that has ended already is not known any more
 	}
 	if len(x.route.Stages) > 0 {
-		s, refused := x.newStaging()
-		if refused == nil {
-			x.plan = s
-			defer s.end()
-			refused = s.run()
-		}
+		refused := x.runStages()
+		defer func() {
+			if x.plan != nil {
+				x.cancel()
+				x.plan.end()
+			}
+		}()
 		x.staged = x.f.o.Clock.Now().Sub(x.began)
 		if refused != nil {
 			x.refuse(*refused)
@@ -184,6 +187,23 @@
 	x.plain()
 }
 
+// runStages makes the pieces of all stages, if need be in another region than first planned.
+func (x *exchange) runStages() *refusal {
+	for {
+		s, refused := x.newStaging()
+		if refused != nil {
+			return refused
+		}
+		x.plan = s
+		refused = s.run()
+		if refused == nil || !x.refusedHere(s) {
+			return refused
+		}
+		s.end()
+		x.plan = nil
+	}
+}
+
 // refuse gives an answer of this node.
 func (x *exchange) refuse(f refusal) {
 	if x.gone() {
--- a/internal/gate/front/foresee.go
+++ b/internal/gate/front/foresee.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"time"
 
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/stage"
 )
 
 // Parameters of the look ahead.
@@ -13,30 +15,71 @@
 	// queuedCalls is the number of full calls' time that a request must be expected to wait before it is refused because it
 	// will be late. Less may be an error of the forecast.
 	queuedCalls = 2
+	// farRatio is how much sooner the stages must end in another region.
+	farRatio = 2
 	// leastRetry and mostRetry bound the time after which a refused caller is told to return.
 	leastRetry = 300 * time.Millisecond
 	mostRetry  = 3 * time.Second
 )
 
-// foresee refuses a request that will be late because of the queues of its stages: it would keep their places from others that
-// can still be on time, and its caller can return when they are shorter.
+// foresee moves a request that the queues of its stages will make late to a region whose queues are empty, or refuses it: it
+// would keep their places from others that can still be on time, and its caller can return when they are shorter.
 func (x *exchange) foresee() *refusal {
 	if x.seat == nil {
 		return nil
 	}
 	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
-	if !x.hopeless(slack) {
+	if x.seat.forecast.Total <= slack {
+		return nil
+	}
+	if x.moveAway(slack) {
 		return nil
 	}
 	here := x.seat.forecast
+	if here.Wait < queuedCalls*here.Full && here.Total < x.left() {
+		return nil
+	}
 	after := min(max(here.Wait, leastRetry), mostRetry, x.left()/4)
 	return &refusal{http.StatusServiceUnavailable, "the queues of the stages are too long", after}
 }
 
-// hopeless reports whether the request will be late because of the queues, by more than the forecast may be wrong.
-func (x *exchange) hopeless(slack time.Duration) bool {
-	here := x.seat.forecast
-	return here.Total > slack && (here.Wait >= queuedCalls*here.Full || here.Total >= x.left())
+// moveAway takes a seat in another region, if one serves the request much sooner.
+func (x *exchange) moveAway(slack time.Duration) bool {
+	for _, area := range x.f.areas(x.service, x.route.Stages) {
+		if area != x.seat.area && x.tryArea(area, slack) {
+			return true
+		}
+	}
+	return false
+}
+
+// tryArea takes a seat in another region if little waits there and the stages end in good time, much sooner than here.
+// Otherwise a request stays: to move it costs bytes between regions and may read its prompt again.
+func (x *exchange) tryArea(area string, slack time.Duration) bool {
+	there := x.seatIn(area)
+	if there == nil {
+		return false
+	}
+	sooner := there.forecast.Total < x.seat.forecast.Total/farRatio && there.forecast.Total < slack*2/3 &&
+		there.forecast.Wait < there.forecast.Full
+	if sooner {
+		x.seat, there = there, x.seat
+	}
+	x.f.noteEnd(there, engine.Left)
+	return sooner
+}
+
+// refusedHere handles a request whose first stage has no place in this region's queues, although the forecast was good: the
+// rate of a service is lower than that of full calls while its memory for results is full. It returns true if another region
+// takes the request; no piece of it has been made.
+func (x *exchange) refusedHere(s *staging) bool {
+	if x.seat == nil || x.movedAway || s.reason != stage.ReasonRefused || !s.plan.Untouched() {
+		return false
+	}
+	x.movedAway = true
+	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+	x.seat.forecast.Total = max(x.seat.forecast.Total, x.left())
+	return x.moveAway(slack)
 }
 
 // needs lists the stages of the request for a placer.
@@ -78,3 +121,27 @@
 func (f *Front) serves(u roster.Upstream, area string) bool {
 	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == area
 }
+
+// areas returns the regions that have an engine and an upstream of each stage that take work.
+func (f *Front) areas(service string, stages []conf.Stage) []string {
+	view := f.o.View()
+	has := func(name, area string) bool {
+		for _, u := range view.Services[name] {
+			if f.serves(u, area) {
+				return true
+			}
+		}
+		return false
+	}
+	var out []string
+	for _, area := range f.regions {
+		ok := has(service, area)
+		for _, s := range stages {
+			ok = ok && has(s.Service, area)
+		}
+		if ok {
+			out = append(out, area)
+		}
+	}
+	return out
+}
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -26,6 +26,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	counters counters
+	regions  []string // sorted
 
 	mu      sync.Mutex
 	chooser *pick.Chooser
@@ -85,6 +87,12 @@
 		o: o, chooser: pick.New(), budget: newBudget(o.Budget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
 		placers: map[placeKey]*engine.Placer{},
 	}
+	for _, region := range o.RegionOf {
+		if !slices.Contains(f.regions, region) {
+			f.regions = append(f.regions, region)
+		}
+	}
+	slices.Sort(f.regions)
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.wg.Go(func() {
 		for clock.Sleep(f.ctx, o.Clock, sweepEvery) == nil {
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -54,9 +54,11 @@
 }
 
 // seatFor asks the node that places requests on the engines of the region for a place; nil if it knows none.
-func (x *exchange) seatFor() *seat {
+func (x *exchange) seatFor() *seat { return x.seatIn(x.f.area(x.service)) }
+
+func (x *exchange) seatIn(area string) *seat {
 	f := x.f
-	s := &seat{service: x.service, area: f.area(x.service)}
+	s := &seat{service: x.service, area: area}
 	s.owner = f.o.Maker.Owner(x.service, s.area)
 	r := x.engineRequest()
 	q := placeAsk{Service: s.service, Area: s.area, Request: &r}
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -318,6 +318,8 @@
 
 // repeatAfterFault tries other upstreams after a failure; if none gives a better answer, the failure itself is passed on.
 func (x *exchange) repeatAfterFault(first *answer, body []byte) bool {
+	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", first.from.ID),
+		event.F("attempt", x.sent), event.F("outcome", "fault"), event.F("reason", first.Status))
 	a, _ := x.attempt("", nil)
 	if a == nil {
 		x.upstream = first.from.ID
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -222,7 +222,6 @@
 
 // end gives up everything that is left of a request.
 func (s *staging) end() {
-	s.x.cancel()
 	s.release()
 	if s.pending == 0 {
 		return
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -210,6 +210,18 @@
 	}
 }
 
+// Untouched reports whether no piece has been made.
+func (p *Plan) Untouched() bool {
+	for _, stage := range p.pieces {
+		for _, x := range stage {
+			if x.handle != "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Finished reports whether all pieces are made.
 func (p *Plan) Finished() bool {
 	for _, stage := range p.pieces {
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -68,9 +68,11 @@
 
 // Parameters of the order.
 const (
-	lateRanks  = 2    // a piece whose request will be late counts as this much less urgent
-	slackCalls = 4    // a job with this many full calls of time waits for an upstream near its engine
-	roundsHeld = 2    // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	lateRanks  = 2 // a piece whose request will be late counts as this much less urgent
+	slackCalls = 4 // a job with this many full calls of time waits for an upstream near its engine
+	roundsHeld = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	rateSpan   = 500 * time.Millisecond
+	rateWeight = 0.5  // of the newest span
 	roomShrink = 0.97 // of the room that was in use when a result found none
 	roomGrow   = 1.01 // for each result that was freed
 )
@@ -108,6 +110,10 @@
 	dropped map[Key]bool   // cancelled while part of a call
 	begun   map[string]int // results and pieces under way here, by request
 	nextID  uint64
+
+	rate  float64   // pieces a second, made lately while others waited; 0: not known
+	made  int       // since then
+	since time.Time // zero: nothing waited
 }
 
 const bytesPerMB = 1e6
@@ -193,6 +199,7 @@
 	q.expire(now)
 	replies := q.dropLate(now)
 	if len(q.jobs) == 0 {
+		q.rate, q.since = 0, time.Time{} // nothing waits, so the rate says nothing about the capacity
 		return nil, replies
 	}
 	if !slices.ContainsFunc(q.sorted(), func(t *target) bool { return t.present && !t.Avoid }) {
@@ -298,7 +305,8 @@
 	})
 }
 
-// refuseLate gives up jobs that would be late anyway while more than roundsHeld rounds of calls wait.
+// refuseLate gives up jobs that will be late because of those before them, at the rate at which pieces were made lately.
+// Some rounds of full calls may wait in any case.
 func (q *Queue) refuseLate(now time.Time) []Reply {
 	ready := 0
 	for _, t := range q.targets {
@@ -311,11 +319,16 @@
 		return nil
 	}
 	q.order(now, "")
+	rate := float64(ready*q.pool.Batch) / q.callTime(q.pool.Batch).Seconds()
+	if q.rate > 0 {
+		rate = min(rate, q.rate)
+	}
 	var out []Reply
 	at := 0
 	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
 		at++
-		if at <= keep || q.begun[j.Request] > 0 || len(j.Inputs) > 0 || !q.late(j, now) {
+		begins := now.Add(time.Duration(float64(at) / rate * float64(time.Second)))
+		if at <= keep || q.begun[j.Request] > 0 || len(j.Inputs) > 0 || !q.late(j, begins) {
 			return false
 		}
 		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
@@ -324,6 +337,30 @@
 	return out
 }
 
+// measure keeps the rate at which pieces are made while others wait. Memory for results, slow upstreams and calls of other
+// nodes lower it.
+func (q *Queue) measure(now time.Time, made int) {
+	if len(q.jobs) == 0 {
+		q.since, q.made = time.Time{}, 0
+		return
+	}
+	if q.since.IsZero() {
+		q.since, q.made = now, 0
+		return
+	}
+	q.made += made
+	span := now.Sub(q.since)
+	if span < rateSpan {
+		return
+	}
+	rate := float64(q.made) / span.Seconds()
+	if q.rate == 0 {
+		q.rate = rate
+	}
+	q.rate += rateWeight * (rate - q.rate)
+	q.since, q.made = now, 0
+}
+
 // fill takes the first jobs that fit into one call and into the upstream's memory. A request is begun only if all of its
 // pieces that wait here fit: a part of them would hold memory while the rest waits for some.
 //
@@ -419,6 +456,7 @@
 	switch result {
 	case Answered:
 		t.fails = 0
+		q.measure(now, len(o.jobs))
 	case Full:
 		t.pause = now.Add(fullPause)
 	case Moved, Broken:
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -279,3 +279,28 @@
 	assert.Equal(t, calls[0].Upstream, "u2")
 	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"urgent"})
 }
+
+// Load pattern: memory for results that lets through less than full calls would. Guards against requests that learn only when
+// they are late that there is no place for them.
+func TestRefusalFollowsTheMeasuredRate(t *testing.T) {
+	q := queue()
+	now := t0
+	for i := range 8 {
+		q.Add(job(fmt.Sprint("early", i), 20*time.Second, 1))
+	}
+	for range 2 { // one call of four pieces takes a second instead of 190 ms
+		calls, _ := q.Next(now)
+		assert.Equal(t, len(calls), 1)
+		now = now.Add(time.Second)
+		q.Add(job(fmt.Sprint("more", now.Unix()), 20*time.Second, 1))
+		q.Done(now, calls[0].ID, Answered, make([]Outcome, len(calls[0].Jobs)))
+	}
+	for i := range 16 {
+		q.Add(Job{Item: Item{Request: fmt.Sprint("new", i)}, Bytes: 1, Due: now.Add(1500 * time.Millisecond), Deadline: now.Add(9 * time.Second)})
+	}
+	_, replies := q.Next(now)
+	assert.Assert(t, len(replies) > 0, "four a second have a place in time")
+	for _, r := range replies {
+		assert.Equal(t, r.Reason, ReasonRefused)
+	}
+}
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -71,7 +71,7 @@
 func New(s Settings, o Options) (*Process, error) {
 	p := &Process{
 		s: s, o: o, ready: make(chan struct{}),
-		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger, Keep: keptEvents}),
+		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger, Keep: keptEvents, PerSecond: linesPerSecond}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.setSeeds(s)
@@ -88,6 +88,9 @@
 // keptEvents is the number of events kept for the time line; a small VM has no memory for more.
 const keptEvents = 1024
 
+// linesPerSecond bounds the log lines of one kind. Lines cost processor time as all other work does.
+const linesPerSecond = 200
+
 func (p *Process) roles() string {
 	var out []string
 	if p.s.Listen.Callers != "" {
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -193,6 +193,9 @@
 	return errors.CombineErrors(err, m.store.Close())
 }
 
+// ID returns the identity of the member's folder.
+func (m *Member) ID() string { return m.identity.Load().Member.ID }
+
 // Latest returns the newest document that this member has applied; it may lag behind the group.
 func (m *Member) Latest() vdoc.Document { return m.replica.Latest() }
 
