Do not let refusals for want of room starve a stage upstream

The memory that the queue counted on had shrunk to 116 of 1,400 KB: while a queue changes owners, two nodes fill one upstream, each refusal cut the account to what the own results took, and it grew by 1% for each freed result.

Change: at least 0.6 of the memory is counted on, and it grows by 3% of the whole for each freed result. The forecast counts the pieces that the queues put first (more urgent, or due earlier) instead of all of a rank; a place at an engine that a node does not know is given back.

TestRefusalsForRoomDoNotStarveAnUpstream fails before.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -45,6 +45,8 @@
 	Rank    int      `cbor:"5,keyasint,omitempty"`
 	Exclude []string `cbor:"6,keyasint,omitempty"` // engines that failed it
 	Needs   []Need   `cbor:"7,keyasint,omitempty"` // stages that it has to pass before
+	// Due is the time that is left until the request is late.
+	Due time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Target is an engine.
@@ -83,6 +85,7 @@
 	rank   int
 	tokens int
 	at     time.Time
+	due    time.Time
 	needs  []Need // pieces that are still to be made
 }
 
@@ -108,14 +111,11 @@
 	tickets map[uint64]*ticket
 	next    uint64
 	pools   map[string]Pool
-	backlog map[string]*[Ranks]int // pieces to be made, by service and rank
 }
 
 // New returns a Placer without engines.
 func New() *Placer {
-	return &Placer{
-		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, backlog: map[string]*[Ranks]int{},
-	}
+	return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}}
 }
 
 // SetTargets changes the engines. One that comes back under the same id starts with an empty memory only if it was gone.
@@ -150,8 +150,8 @@
 		return 0, "", false
 	}
 	p.next++
-	t := &ticket{target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now}
-	p.admit(t, r.Needs)
+	t := &ticket{target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: now.Add(r.Due)}
+	t.needs = slices.Clone(r.Needs)
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
 	best.remember(r, chains)
@@ -305,9 +305,6 @@
 func (p *Placer) drop(id uint64) {
 	t := p.tickets[id]
 	delete(p.tickets, id)
-	for i := range t.needs {
-		p.unload(t, i)
-	}
 	if at := p.targets[t.target]; at != nil {
 		delete(at.tickets, id)
 	}
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// Ranks is the number of ranks that are told apart; less urgent ones count as the last of them.
-const Ranks = 4
-
 // Need is a stage that a request has to pass before it reaches its engine.
 type Need struct {
 	Service string `cbor:"1,keyasint"`
@@ -42,55 +39,40 @@
 // noPoolWait stands for a service without upstreams.
 const noPoolWait = time.Hour
 
-func clampRank(rank int) int { return min(max(rank, 0), Ranks-1) }
-
 // SetPools changes the stage services of the region.
 func (p *Placer) SetPools(pools map[string]Pool) { p.pools = pools }
 
-// admit counts the pieces of a request as work to be done; done and drop take them off again.
-func (p *Placer) admit(t *ticket, needs []Need) {
-	for _, n := range needs {
-		p.work(n.Service)[clampRank(t.rank)] += n.Pieces
-	}
-	t.needs = append([]Need(nil), needs...)
-}
-
-func (p *Placer) work(service string) *[Ranks]int {
-	w := p.backlog[service]
-	if w == nil {
-		w = &[Ranks]int{}
-		p.backlog[service] = w
-	}
-	return w
-}
-
 // Staged notes that the pieces of one stage of a request have been made.
 func (p *Placer) Staged(id uint64, stage int) {
 	if t := p.tickets[id]; t != nil && stage >= 0 && stage < len(t.needs) {
-		p.unload(t, stage)
+		t.needs[stage].Pieces = 0
 	}
 }
 
-func (p *Placer) unload(t *ticket, stage int) {
-	p.work(t.needs[stage].Service)[clampRank(t.rank)] -= t.needs[stage].Pieces
-	t.needs[stage].Pieces = 0
-}
-
-// wait returns how long pieces that come now wait for the pieces of the same or more urgent ranks.
-func (p *Placer) wait(service string, rank int) time.Duration {
+// wait returns how long pieces wait for those that the queue of their service puts before them: of a more urgent rank, or of
+// the same one and due earlier.
+func (p *Placer) wait(service string, rank int, due time.Time) time.Duration {
 	pool := p.pools[service]
 	if pool.Upstreams == 0 || pool.Batch == 0 {
 		return noPoolWait
 	}
 	ahead := 0
-	for r := range clampRank(rank) + 1 {
-		ahead += p.work(service)[r]
+	for _, t := range p.tickets {
+		if t.rank > rank || t.rank == rank && t.due.After(due) {
+			continue
+		}
+		for _, n := range t.needs {
+			if n.Service == service {
+				ahead += n.Pieces
+			}
+		}
 	}
 	return time.Duration(float64(ahead) / pool.rate() * float64(time.Second))
 }
 
 // Forecast adds up waits and calls along the longest chain of a request's stages.
-func (p *Placer) Forecast(r Request) Forecast {
+func (p *Placer) Forecast(now time.Time, r Request) Forecast {
+	due := now.Add(r.Due)
 	ends := make([]Forecast, len(r.Needs))
 	var out Forecast
 	for i, n := range r.Needs {
@@ -104,7 +86,7 @@
 		if n.Pieces > 0 {
 			// While the earlier stages run, the service works on what is before it.
 			pool := p.pools[n.Service]
-			wait := max(p.wait(n.Service, r.Rank)-begin.Total, 0)
+			wait := max(p.wait(n.Service, r.Rank, due)-begin.Total, 0)
 			if len(n.After) > 0 {
 				out.Hold = max(out.Hold, wait-heldCalls*pool.callTime(pool.Batch))
 			}
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -83,6 +83,10 @@
 			return s
 		}
 	}
+	if tell.ID != "" { // an engine that this node does not know yet
+		s.ticket = tell.Ticket
+		f.noteEnd(s, engine.Left)
+	}
 	return nil
 }
 
@@ -90,6 +94,7 @@
 func (x *exchange) engineRequest() engine.Request {
 	names := x.f.o.Dialect.Headers
 	r := engine.Request{Model: x.r.Header.Get(names.Model), Rank: x.rank()}
+	r.Due = x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
 	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
 	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
@@ -135,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.placer(placeKey{q.Service, q.Area})
-	forecast := p.Forecast(*q.Request)
+	forecast := p.Forecast(now, *q.Request)
 	ticket, id, ok := p.Place(now, *q.Request)
 	if !ok {
 		return placeTell{}
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -73,8 +73,8 @@
 	roundsHeld = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	rateSpan   = 500 * time.Millisecond
 	rateWeight = 0.5  // of the newest span
-	roomShrink = 0.97 // of the room that was in use when a result found none
-	roomGrow   = 1.01 // for each result that was freed
+	leastRoom  = 0.6  // part of an upstream's memory that is counted on, however often results found no room
+	roomGrow   = 0.03 // part of the memory that is counted on again for each result that was freed
 )
 
 type target struct {
@@ -477,7 +477,7 @@
 			q.leave(j.Request)
 		}
 		if out.Reason == ReasonNoRoom {
-			t.limit = max(roomShrink*float64(t.used), float64(j.Bytes))
+			t.limit = max(float64(t.used), leastRoom*q.pool.RoomMB*bytesPerMB)
 			t.blocked = now.Add(roomPause)
 		}
 		if q.dropped[keyOf(j)] {
@@ -523,7 +523,7 @@
 		for _, t := range q.targets {
 			if r, ok := t.room[h]; ok {
 				t.used -= r.bytes
-				t.limit = min(t.limit*roomGrow, q.pool.RoomMB*bytesPerMB)
+				t.limit = min(t.limit+roomGrow*q.pool.RoomMB*bytesPerMB, q.pool.RoomMB*bytesPerMB)
 				t.blocked = time.Time{}
 				q.leave(r.request)
 				delete(t.room, h)
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -304,3 +304,21 @@
 		assert.Equal(t, r.Reason, ReasonRefused)
 	}
 }
+
+// Load pattern: two nodes fill the memory of one upstream while its queue changes owners. Guards against an account of the
+// memory that shrinks with each refusal and keeps an idle upstream without calls.
+func TestRefusalsForRoomDoNotStarveAnUpstream(t *testing.T) {
+	q := queue()
+	now := t0
+	for i := range 40 {
+		q.Add(job(fmt.Sprint("r", i), time.Hour, 100))
+		calls, _ := q.Next(now)
+		if len(calls) > 0 {
+			q.Done(now, calls[0].ID, Answered, []Outcome{{Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}}[:len(calls[0].Jobs)])
+		}
+		now = now.Add(roomPause)
+	}
+	calls, _ := q.Next(now)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, len(calls[0].Jobs), 4)
+}
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -26,7 +26,6 @@
 // fleet is a set of processes on loopback, one address for each, as VMs would have them.
 type fleet struct {
 	t     *testing.T
-	port  int
 	net   int // third part of the addresses, so that tests beside each other do not meet
 	dirs  map[int]string
 	nodes map[int]*Process
--- a/internal/test/rawup/rawup.go
+++ b/internal/test/rawup/rawup.go
@@ -109,7 +109,7 @@
 }
 
 func (u *Upstream) serve(c net.Conn, number int) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
 		hr, err := http.ReadRequest(br)
