Give a slow stage upstream only what the others cannot make sooner

Change: the queue keeps the pace of each upstream; a slow one is called only when the others need longer for all that waits, and tried again after two seconds without a call.

--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -68,9 +68,12 @@
 
 // Parameters of the order.
 const (
-	lateRanks  = 2 // a piece whose request will be late counts as this much less urgent
-	slackCalls = 4 // a job with this many full calls of time waits for an upstream near its engine
-	roundsHeld = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	slowPace   = 1.8             // an upstream whose calls take this much longer counts as slow
+	slowRetry  = 2 * time.Second // without a call, a slow one is tried again
+	paceWeight = 0.5             // of the newest call
+	lateRanks  = 2               // a piece whose request will be late counts as this much less urgent
+	slackCalls = 4               // a job with this many full calls of time waits for an upstream near its engine
+	roundsHeld = 2               // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	rateSpan   = 500 * time.Millisecond
 	rateWeight = 0.5  // of the newest span
 	leastRoom  = 0.6  // part of an upstream's memory that is counted on, however often results found no room
@@ -87,6 +90,8 @@
 	used    int64           // bytes of results and of those being made
 	limit   float64         // bytes that it seems to have room for; sizes are approximate
 	blocked time.Time       // until then a result finds no room, unless one is freed
+	pace    float64         // time of its calls against what they should take
+	called  time.Time       // end of its last call
 }
 
 type held struct {
@@ -98,6 +103,7 @@
 type open struct {
 	target string
 	jobs   []Job
+	began  time.Time
 }
 
 // Queue hands the pieces of one service in one region to its upstreams. It is not safe for concurrent use.
@@ -146,7 +152,7 @@
 	for _, t := range list {
 		have := q.targets[t.ID]
 		if have == nil {
-			have = &target{room: map[string]held{}, limit: q.pool.RoomMB * bytesPerMB}
+			have = &target{room: map[string]held{}, limit: q.pool.RoomMB * bytesPerMB, pace: 1}
 			q.targets[t.ID] = have
 		}
 		have.Target, have.present = t, true
@@ -213,14 +219,33 @@
 			if len(jobs) == 0 {
 				break
 			}
-			calls = append(calls, q.begin(t, jobs))
+			calls = append(calls, q.begin(t, jobs, now))
 		}
 	}
 	return calls, append(replies, q.refuseLate(now)...)
 }
 
 func (q *Queue) mayCall(t *target, now time.Time) bool {
-	return t.present && !t.Avoid && t.calls < q.pool.Slots && !now.Before(t.pause) && len(q.jobs) > 0
+	return q.usable(t, now) && t.calls < q.pool.Slots && len(q.jobs) > 0 && !q.othersAreSooner(t, now)
+}
+
+func (q *Queue) usable(t *target, now time.Time) bool {
+	return t.present && !t.Avoid && !now.Before(t.pause)
+}
+
+// othersAreSooner reports whether the upstreams that are not slow make all pieces that wait before a call of this slow one
+// would end. An upstream that has not been called for a while is tried again, because it may have recovered.
+func (q *Queue) othersAreSooner(t *target, now time.Time) bool {
+	if t.pace < slowPace || now.Sub(t.called) > slowRetry {
+		return false
+	}
+	places := 0
+	for _, other := range q.targets {
+		if other.pace < slowPace && q.usable(other, now) {
+			places += q.pool.Batch * q.pool.Slots
+		}
+	}
+	return float64(len(q.jobs)) <= float64(places)*(t.pace-1)
 }
 
 // sorted returns the targets with the least used room first.
@@ -432,14 +457,14 @@
 	return best
 }
 
-func (q *Queue) begin(t *target, jobs []Job) Call {
+func (q *Queue) begin(t *target, jobs []Job, now time.Time) Call {
 	q.nextID++
 	t.calls++
 	for _, j := range jobs {
 		t.used += j.Bytes
 		q.tries[keyOf(j)]++
 	}
-	q.open[q.nextID] = open{t.ID, jobs}
+	q.open[q.nextID] = open{t.ID, jobs, now}
 	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*patienceX/2 + patienceMore
 	return Call{ID: q.nextID, Upstream: t.ID, Address: t.Address, Jobs: jobs, Patience: patience}
 }
@@ -457,6 +482,7 @@
 	case Answered:
 		t.fails = 0
 		q.measure(now, len(o.jobs))
+		q.notePace(t, o, now, outcomes)
 	case Full:
 		t.pause = now.Add(fullPause)
 	case Moved, Broken:
@@ -501,6 +527,22 @@
 	return replies, unwanted
 }
 
+// notePace compares the time of a call with what it should take. Calls in which results found no room end early and say
+// nothing.
+func (q *Queue) notePace(t *target, o open, now time.Time, outcomes []Outcome) {
+	t.called = now
+	made := 0
+	for _, out := range outcomes {
+		if out.Handle != "" {
+			made++
+		}
+	}
+	if made == 0 {
+		return
+	}
+	t.pace += paceWeight * (float64(now.Sub(o.began))/float64(q.callTime(made)) - t.pace)
+}
+
 // again reports whether a job goes back into the queue.
 func (q *Queue) again(j Job, result CallResult, out Outcome) bool {
 	if out.Handle != "" {
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -322,3 +322,28 @@
 	assert.Equal(t, len(calls), 1)
 	assert.Equal(t, len(calls[0].Jobs), 4)
 }
+
+// Load pattern: one upstream works five times slower while its health is good. Guards against pieces that wait for it although
+// the others make them sooner, and against one that is left out for good.
+func TestSlowUpstreamGetsWhatOthersCannotTake(t *testing.T) {
+	q := queue()
+	q.SetTargets([]Target{{ID: "u1", Address: "a1"}, {ID: "u2", Address: "a2"}})
+	q.pool.Batch = 1
+	q.Add(job("a", time.Minute, 1))
+	q.Add(job("b", time.Minute, 1))
+	calls, _ := q.Next(t0)
+	assert.Equal(t, len(calls), 2)
+	q.Done(t0.Add(160*time.Millisecond), calls[0].ID, Answered, []Outcome{{Handle: "x"}})
+	now := t0.Add(time.Second)
+	q.Done(now, calls[1].ID, Answered, []Outcome{{Handle: "y"}})
+	q.pool.Batch = 4
+	for i := range 8 {
+		q.Add(job(fmt.Sprint("r", i), time.Minute, 1))
+	}
+	calls, _ = q.Next(now)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, calls[0].Upstream, "u1")
+	later, _ := q.Next(now.Add(slowRetry + time.Millisecond))
+	assert.Equal(t, len(later), 1)
+	assert.Equal(t, later[0].Upstream, "u2")
+}
