--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -70,13 +70,14 @@
 
 // Parameters of the choice.
 const (
-	sharedCost  = 1.5             // of a token of a shared part, against a token that must be read anyway
-	runCost     = 40              // tokens for each running request, which all slow each other down
-	firstPause  = time.Second     // after a failure
-	mostPause   = 8 * time.Second // after several
-	fullPause   = 200 * time.Millisecond
-	ticketFor   = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
-	cacheMargin = 0.8              // part of an engine's memory that is taken to hold parts of prompts
+	sharedCost   = 2.2             // of a token of a shared part, against a token that must be read anyway
+	stagedWeight = 0.3             // of the prompt of a request whose stages still run
+	runCost      = 40              // tokens for each running request, which all slow each other down
+	firstPause   = time.Second     // after a failure
+	mostPause    = 8 * time.Second // after several
+	fullPause    = 200 * time.Millisecond
+	ticketFor    = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
+	cacheMargin  = 0.8              // part of an engine's memory that is taken to hold parts of prompts
 )
 
 type ticket struct {
@@ -231,12 +232,23 @@
 	for _, other := range t.tickets {
 		cost += runCost
 		if other.rank <= r.Rank {
-			cost += float64(other.unread)
+			cost += other.weight() * float64(other.unread)
 		}
 	}
 	return cost
 }
 
+// weight is the part of a request's unread prompt that stands before another one: a request whose stages still run reaches its
+// engine later, and the engine reads other prompts until then.
+func (t *ticket) weight() float64 {
+	for _, n := range t.needs {
+		if n.Pieces > 0 {
+			return stagedWeight
+		}
+	}
+	return 1
+}
+
 // remember notes the parts that the engine will have read, and drops those used least lately when it has no room.
 func (t *target) remember(r Request, chains []string) {
 	for i, x := range r.Parts {
