Hear upstreams through any control node; free results whose account was lost

While the core was divided, each half marked the upstreams of the other one silent, and entry nodes believed each word, since plain renewals are not told. Besides, results were freed at the node that kept account of them, also after it had been restarted, so they took memory until they expired; and places of nodes that had died counted as work for 20 s.

Change: an upstream is silent only if no control node that answered within 2 s hears it; results carry the upstream that made them and are freed there when the node that kept account is gone or does not know them; a request counts as work until 2 s after its due time.

--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -146,7 +146,7 @@
 	p.Staged(tickets[0], 1)
 	p.End(t0, tickets[0], Served)
 	p.End(t0, tickets[1], Left)
-	assert.Equal(t, p.wait("rerank", 1, t0), 400*time.Millisecond)
+	assert.Equal(t, p.wait(t0, "rerank", 1, t0), 400*time.Millisecond)
 	for _, ticket := range tickets {
 		p.End(t0, ticket, Left)
 	}
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -51,14 +51,14 @@
 
 // wait returns how long pieces wait for those that the queue of their service puts before them: of a more urgent rank, or of
 // the same one and due earlier.
-func (p *Placer) wait(service string, rank int, due time.Time) time.Duration {
+func (p *Placer) wait(now time.Time, service string, rank int, due time.Time) time.Duration {
 	pool := p.pools[service]
 	if pool.Upstreams == 0 || pool.Batch == 0 {
 		return noPoolWait
 	}
 	ahead := 0
 	for _, t := range p.tickets {
-		if t.rank > rank || t.rank == rank && t.due.After(due) {
+		if t.rank > rank || t.rank == rank && t.due.After(due) || now.Sub(t.due) > overdue {
 			continue
 		}
 		for _, n := range t.needs {
@@ -86,7 +86,7 @@
 		if n.Pieces > 0 {
 			// While the earlier stages run, the service works on what is before it.
 			pool := p.pools[n.Service]
-			wait := max(p.wait(n.Service, r.Rank, due)-begin.Total, 0)
+			wait := max(p.wait(now, n.Service, r.Rank, due)-begin.Total, 0)
 			if len(n.After) > 0 {
 				out.Hold = max(out.Hold, wait-heldCalls*pool.callTime(pool.Batch))
 			}
@@ -104,3 +104,6 @@
 
 // heldCalls is the time, in full calls, that a piece with inputs may wait.
 const heldCalls = 2
+
+// overdue is how long after its due time a request still counts as work. Its entry node may have died.
+const overdue = 2 * time.Second
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -101,7 +101,8 @@
 
 type known struct {
 	roster.Upstream
-	told time.Time
+	told     time.Time
+	silentAt map[string]bool // control nodes that do not hear it, by address
 }
 
 type knownEntry struct {
@@ -119,6 +120,7 @@
 	failed  int           // questions without an answer in a row
 	asking  bool
 	asked   time.Time
+	heard   time.Time // when it last answered
 }
 
 // New starts a feed.
@@ -257,7 +259,7 @@
 		f.failed(s)
 		return
 	}
-	s.failed, s.sure = 0, tell.Sure
+	s.failed, s.sure, s.heard = 0, tell.Sure, now
 	// A moving average, so that one slow answer does not change the primary node.
 	if took := now.Sub(began); s.took == 0 {
 		s.took = took
@@ -288,7 +290,7 @@
 	for _, a := range tell.Control {
 		f.addSource(a)
 	}
-	changed := f.takeDelta(now, tell.Delta, tell.Sure)
+	changed := f.takeDelta(now, tell.Delta, s.address, tell.Sure)
 	if tell.Document != nil && tell.Document.Version > f.version {
 		changed = f.takeDocument(tell.Document, s.address) || changed
 	}
@@ -309,18 +311,27 @@
 	return true
 }
 
-func (f *Feed) takeDelta(now time.Time, d roster.Delta, sure bool) bool {
+func (f *Feed) takeDelta(now time.Time, d roster.Delta, from string, sure bool) bool {
 	changed := false
 	for _, u := range d.Upstreams {
 		have := f.upstreams[u.ID]
 		if have != nil && !replaces(u, have.Upstream) {
+			delete(have.silentAt, from) // it speaks of an older start or heartbeat
 			continue
 		}
-		u.Age = 0
-		if have == nil || have.Upstream != u {
+		next := &known{u, now, map[string]bool{}}
+		if have != nil && have.Born == u.Born {
+			next.silentAt = have.silentAt
+		}
+		delete(next.silentAt, from)
+		if u.Silent {
+			next.silentAt[from] = true
+		}
+		next.Age, next.Silent = 0, false
+		if have == nil || have.Upstream != next.Upstream || u.Silent || len(next.silentAt) > 0 {
 			changed = true
 		}
-		f.upstreams[u.ID] = &known{u, now}
+		f.upstreams[u.ID] = next
 	}
 	for _, e := range d.Entries {
 		if !sure && !e.Ready {
@@ -336,7 +347,7 @@
 		changed = true
 	}
 	for id, u := range f.upstreams {
-		if (u.Silent || u.State == roster.Gone) && now.Sub(u.told) > forgetAfter {
+		if (len(u.silentAt) > 0 || u.State == roster.Gone) && now.Sub(u.told) > forgetAfter {
 			delete(f.upstreams, id)
 			changed = true
 		}
@@ -344,8 +355,7 @@
 	return changed
 }
 
-// replaces reports whether a control node's record is at least as new as the one held. Equal ones differ in Silent only,
-// and the newer word counts.
+// replaces reports whether a control node's record is at least as new as the one held.
 func replaces(u, have roster.Upstream) bool {
 	if u.Born != have.Born {
 		return u.Born > have.Born
@@ -356,11 +366,27 @@
 	return u.State == roster.Gone || u.Sequence >= have.Sequence
 }
 
+// silent reports whether no control node that answers hears an upstream. While control nodes are cut off from each other, each
+// upstream reports to one side only.
+func (f *Feed) silent(now time.Time, u *known) bool {
+	if len(u.silentAt) == 0 {
+		return false
+	}
+	for _, s := range f.sources {
+		if now.Sub(s.heard) < lostAfter && !u.silentAt[s.address] {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Feed) publish(now time.Time) {
 	v := &View{Table: f.table, Services: map[string][]roster.Upstream{}}
 	for _, u := range f.upstreams {
 		if u.State != roster.Gone {
-			v.Services[u.Service] = append(v.Services[u.Service], u.Upstream)
+			out := u.Upstream
+			out.Silent = f.silent(now, u)
+			v.Services[u.Service] = append(v.Services[u.Service], out)
 		}
 	}
 	for _, list := range v.Services {
--- /dev/null
+++ b/internal/gate/feed/feed_test.go
@@ -0,0 +1,101 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/lingo"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/vdoc"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// newFeed returns a feed that asks no one; the test hands it the answers of two control nodes.
+func newFeed() *Feed {
+	return &Feed{
+		o:         Options{Dialect: lingo.Own(), Clock: clock.NewFake(t0), Events: event.New(event.Options{Clock: clock.NewFake(t0)})},
+		upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
+		sources: map[string]*source{"a": {address: "a"}, "b": {address: "b"}},
+	}
+}
+
+func (f *Feed) tell(now time.Time, from string, tell Tell) {
+	s := f.sources[from]
+	s.heard = now
+	f.take(now, s, tell)
+	f.publish(now)
+}
+
+func upstream(state roster.State, sequence int64, silent bool) Tell {
+	return Tell{Sure: true, Delta: roster.Delta{Upstreams: []roster.Upstream{
+		{ID: "u", Service: "s", Address: "x", State: state, Born: 5, Sequence: sequence, Silent: silent},
+	}}}
+}
+
+func (f *Feed) state(t *testing.T) roster.Upstream {
+	t.Helper()
+	list := f.View().Services["s"]
+	assert.Equal(t, len(list), 1)
+	return list[0]
+}
+
+// Guards against all upstreams of one half of a divided control group that count as silent, because the other half does not
+// hear them.
+func TestUpstreamIsSilentOnlyIfNoControlNodeHearsIt(t *testing.T) {
+	f := newFeed()
+	f.tell(t0, "a", upstream(roster.Ready, 3, false))
+	f.tell(t0, "b", upstream(roster.Ready, 3, false))
+	now := t0.Add(5 * time.Second)
+	f.tell(now, "b", Tell{})
+	f.tell(now, "a", upstream(roster.Ready, 3, true))
+	assert.Assert(t, !f.state(t).Silent, "b hears it; renewals are not told")
+	f.tell(now, "b", upstream(roster.Ready, 9, true))
+	assert.Assert(t, f.state(t).Silent)
+	f.tell(now, "b", upstream(roster.Ready, 10, false))
+	assert.Assert(t, !f.state(t).Silent)
+	f.tell(now.Add(3*time.Second), "a", upstream(roster.Ready, 10, true))
+	assert.Assert(t, f.state(t).Silent, "b has not answered for a while")
+}
+
+// Guards against work for an upstream that leaves, because a control node that lags says that it is ready.
+func TestOlderWordChangesNothing(t *testing.T) {
+	f := newFeed()
+	f.tell(t0, "a", upstream(roster.Draining, 7, false))
+	f.tell(t0, "b", upstream(roster.Ready, 6, false))
+	assert.Equal(t, f.state(t).State, roster.Draining)
+	f.tell(t0, "b", upstream(roster.Gone, 0, false))
+	assert.Equal(t, len(f.View().Services["s"]), 0)
+	f.tell(t0, "a", upstream(roster.Ready, 8, false))
+	assert.Equal(t, len(f.View().Services["s"]), 0, "gone is the last word of a start")
+}
+
+// Guards against a configuration that goes back to an older version, or is replaced by one that cannot be read.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFeed()
+	put := func(from string, version uint64, body string) {
+		f.tell(t0, from, Tell{Document: &vdoc.Document{Version: version, Body: []byte(body)}})
+	}
+	put("a", 7, `{"version":7}`)
+	put("b", 5, `{"version":5}`)
+	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
+	put("b", 9, `{"vers`)
+	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
+}
+
+// Guards against entry nodes that are taken for gone because a control node that is cut off does not hear them.
+func TestOnlyASureControlNodeSaysThatAnEntryNodeIsGone(t *testing.T) {
+	f := newFeed()
+	entry := func(ready, sure bool, report int64) Tell {
+		return Tell{Sure: sure, Delta: roster.Delta{Entries: []roster.Entry{{Node: "e", Ready: ready, Report: report}}}}
+	}
+	f.tell(t0, "a", entry(true, true, 3))
+	f.tell(t0, "b", entry(false, false, 4))
+	assert.Assert(t, f.View().Entries[0].Ready)
+	f.tell(t0, "a", entry(false, true, 4))
+	assert.Assert(t, !f.View().Entries[0].Ready)
+}
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -182,7 +182,7 @@
 	for i, item := range r.items {
 		m := r.made[i]
 		if m.Handle != "" {
-			freed = append(freed, s.plan.Made(item.Stage, item.Piece, m.Handle, m.Source)...)
+			freed = append(freed, s.plan.Made(item.Stage, item.Piece, m.Handle, m.Source, m.Upstream)...)
 			continue
 		}
 		s.reason = m.Reason
@@ -198,13 +198,13 @@
 
 func (s *staging) free(list []stage.Freed) {
 	type group struct{ service, source string }
-	groups := map[group][]string{}
+	groups := map[group][]maker.Result{}
 	for _, f := range list {
 		g := group{f.Service, f.Source}
-		groups[g] = append(groups[g], f.Handle)
+		groups[g] = append(groups[g], maker.Result{Handle: f.Handle, Upstream: f.Upstream})
 	}
-	for g, handles := range groups {
-		s.x.f.o.Maker.Free(g.service, g.source, handles)
+	for g, results := range groups {
+		s.x.f.o.Maker.Free(g.service, g.source, results)
 	}
 }
 
@@ -234,7 +234,7 @@
 			r := <-s.results
 			for i, m := range r.made {
 				if m.Handle != "" {
-					s.free([]stage.Freed{{Service: s.x.route.Stages[r.items[i].Stage].Service, Source: m.Source, Handle: m.Handle}})
+					s.free([]stage.Freed{{Service: s.x.route.Stages[r.items[i].Stage].Service, Source: m.Source, Handle: m.Handle, Upstream: m.Upstream}})
 				}
 			}
 		}
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -9,7 +9,7 @@
 //
 //	m := maker.New(maker.Options{Node: "e1", Peer: peerAddress, View: feed.View, Hub: hub, Pool: pool, ...})
 //	made, err := m.Make(ctx, "encoders", "north", jobs) // one result for each job, in order
-//	m.Free("encoders", made[0].Source, handles)
+//	m.Free("encoders", made[0].Source, []maker.Result{{made[0].Handle, made[0].Upstream}})
 //	m.Cancel(requestID)
 package maker
 
@@ -88,10 +88,16 @@
 	Service string    `cbor:"1,keyasint,omitempty"`
 	Area    string    `cbor:"2,keyasint,omitempty"`
 	Jobs    []wireJob `cbor:"3,keyasint,omitempty"`
-	Free    []string  `cbor:"4,keyasint,omitempty"`
+	Free    []Result  `cbor:"4,keyasint,omitempty"`
 	Cancel  string    `cbor:"5,keyasint,omitempty"`
 }
 
+// Result names a result at the upstream that made it.
+type Result struct {
+	Handle   string `cbor:"1,keyasint"`
+	Upstream string `cbor:"2,keyasint"`
+}
+
 // wireJob carries times as durations, because the clocks of two VMs differ.
 type wireJob struct {
 	Item  stage.Item    `cbor:"1,keyasint"`
@@ -318,7 +324,7 @@
 			continue
 		}
 		if r.Handle != "" { // the one who wanted it has gone
-			m.freeHere(q, []string{r.Handle})
+			m.freeHere(q, []Result{{r.Handle, r.Upstream}})
 		}
 	}
 }
@@ -333,7 +339,9 @@
 	m.mu.Lock()
 	replies, unwanted := q.Done(m.o.Clock.Now(), c.ID, result, outcomes)
 	m.deliver(q, replies)
-	m.freeHere(q, unwanted)
+	for _, handle := range unwanted {
+		m.freeHere(q, []Result{{handle, c.Upstream}})
+	}
 	if fresh := m.queue(q.place); fresh != nil {
 		m.pump(fresh)
 	}
--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
@@ -74,47 +76,82 @@
 	return h
 }
 
-// Free gives up results of a service. source is the node that keeps account of them, as Made says.
-func (m *Maker) Free(service, source string, handles []string) {
-	if source != m.o.Peer {
-		m.tell(source, ask{Service: service, Free: handles})
+// Free gives up results of a service. source is the node that keeps account of them, as Made says. If that node has gone, the
+// upstreams are told from here, since their memory would be taken until the results expire.
+func (m *Maker) Free(service, source string, results []Result) {
+	if source != m.o.Peer && m.serves(source) {
+		m.tell(source, ask{Service: service, Free: results})
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.freeService(service, handles)
+	m.freeService(service, results)
 }
 
-func (m *Maker) freeService(service string, handles []string) {
+// serves reports whether an entry node is known and takes work.
+func (m *Maker) serves(address string) bool {
+	return slices.ContainsFunc(m.o.View().Entries, func(e roster.Entry) bool { return e.Peer == address && e.Ready })
+}
+
+func (m *Maker) freeService(service string, results []Result) {
 	for p, q := range m.queues {
 		if p.service == service {
-			m.freeHere(q, handles)
+			results = m.freeHere(q, results)
 		}
 	}
+	m.freeUnknown(service, results)
 }
 
-// freeHere tells the upstreams to forget results. The lock is held. A result that is not freed because the call fails is
-// forgotten by the upstream itself some seconds later.
-func (m *Maker) freeHere(q *queue, handles []string) {
+// freeHere tells the upstreams of a queue to forget results, and returns those that the queue does not know. The lock is held.
+func (m *Maker) freeHere(q *queue, results []Result) []Result {
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.Handle
+	}
+	known := map[string]bool{}
 	for address, list := range q.Free(handles) {
-		body, err := m.o.Dialect.EncodeFree(list)
-		if err != nil { // a list of strings can always be encoded
-			panic(err)
+		for _, h := range list {
+			known[h] = true
 		}
-		m.wg.Go(func() {
-			ctx, cancel := context.WithCancel(m.ctx)
-			defer cancel()
-			timer := m.o.Clock.AfterFunc(freeTimeout, cancel)
-			defer timer.Stop()
-			resp, err := m.o.Pool.Send(ctx, upcon.Request{
-				Address: address, Method: http.MethodPost, Target: m.o.Dialect.Paths.Free, Host: address, Header: m.header(""), Body: body,
-			})
-			if err == nil {
-				_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)) // the connection can then be kept
-				_ = resp.Body.Close()
+		m.sendFree(address, list)
+	}
+	return slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return known[r.Handle] })
+}
+
+// freeUnknown frees results of which no queue here keeps account, because the node that did has been restarted.
+func (m *Maker) freeUnknown(service string, results []Result) {
+	byAddress := map[string][]string{}
+	for _, u := range m.o.View().Services[service] {
+		for _, r := range results {
+			if r.Upstream == u.ID {
+				byAddress[u.Address] = append(byAddress[u.Address], r.Handle)
 			}
-		})
+		}
 	}
+	for address, list := range byAddress {
+		m.sendFree(address, list)
+	}
+}
+
+// sendFree tells an upstream to forget results. If the call fails, the upstream forgets them by itself some seconds later.
+func (m *Maker) sendFree(address string, handles []string) {
+	body, err := m.o.Dialect.EncodeFree(handles)
+	if err != nil { // a list of strings can always be encoded
+		panic(err)
+	}
+	m.wg.Go(func() {
+		ctx, cancel := context.WithCancel(m.ctx)
+		defer cancel()
+		timer := m.o.Clock.AfterFunc(freeTimeout, cancel)
+		defer timer.Stop()
+		resp, err := m.o.Pool.Send(ctx, upcon.Request{
+			Address: address, Method: http.MethodPost, Target: m.o.Dialect.Paths.Free, Host: address, Header: m.header(""), Body: body,
+		})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)) // the connection can then be kept
+			_ = resp.Body.Close()
+		}
+	})
 }
 
 const freeTimeout = time.Second
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -29,17 +29,19 @@
 }
 
 type piece struct {
-	handle  string
-	source  string // who keeps account of the result
-	asked   bool
-	readers int // stages that still need the result
+	handle   string
+	source   string // who keeps account of the result
+	upstream string // that made it
+	asked    bool
+	readers  int // stages that still need the result
 }
 
 // Freed is a result that no one needs any more.
 type Freed struct {
-	Service string
-	Source  string
-	Handle  string
+	Service  string
+	Source   string // who keeps account of it
+	Handle   string
+	Upstream string
 }
 
 // NewPlan returns the plan of a request with counts pieces in each stage. A stage with 0 pieces is left out.
@@ -138,12 +140,12 @@
 }
 
 // Made records a result, and returns results that are not needed any more.
-func (p *Plan) Made(stage, position int, handle, source string) []Freed {
+func (p *Plan) Made(stage, position int, handle, source, upstream string) []Freed {
 	x := &p.pieces[stage][position]
 	if x.handle != "" { // made twice, after a call that seemed lost
-		return []Freed{{p.stages[stage].Service, source, handle}}
+		return []Freed{{p.stages[stage].Service, source, handle, upstream}}
 	}
-	x.handle, x.source = handle, source
+	x.handle, x.source, x.upstream = handle, source, upstream
 	if slices.ContainsFunc(p.pieces[stage], func(y piece) bool { return y.handle == "" }) {
 		return nil
 	}
@@ -161,7 +163,7 @@
 		x := &p.pieces[stage][j]
 		x.readers--
 		if x.readers <= 0 && !p.last[stage] && x.handle != "" {
-			out = append(out, Freed{p.stages[stage].Service, x.source, x.handle})
+			out = append(out, Freed{p.stages[stage].Service, x.source, x.handle, x.upstream})
 		}
 	}
 	return out
@@ -255,7 +257,7 @@
 		for j := range p.pieces[i] {
 			x := &p.pieces[i][j]
 			if x.handle != "" && (p.last[i] || x.readers > 0) {
-				out = append(out, Freed{p.stages[i].Service, x.source, x.handle})
+				out = append(out, Freed{p.stages[i].Service, x.source, x.handle, x.upstream})
 				x.handle, x.readers = "", 0
 			}
 		}
