--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -108,8 +108,10 @@
 	if o.Keep <= 0 {
 		o.Keep = DefaultKeep
 	}
-	return &Log{node: o.Node, logger: o.Logger, hybrid: NewHybrid(o.Clock), ring: make([]Event, o.Keep),
-		perSecond: o.PerSecond, quotas: map[Code]*quota{}}
+	return &Log{
+		node: o.Node, logger: o.Logger, hybrid: NewHybrid(o.Clock), ring: make([]Event, o.Keep),
+		perSecond: o.PerSecond, quotas: map[Code]*quota{},
+	}
 }
 
 // Hybrid returns the clock that stamps the events; messages between processes carry its stamps.
