Drop pieces of dead nodes and those whose inputs expire in a queue

Change: work on a question between processes ends with the connection that it came over; pieces of a request that has ended leave the queue; inputs that waited for 0.8 of the time that results are kept count as lost, and a piece that would wait so long is refused at once.

TestPiecesOfADeadNodeAreDropped, TestPiecesWithExpiredInputsAreGivenUp and TestPiecesWhoseInputsWillExpireAreRefusedAtOnce guard it.

--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -233,7 +233,7 @@
 				close(done)
 			}
 		}
-		q.Add(j)
+		q.Add(m.o.Clock.Now(), j)
 	}
 	m.pump(q)
 	m.mu.Unlock()
@@ -245,8 +245,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, tag := range tags {
+	for i, tag := range tags {
 		delete(m.waiting, tag)
+		q.Cancel(jobs[i].Request)
 	}
 	out := slices.Clone(made)
 	for i := range out {
--- /dev/null
+++ b/internal/gate/maker/maker_test.go
@@ -0,0 +1,169 @@
+package maker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/feed"
+	"github.com/berylledge/berylledge/internal/gate/lingo"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/stage"
+	"github.com/berylledge/berylledge/internal/test/rawup"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+	"github.com/berylledge/berylledge/internal/wire/upcon"
+)
+
+// node is a maker with its hub.
+type node struct {
+	*Maker
+	hub *peer.Hub
+}
+
+// pair starts two makers that see each other and one stage upstream.
+func pair(t *testing.T, answer func(*rawup.Conn, *rawup.Request)) (a, b *node, up *rawup.Upstream) {
+	t.Helper()
+	up = rawup.New(t, answer)
+	cfg := &conf.Config{Services: []conf.Service{{Name: "s", Pool: &conf.Pool{Slots: 1, Queue: 2, Batch: 4, CallTime: 20, RoomMB: 1, HandleFor: 4000}}}}
+	view := &feed.View{Table: conf.NewTable(cfg), Services: map[string][]roster.Upstream{
+		"s": {{ID: "u1", Service: "s", Address: up.Address, DataCentre: "a", State: roster.Ready}},
+	}}
+	start := func(name string) *node {
+		n := &node{}
+		c := clock.Real()
+		events := event.New(event.Options{Node: name, Clock: c})
+		ready := make(chan struct{})
+		hub, err := peer.New(peer.Options{
+			ID: name, Address: "127.0.0.1:0", Clock: c, Events: events,
+			Handle: func(ctx context.Context, _ string, _ peer.Kind, body []byte) ([]byte, error) {
+				<-ready
+				return n.Handle(ctx, body)
+			},
+		})
+		assert.NilError(t, err)
+		n.hub = hub
+		pool := upcon.New(upcon.Options{Clock: c})
+		n.Maker = New(Options{
+			Node: name, Peer: hub.Address(), RegionOf: map[string]string{"a": "n"}, Dialect: lingo.Own(), Clock: c, Events: events,
+			View: func() *feed.View { return view }, Hub: hub, Pool: pool,
+		})
+		close(ready)
+		t.Cleanup(func() {
+			n.Close()
+			pool.Close()
+		})
+		view.Entries = append(view.Entries, roster.Entry{Node: name, Peer: hub.Address(), DataCentre: "a", Region: "n", Ready: true})
+		return n
+	}
+	a, b = start("e1"), start("e2")
+	if a.Owner("s", "n") == a.Self() {
+		a, b = b, a // b keeps the queue
+	}
+	t.Cleanup(func() {
+		a.hub.Close()
+		b.hub.Close()
+	})
+	return a, b, up
+}
+
+func items(r *rawup.Request) int {
+	var body struct{ Items []any }
+	if json.Unmarshal(r.Body, &body) != nil {
+		return 0
+	}
+	return len(body.Items)
+}
+
+// reply answers a call with a handle for each piece, and a call that frees results.
+func reply(c *rawup.Conn, r *rawup.Request) {
+	list := ""
+	for i := range items(r) {
+		if i > 0 {
+			list += ","
+		}
+		list += fmt.Sprintf(`{"handle":"h%d"}`, i)
+	}
+	body := `{"items":[` + list + `]}`
+	c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+func jobs(n int) []stage.Job {
+	var out []stage.Job
+	for i := range n {
+		out = append(out, stage.Job{
+			Item: stage.Item{Request: "r", Piece: i, Key: "k"}, Bytes: 10, Due: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute),
+		})
+	}
+	return out
+}
+
+// waitFor repeats a check until it holds or the test's patience ends.
+func waitFor(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for !check() {
+		if clock.Sleep(ctx, clock.Real(), 5*time.Millisecond) != nil {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against pieces of one request that are made by several small calls, and against results that keep an upstream's
+// memory after their request has ended.
+func TestPiecesAreHandedToTheOwnerAndFreed(t *testing.T) {
+	a, b, up := pair(t, reply)
+	made, err := a.Make(t.Context(), "s", "n", jobs(4))
+	assert.NilError(t, err)
+	assert.Equal(t, len(made), 4)
+	assert.Equal(t, made[2].Handle, "h2")
+	assert.Equal(t, made[2].Source, b.Self())
+	assert.Equal(t, len(up.Requests()), 1)
+	assert.Equal(t, up.Requests()[0].Header.Get("Berylledge-Upstream"), "u1")
+	a.Free("s", made[0].Source, []Result{{made[0].Handle, made[0].Upstream}})
+	waitFor(t, "the result is freed", func() bool { return len(up.Requests()) == 2 })
+	assert.Equal(t, string(up.Requests()[1].Body), `{"handles":["h0"]}`)
+}
+
+// Guards against results that keep an upstream's memory because the node that kept account of them has been restarted.
+func TestUnknownResultsAreFreedAtTheirUpstream(t *testing.T) {
+	_, b, up := pair(t, reply)
+	b.Free("s", b.Self(), []Result{{"lost", "u1"}})
+	waitFor(t, "the result is freed", func() bool { return len(up.Requests()) == 1 })
+	assert.Equal(t, string(up.Requests()[0].Body), `{"handles":["lost"]}`)
+}
+
+// Guards against pieces of a node that has died which take the place of others in the queue of another node.
+func TestPiecesOfADeadNodeAreDropped(t *testing.T) {
+	release := make(chan bool)
+	a, b, up := pair(t, func(c *rawup.Conn, r *rawup.Request) {
+		<-release
+		reply(c, r)
+	})
+	ended := make(chan bool)
+	go func() {
+		_, _ = a.Make(t.Context(), "s", "n", jobs(9)) // ends with the hub
+		close(ended)
+	}()
+	queued := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if q := b.queues[place{"s", "n"}]; q != nil {
+			return q.Len()
+		}
+		return -1
+	}
+	waitFor(t, "five pieces wait beside a call of four", func() bool { return queued() == 5 && len(up.Requests()) == 1 })
+	a.hub.Close()
+	waitFor(t, "the pieces are dropped", func() bool { return queued() == 0 })
+	close(release)
+	a.Close()
+	<-ended
+}
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -17,6 +17,8 @@
 	Due      time.Time // by when it should be made, so that its request is on time
 	Deadline time.Time // from when on its result is of no use
 	Tag      uint64    // chosen by the caller; returned with the result
+
+	added time.Time
 }
 
 // Call is a call to be sent to an upstream.
@@ -76,6 +78,7 @@
 	roundsHeld = 2               // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	rateSpan   = 500 * time.Millisecond
 	rateWeight = 0.5  // of the newest span
+	inputsPart = 0.8  // part of the time that results are kept after which inputs in the queue count as lost
 	leastRoom  = 0.6  // part of an upstream's memory that is counted on, however often results found no room
 	roomGrow   = 0.03 // part of the memory that is counted on again for each result that was freed
 )
@@ -186,7 +189,10 @@
 func (q *Queue) Calls() int { return len(q.open) }
 
 // Add takes a job.
-func (q *Queue) Add(j Job) { q.jobs = append(q.jobs, j) }
+func (q *Queue) Add(now time.Time, j Job) {
+	j.added = now
+	q.jobs = append(q.jobs, j)
+}
 
 // Cancel drops the jobs of a request. Results of calls under way are freed when they come.
 func (q *Queue) Cancel(request string) {
@@ -265,12 +271,14 @@
 	return q.pool.CallTime.Duration() + time.Duration(n)*q.pool.ItemTime.Duration()
 }
 
-// dropLate gives up jobs whose result could not be used any more.
+// dropLate gives up jobs whose result could not be used any more, and those whose inputs have waited so long that they will be
+// forgotten before the call. To make such inputs again would add to the load that made them wait.
 func (q *Queue) dropLate(now time.Time) []Reply {
 	var out []Reply
 	end := now.Add(q.callTime(1))
+	most := q.inputsLife()
 	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
-		late := end.After(j.Deadline)
+		late := end.After(j.Deadline) || len(j.Inputs) > 0 && most > 0 && now.Sub(j.added) > most
 		if late {
 			out = append(out, q.reply(j, Outcome{Reason: ReasonLate}, ""))
 		}
@@ -353,7 +361,7 @@
 	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
 		at++
 		begins := now.Add(time.Duration(float64(at) / rate * float64(time.Second)))
-		if at <= keep || q.begun[j.Request] > 0 || len(j.Inputs) > 0 || !q.late(j, begins) {
+		if at <= keep || q.begun[j.Request] > 0 || !q.hopeless(j, begins) {
 			return false
 		}
 		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
@@ -362,6 +370,19 @@
 	return out
 }
 
+// hopeless reports whether a job that begins then is of no use: its inputs are forgotten, or, without inputs, it is late.
+func (q *Queue) hopeless(j Job, begins time.Time) bool {
+	if len(j.Inputs) > 0 {
+		return begins.Sub(j.added) > q.inputsLife()
+	}
+	return q.late(j, begins)
+}
+
+// inputsLife is how long inputs may wait in the queue before they count as lost.
+func (q *Queue) inputsLife() time.Duration {
+	return time.Duration(inputsPart * float64(q.pool.HandleFor.Duration()))
+}
+
 // measure keeps the rate at which pieces are made while others wait. Memory for results, slow upstreams and calls of other
 // nodes lower it.
 func (q *Queue) measure(now time.Time, made int) {
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -112,10 +112,10 @@
 // against a late request that makes later ones late as well.
 func TestQueueFillsCallsByUrgency(t *testing.T) {
 	q := queue()
-	q.Add(job("late", 10*time.Millisecond, 1))
-	q.Add(job("slow", 3*time.Second, 1))
+	q.Add(t0, job("late", 10*time.Millisecond, 1))
+	q.Add(t0, job("slow", 3*time.Second, 1))
 	for i := range 4 {
-		q.Add(job(fmt.Sprint("urgent", i), time.Second+time.Duration(i), 1))
+		q.Add(t0, job(fmt.Sprint("urgent", i), time.Second+time.Duration(i), 1))
 	}
 	calls, _ := q.Next(t0)
 	assert.Equal(t, len(calls), 1)
@@ -133,9 +133,9 @@
 // that is lost when results are freed or expire.
 func TestQueueKeepsAccountOfRoom(t *testing.T) {
 	q := queue()
-	q.Add(job("a", time.Second, 900))
-	q.Add(job("b", time.Second, 900))
-	q.Add(job("small", 2*time.Second, 50))
+	q.Add(t0, job("a", time.Second, 900))
+	q.Add(t0, job("b", time.Second, 900))
+	q.Add(t0, job("small", 2*time.Second, 50))
 	calls, _ := q.Next(t0)
 	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"a", "small"})
 	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "ha"}, {Handle: "hs"}})
@@ -145,7 +145,7 @@
 	calls, _ = q.Next(t0)
 	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"b"})
 	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "hb"}})
-	q.Add(job("c", 9*time.Second, 900))
+	q.Add(t0, job("c", 9*time.Second, 900))
 	calls, _ = q.Next(t0.Add(5 * time.Second))
 	assert.Equal(t, len(calls), 1, "the upstream has forgotten its results")
 }
@@ -153,7 +153,7 @@
 // Guards against pieces that are lost with an upstream, and against one that is asked on and on although it fails.
 func TestQueueTurnsToAnotherUpstream(t *testing.T) {
 	q := queue()
-	q.Add(job("a", time.Second, 1))
+	q.Add(t0, job("a", time.Second, 1))
 	calls, _ := q.Next(t0)
 	replies, _ := q.Done(t0, calls[0].ID, Broken, nil)
 	assert.Equal(t, len(replies), 0)
@@ -163,7 +163,7 @@
 	calls, _ = q.Next(t0)
 	assert.Equal(t, calls[0].Upstream, "u2")
 	q.SetTargets([]Target{{ID: "u1", Avoid: true}})
-	q.Add(job("b", time.Second, 1))
+	q.Add(t0, job("b", time.Second, 1))
 	_, replies = q.Next(t0)
 	assert.Equal(t, replies[0].Reason, ReasonRefused)
 }
@@ -171,7 +171,7 @@
 // Guards against results of cancelled requests that keep an upstream's memory.
 func TestCancelledResultsAreFreed(t *testing.T) {
 	q := queue()
-	q.Add(job("a", time.Second, 1))
+	q.Add(t0, job("a", time.Second, 1))
 	calls, _ := q.Next(t0)
 	q.Cancel("a")
 	replies, unwanted := q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "h"}})
@@ -182,7 +182,7 @@
 // Guards against a refusal by a full upstream that counts as a failed attempt.
 func TestFullUpstreamIsAskedAgain(t *testing.T) {
 	q := queue()
-	q.Add(job("a", time.Second, 1))
+	q.Add(t0, job("a", time.Second, 1))
 	for i := range 5 {
 		now := t0.Add(time.Duration(i) * 50 * time.Millisecond)
 		calls, _ := q.Next(now)
@@ -196,10 +196,10 @@
 // at once and fail, and against requests that are given up for want of room.
 func TestNoRoomWaitsForAFreedResult(t *testing.T) {
 	q := queue()
-	q.Add(job("a", time.Second, 500))
+	q.Add(t0, job("a", time.Second, 500))
 	calls, _ := q.Next(t0)
 	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "ha"}})
-	q.Add(job("b", time.Second, 400))
+	q.Add(t0, job("b", time.Second, 400))
 	for i := range 5 {
 		now := t0.Add(time.Duration(i) * roomPause)
 		calls, _ = q.Next(now)
@@ -224,9 +224,9 @@
 	for i := range 2 {
 		j := job("two", time.Second, 400)
 		j.Piece = i
-		q.Add(j)
+		q.Add(t0, j)
 	}
-	q.Add(job("one", 900*time.Millisecond, 400))
+	q.Add(t0, job("one", 900*time.Millisecond, 400))
 	calls, _ := q.Next(t0)
 	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"one"})
 	q.Done(t0, calls[0].ID, Answered, []Outcome{{Handle: "h"}})
@@ -242,7 +242,7 @@
 	for i := range 40 {
 		j := job(fmt.Sprintf("r%02d", i), 0, 1)
 		j.Rank = i % 2
-		q.Add(j)
+		q.Add(t0, j)
 	}
 	calls, replies := q.Next(t0)
 	assert.Equal(t, len(calls[0].Jobs), 4)
@@ -257,9 +257,9 @@
 	q := queue()
 	low := job("low", 2*time.Second, 1)
 	low.Rank = 3
-	q.Add(low)
+	q.Add(t0, low)
 	for i := range 20 {
-		q.Add(job(fmt.Sprint("urgent", i), 3*time.Second, 1))
+		q.Add(t0, job(fmt.Sprint("urgent", i), 3*time.Second, 1))
 	}
 	calls, _ := q.Next(t0)
 	assert.Assert(t, slices.Contains(requests(calls[0].Jobs), "low"))
@@ -272,10 +272,10 @@
 	q.SetTargets([]Target{{ID: "u1", Address: "a1", DataCentre: "x"}, {ID: "u2", Address: "a2", DataCentre: "y"}})
 	patient, urgent := job("patient", 5*time.Second, 1), job("urgent", 300*time.Millisecond, 1)
 	patient.Home, urgent.Home = "x", "x"
-	q.Add(job("first", 300*time.Millisecond, 1))
+	q.Add(t0, job("first", 300*time.Millisecond, 1))
 	q.Next(t0) // u1 is busy
-	q.Add(patient)
-	q.Add(urgent)
+	q.Add(t0, patient)
+	q.Add(t0, urgent)
 	calls, _ := q.Next(t0)
 	assert.Equal(t, len(calls), 1)
 	assert.Equal(t, calls[0].Upstream, "u2")
@@ -288,17 +288,17 @@
 	q := queue()
 	now := t0
 	for i := range 8 {
-		q.Add(job(fmt.Sprint("early", i), 20*time.Second, 1))
+		q.Add(t0, job(fmt.Sprint("early", i), 20*time.Second, 1))
 	}
 	for range 2 { // one call of four pieces takes a second instead of 190 ms
 		calls, _ := q.Next(now)
 		assert.Equal(t, len(calls), 1)
 		now = now.Add(time.Second)
-		q.Add(job(fmt.Sprint("more", now.Unix()), 20*time.Second, 1))
+		q.Add(t0, job(fmt.Sprint("more", now.Unix()), 20*time.Second, 1))
 		q.Done(now, calls[0].ID, Answered, make([]Outcome, len(calls[0].Jobs)))
 	}
 	for i := range 16 {
-		q.Add(Job{Item: Item{Request: fmt.Sprint("new", i)}, Bytes: 1, Due: now.Add(1500 * time.Millisecond), Deadline: now.Add(9 * time.Second)})
+		q.Add(t0, Job{Item: Item{Request: fmt.Sprint("new", i)}, Bytes: 1, Due: now.Add(1500 * time.Millisecond), Deadline: now.Add(9 * time.Second)})
 	}
 	_, replies := q.Next(now)
 	assert.Assert(t, len(replies) > 0, "four a second have a place in time")
@@ -313,7 +313,7 @@
 	q := queue()
 	now := t0
 	for i := range 40 {
-		q.Add(job(fmt.Sprint("r", i), time.Hour, 100))
+		q.Add(t0, job(fmt.Sprint("r", i), time.Hour, 100))
 		calls, _ := q.Next(now)
 		if len(calls) > 0 {
 			q.Done(now, calls[0].ID, Answered, []Outcome{{Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}, {Reason: ReasonNoRoom}}[:len(calls[0].Jobs)])
@@ -331,8 +331,8 @@
 	q := queue()
 	q.SetTargets([]Target{{ID: "u1", Address: "a1"}, {ID: "u2", Address: "a2"}})
 	q.pool.Batch = 1
-	q.Add(job("a", time.Minute, 1))
-	q.Add(job("b", time.Minute, 1))
+	q.Add(t0, job("a", time.Minute, 1))
+	q.Add(t0, job("b", time.Minute, 1))
 	calls, _ := q.Next(t0)
 	assert.Equal(t, len(calls), 2)
 	q.Done(t0.Add(160*time.Millisecond), calls[0].ID, Answered, []Outcome{{Handle: "x"}})
@@ -340,7 +340,7 @@
 	q.Done(now, calls[1].ID, Answered, []Outcome{{Handle: "y"}})
 	q.pool.Batch = 4
 	for i := range 8 {
-		q.Add(job(fmt.Sprint("r", i), time.Minute, 1))
+		q.Add(t0, job(fmt.Sprint("r", i), time.Minute, 1))
 	}
 	calls, _ = q.Next(now)
 	assert.Equal(t, len(calls), 1)
@@ -349,3 +349,31 @@
 	assert.Equal(t, len(later), 1)
 	assert.Equal(t, later[0].Upstream, "u2")
 }
+
+// Load pattern: a later stage far behind. Guards against pieces that wait until their inputs expire although it is clear that
+// they will.
+func TestPiecesWhoseInputsWillExpireAreRefusedAtOnce(t *testing.T) {
+	q := queue()
+	q.pool.HandleFor = 1000
+	for i := range 60 {
+		j := job(fmt.Sprint("r", i), time.Hour, 1)
+		j.Inputs = []string{"h"}
+		q.Add(t0, j)
+	}
+	_, replies := q.Next(t0) // 4 pieces in 190 ms: about 17 in 0.8 s
+	assert.Assert(t, len(replies) > 35 && len(replies) < 45, "%d", len(replies))
+}
+
+// Load pattern: a later stage far behind. Guards against calls for pieces whose inputs have expired, which take the place of
+// others and are made again and again.
+func TestPiecesWithExpiredInputsAreGivenUp(t *testing.T) {
+	q := queue()
+	old := job("old", time.Hour, 1)
+	old.Inputs = []string{"h"}
+	q.Add(t0, old)
+	q.Add(t0, job("fresh", time.Hour, 1))
+	calls, replies := q.Next(t0.Add(3500 * time.Millisecond))
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"fresh"})
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Reason, ReasonLate)
+}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -283,7 +283,10 @@
 		_ = c.Close()
 	}()
 	c.SetReadLimit(MaxMessage)
-	in := &inbound{hub: h, conn: c}
+	// Work on questions ends with the connection: its answer would reach no one.
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	in := &inbound{hub: h, conn: c, ctx: ctx}
 	for h.ctx.Err() == nil {
 		_ = c.SetReadDeadline(h.o.Clock.Now().Add(idleTimeout + dialTimeout))
 		_, data, err := c.ReadMessage()
@@ -308,7 +311,8 @@
 type inbound struct {
 	hub  *Hub
 	conn *websocket.Conn
-	mu   sync.Mutex // gorilla allows one writer
+	ctx  context.Context // ends with the connection
+	mu   sync.Mutex      // gorilla allows one writer
 }
 
 func (in *inbound) take(e Envelope) {
@@ -325,7 +329,7 @@
 	}
 	h.wg.Go(func() {
 		defer func() { <-h.slots }()
-		body, err := h.o.Handle(h.ctx, e.From, e.Kind, e.Body)
+		body, err := h.o.Handle(in.ctx, e.From, e.Kind, e.Body)
 		in.answer(e.Call, body, err)
 	})
 }
