Keep rendezvous hashing in one place

Cause: node/entry, gate/pick, gate/engine and gate/maker had four copies of the same weight, three of them by FNV. Change: internal/base/rendez with xxhash, which node/entry used already; its test checks that keys spread and stay. Conclusion: no change of behaviour but other homes for keys.

--- /dev/null
+++ b/internal/base/rendez/rendez_test.go
@@ -0,0 +1,30 @@
+package rendez
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func owner(key string, nodes []string) string {
+	return slices.MinFunc(nodes, func(a, b string) int { return Compare(key, a, b) })
+}
+
+// Guards against keys that gather at few nodes, and against keys that move although their node is still there.
+func TestKeysSpreadAndStay(t *testing.T) {
+	nodes := []string{"e1", "e2", "e3", "e4"}
+	count := map[string]int{}
+	for i := range 4000 {
+		key := fmt.Sprint("key", i)
+		first := owner(key, nodes)
+		count[first]++
+		if first != "e4" {
+			assert.Equal(t, owner(key, nodes[:3]), first)
+		}
+	}
+	for _, n := range nodes {
+		assert.Assert(t, count[n] > 850 && count[n] < 1150, "%v", count)
+	}
+}
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -24,10 +24,10 @@
 package engine
 
 import (
-	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/berylledge/berylledge/internal/base/rendez"
 )
 
 // Part is one part of a prompt; requests with the same first parts share them.
@@ -185,18 +185,7 @@
 	if len(chains) > 1 {
 		key = chains[len(chains)-2]
 	}
-	return cmp.Or(cmp.Compare(weight(a, key), weight(b, key)), cmp.Compare(a, b)) > 0
-}
-
-func weight(id, key string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id + "\x00" + key)) // never fails
-	x := h.Sum64()
-	// FNV leaves similar names with similar upper bits; this spreads them.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+	return rendez.Compare(key, a, b) < 0
 }
 
 // chains returns for each part the ids up to it, since a part is of use only after the same parts.
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +24,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/base/rendez"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -160,7 +160,7 @@
 		if !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer]) {
 			continue
 		}
-		if score := weight(e.Node, p.service); address == "" || score > best {
+		if score := rendez.Weight(p.service, e.Node); address == "" || score > best {
 			best, address = score, e.Peer
 		}
 	}
@@ -170,17 +170,6 @@
 	return address
 }
 
-func weight(node, service string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(node + "\x00" + service)) // never fails
-	x := h.Sum64()
-	// FNV leaves similar names with similar upper bits; this spreads them.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // hand brings jobs to another entry node.
 func (m *Maker) hand(ctx context.Context, owner, service, area string, jobs []stage.Job) ([]Made, error) {
 	now := m.o.Clock.Now()
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -17,10 +17,10 @@
 package pick
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/berylledge/berylledge/internal/base/rendez"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
@@ -177,16 +177,7 @@
 	}
 	most := int(slack*float64(total)/float64(len(list))) + slackMore
 	order := slices.Clone(list)
-	slices.SortFunc(order, func(a, b roster.Upstream) int {
-		x, y := weight(a.ID, key), weight(b.ID, key)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(order, func(a, b roster.Upstream) int { return rendez.Compare(key, a.ID, b.ID) })
 	for _, u := range order {
 		if c.state(u.ID).inFlight < most {
 			return u
@@ -195,17 +186,6 @@
 	return order[0]
 }
 
-func weight(id, key string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id + "\x00" + key)) // never fails
-	x := h.Sum64()
-	// FNV leaves similar names with similar upper bits; this spreads them.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // Begin counts a request to an upstream.
 func (c *Chooser) Begin(id string) { c.state(id).inFlight++ }
 
--- a/internal/node/entry/choose.go
+++ b/internal/node/entry/choose.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/berylledge/berylledge/internal/base/rendez"
 )
 
 // Member is an entry node that may be given to callers.
@@ -36,15 +36,7 @@
 		return Member{}, false
 	}
 	slices.SortFunc(near, func(a, b Member) int {
-		x, y := weight(key, a.ID), weight(key, b.ID)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		default:
-			return 0
-		}
+		return rendez.Compare(key, a.ID, b.ID)
 	})
 	c.chmu.Lock()
 	defer c.chmu.Unlock()
@@ -80,8 +72,6 @@
 	return total
 }
 
-func weight(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
-
 func nearest(members []Member, self Member) []Member {
 	live := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Draining })
 	if settled := filter(live, func(m Member) bool { return !m.Settling }); len(settled) > 0 {
