--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -126,31 +126,33 @@
 	}
 }
 
-// tellMost sends a batch to the other members and reports whether more than half of the group has it.
-func (d *Desk) tellMost(ctx context.Context, batch roster.Batch) bool {
+// tellMost sends a batch to the other members and reports whether more than half of the group has it. The calls to the rest go
+// on in the background.
+func (d *Desk) tellMost(batch roster.Batch) bool {
 	_, others, voters := d.status()
 	need := voters / 2 // besides this one
 	if need == 0 {
 		return voters > 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	ctx, cancel := context.WithTimeout(d.ctx, leaveWait)
 	body := encodeBatch(batch)
 	acks := make(chan bool, len(others))
+	var calls sync.WaitGroup
 	for _, address := range others {
-		d.wg.Go(func() {
+		calls.Go(func() {
 			_, err := d.o.Hub.Call(ctx, address, peer.KindRoster, body)
 			acks <- err == nil
 		})
 	}
-	defer cancel()
-	got := 0
+	d.wg.Go(func() {
+		calls.Wait()
+		cancel()
+	})
 	for range others {
 		if <-acks {
-			got++
+			need--
 		}
-		if got >= need {
-			// The other calls go on with the time they have left.
-			context.AfterFunc(d.ctx, cancel)
+		if need == 0 {
 			return true
 		}
 	}
--- a/internal/gate/desk/http.go
+++ b/internal/gate/desk/http.go
@@ -110,7 +110,7 @@
 	}
 	// A repeated word that it leaves may not have reached the others the first time.
 	leaves := u.State == roster.Draining && (changed || known && before.State == roster.Draining)
-	if leaves && !d.tellMost(r.Context(), roster.Batch{Upstreams: []roster.Upstream{u}}) {
+	if leaves && !d.tellMost(roster.Batch{Upstreams: []roster.Upstream{u}}) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
 	}
@@ -148,7 +148,7 @@
 	}
 	d.mu.Unlock()
 	d.noteUpstream(u)
-	if !d.tellMost(r.Context(), roster.Batch{Upstreams: []roster.Upstream{u}}) {
+	if !d.tellMost(roster.Batch{Upstreams: []roster.Upstream{u}}) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
 	}
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -155,13 +155,6 @@
 	}
 }
 
-// Answered returns when a control node last answered.
-func (f *Feed) Answered() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.answered
-}
-
 const tickEvery = 50 * time.Millisecond
 
 func (f *Feed) run() {
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -374,6 +374,3 @@
 	}
 	return r.Upstream, true
 }
-
-// Version is the number of the last change.
-func (b *Board) Version() uint64 { return b.version }
