--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -228,4 +228,3 @@
 	}
 	t.pace += paceWeight * (float64(now.Sub(o.began))/float64(q.callTime(made)) - t.pace)
 }
-
