--- /dev/null
+++ b/internal/gate/front/bench_test.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkForward compares a request through a front with the same request sent to the stand-in upstream directly, both over
+// kept connections on loopback:
+//
+//	go test ./internal/gate/front -run '^$' -bench Forward
+func BenchmarkForward(b *testing.B) {
+	up := good(b)
+	s := newSite(b, nil, up)
+	run := func(b *testing.B, url string) {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		defer client.CloseIdleConnections()
+		for b.Loop() {
+			r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+"/x/", strings.NewReader("in"))
+			assert.NilError(b, err)
+			r.Host = "api.example"
+			r.Header.Set("Authorization", "Bearer secret")
+			r.Header.Set("Berylledge-Request", "id1")
+			resp, err := client.Do(r)
+			assert.NilError(b, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(b, err)
+			assert.NilError(b, resp.Body.Close())
+			assert.Equal(b, resp.StatusCode, http.StatusOK)
+		}
+	}
+	b.Run("direct", func(b *testing.B) { run(b, "http://"+up.Address) })
+	b.Run("through", func(b *testing.B) { run(b, s.server.URL) })
+}
--- a/internal/gate/front/front_test.go
+++ b/internal/gate/front/front_test.go
@@ -26,14 +26,14 @@
 
 // site is a front before stand-in upstreams of one service.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	front  *Front
 	server *httptest.Server
 	events *event.Log
 }
 
 // newSite starts a front with one route, which change may alter.
-func newSite(t *testing.T, change func(*conf.Route), ups ...*rawup.Upstream) *site {
+func newSite(t testing.TB, change func(*conf.Route), ups ...*rawup.Upstream) *site {
 	t.Helper()
 	route := conf.Route{
 		Name: "r", Host: "api.example", Prefix: "/x/", Kind: conf.Safe, Timeout: 2000, Target: 500, Attempts: 2,
@@ -111,7 +111,7 @@
 
 const signed = "Berylledge-Signature: s"
 
-func good(t *testing.T) *rawup.Upstream {
+func good(t testing.TB) *rawup.Upstream {
 	return rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
 		c.WriteString(answerOf(200, r.Header.Get("Berylledge-Request"), "ok", signed, "X-Own: 1"))
 	})
