Pass trailers on; find silent connections to upstreams by probes

Change: upcon sends and returns trailers, front passes them on both ways; connections to upstreams carry keep-alive probes after 2 s, 1 s apart, three of them.

--- a/internal/gate/front/front_test.go
+++ b/internal/gate/front/front_test.go
@@ -404,3 +404,22 @@
 	delete(s.front.o.View().Services, "desk")
 	assert.Assert(t, !s.front.takesWork(u))
 }
+
+// Guards against fields after the body that are lost between caller and upstream.
+func TestTrailersArePassedOn(t *testing.T) {
+	up := rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+		c.WriteString("HTTP/1.1 200 OK\r\nBerylledge-Request: id1\r\n" + signed + "\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n" +
+			chunk("ok") + "0\r\nX-Sum: " + r.Trailer.Get("X-In") + "\r\n\r\n")
+	})
+	s := newSite(t, nil, up)
+	r := s.request("/x/", "id1")
+	r.ContentLength, r.Trailer = -1, http.Header{"X-In": {"9"}}
+	resp, err := s.server.Client().Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+	assert.Equal(t, resp.Trailer.Get("X-Sum"), "9")
+	assert.Equal(t, string(up.Requests()[0].Body), "in")
+}
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -67,7 +67,7 @@
 	began := x.f.o.Clock.Now()
 	resp, err := x.f.o.Pool.Send(x.ctx, upcon.Request{
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.upstreamHeader(u, extra),
-		Body: x.body, HasBody: x.hasBody(), ID: x.id, Limit: x.f.connections(x.table.Service(x.service)),
+		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: x.f.connections(x.table.Service(x.service)),
 	})
 	a := &answer{resp, u, began, x.f.o.Clock.Now().Sub(began)}
 	if err != nil {
@@ -278,6 +278,15 @@
 	}
 }
 
+// copyTrailer passes on what came after the body. It works for answers in chunks only, as trailers do.
+func (x *exchange) copyTrailer(a *answer) {
+	for name, values := range a.Trailer() {
+		for _, v := range values {
+			x.w.Header().Add(http.TrailerPrefix+name, v)
+		}
+	}
+}
+
 // plain forwards a request with one answer.
 func (x *exchange) plain() {
 	for {
@@ -363,9 +372,10 @@
 	if x.r.Method == http.MethodHead {
 		length = a.Length
 	}
-	if length >= 0 && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+	if len(a.Trailer()) == 0 && length >= 0 && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.copyTrailer(a) // before the head, so that the answer goes in chunks
 	x.w.WriteHeader(a.Status)
 	x.maybeRan = false
 	_, err := x.w.Write(body)
@@ -393,6 +403,7 @@
 		x.log(0, "the answer broke off: "+err.Error())
 		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
 	}
+	x.copyTrailer(a)
 	x.log(a.Status, "")
 }
 
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -138,6 +138,7 @@
 	if len(s.rest) > 0 {
 		_, _ = s.x.w.Write(s.rest) // the caller has gone; the stream has ended anyway
 	}
+	s.x.copyTrailer(a)
 	return nil
 }
 
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -32,8 +32,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -139,9 +141,10 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	HasBody bool   // a length is sent even if the body is empty
-	ID      string // must be repeated in the answer; empty: not checked
-	Limit   int    // most connections to the address; 0: no limit
+	Trailer http.Header // sent after the body, which then goes in chunks
+	HasBody bool        // a length is sent even if the body is empty
+	ID      string      // must be repeated in the answer; empty: not checked
+	Limit   int         // most connections to the address; 0: no limit
 }
 
 // Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body.
@@ -153,8 +156,13 @@
 	Unframed bool
 	Body     io.ReadCloser
 	Reused   bool // it came over a kept connection
+
+	head *http.Response
 }
 
+// Trailer returns the fields that came after the body, once the body has been read whole.
+func (r *Response) Trailer() http.Header { return r.head.Trailer }
+
 // Send sends a request and reads the head of its answer. When ctx ends the connection is closed, also while the body is
 // being read. Errors: *SendError.
 func (p *Pool) Send(ctx context.Context, r Request) (*Response, error) {
@@ -257,7 +265,7 @@
 	h.open++
 	p.dialed++
 	p.mu.Unlock()
-	d := net.Dialer{Timeout: p.o.DialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: p.o.DialTimeout, KeepAliveConfig: probes}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.mu.Lock()
@@ -270,6 +278,9 @@
 
 const readBuffer = 4 << 10
 
+// probes find connections that have gone silent without a reset, within five seconds.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -334,15 +345,15 @@
 // exchange writes the request and reads the head of the answer.
 func (c *conn) exchange(r Request, idHeader string) (*Response, error) {
 	c.wrote, c.written = false, make(chan error, 1)
-	head := encodeHead(r)
-	if len(r.Body) <= asideBytes {
-		c.written <- c.write(append(head, r.Body...))
+	head, payload := encodeHead(r), encodeBody(r)
+	if len(payload) <= asideBytes {
+		c.written <- c.write(append(head, payload...))
 	} else {
 		// The head goes out here, so that wrote is settled before the answer is awaited.
 		if err := c.write(head); err != nil {
 			c.written <- err
 		} else {
-			body, written := r.Body, c.written
+			body, written := payload, c.written
 			go func() {
 				_, err := c.nc.Write(body)
 				written <- err
@@ -359,7 +370,7 @@
 	if r.ID != "" && hr.Header.Get(idHeader) != r.ID {
 		return nil, ErrForeign
 	}
-	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength}
+	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, head: hr}
 	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
 	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor)}
 	return resp, nil
@@ -393,13 +404,36 @@
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	if len(r.Body) > 0 || r.HasBody {
+	if len(r.Trailer) > 0 {
+		b.WriteString("Transfer-Encoding: chunked\r\nTrailer: " + strings.Join(slices.Sorted(maps.Keys(r.Trailer)), ", ") + "\r\n")
+	} else if len(r.Body) > 0 || r.HasBody {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
 
+// encodeBody returns the body as it is sent: with a trailer as one chunk, else as it is.
+func encodeBody(r Request) []byte {
+	if len(r.Trailer) == 0 {
+		return r.Body
+	}
+	var b bytes.Buffer
+	if len(r.Body) > 0 {
+		b.WriteString(strconv.FormatInt(int64(len(r.Body)), 16) + "\r\n")
+		b.Write(r.Body)
+		b.WriteString("\r\n")
+	}
+	b.WriteString("0\r\n")
+	for _, name := range slices.Sorted(maps.Keys(r.Trailer)) {
+		for _, v := range r.Trailer[name] {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
 // keepFor returns how long a connection may stay idle after an answer.
 func keepFor(h http.Header, most time.Duration) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/internal/wire/upcon/upcon_test.go
+++ b/internal/wire/upcon/upcon_test.go
@@ -230,3 +230,21 @@
 	_, err = send(t, newPool(), request(broken.Address, "a"))
 	assert.Assert(t, err != nil)
 }
+
+// Guards against fields after the body that are lost on the way, and against a request whose body is cut short by them.
+func TestTrailers(t *testing.T) {
+	up := rawup.New(t, func(c *rawup.Conn, _ *rawup.Request) {
+		c.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n")
+	})
+	r := request(up.Address, "a")
+	r.Trailer = map[string][]string{"X-In": {"9"}}
+	resp, err := newPool().Send(t.Context(), r)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+	assert.Equal(t, resp.Trailer().Get("X-Sum"), "7")
+	got := up.Requests()[0]
+	assert.Equal(t, string(got.Body), "body")
+	assert.Equal(t, got.Trailer.Get("X-In"), "9")
+}
