Hold the stand-in back until the early answer has been read

The stand-in read the rest of the body as soon as it had answered; when the client was late, the whole body had been written before the answer ended, so the connection was rightly kept, and the stand-in waited for its end. Change: the stand-in reads on only after the client has its answer, and the body is larger than the kernel's buffers. The checks are the same: nothing else stands in the place of the rest, and the connection is not kept. Conclusion: a fault of the test, not of the pool.

--- a/internal/wire/upcon/upcon_test.go
+++ b/internal/wire/upcon/upcon_test.go
@@ -167,7 +167,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	rest := make(chan string, 1)
+	answered, rest := make(chan bool), make(chan string, 1)
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -176,13 +176,15 @@
 		head := make([]byte, 64)
 		_, _ = io.ReadFull(c, head)
 		_, _ = io.WriteString(c, strings.Replace(whole("a", "no"), "200 OK", "413 Too Large", 1))
+		<-answered              // the rest is read only now, so it cannot have been written before the answer ended
 		all, _ := io.ReadAll(c) // ends when the other side closes
 		rest <- string(all)
 	}()
 	r := request(l.Addr().String(), "a")
-	r.Body = []byte(strings.Repeat("x", 8<<20))
+	r.Body = []byte(strings.Repeat("x", 64<<20)) // more than the kernel keeps of it
 	p := newPool()
 	body, err := send(t, p, r)
+	close(answered)
 	assert.NilError(t, err)
 	assert.Equal(t, body, "no")
 	assert.Assert(t, !strings.Contains(<-rest, "HTTP/1.1"))
