Hold the bound of the crash defence on a busy machine

Cause, from a trace of every event of the three machines in failing runs (9 and 14 copies of the test at once on 6 cores): the third upstream was reached in two ways. (1) A node had heard that both upstreams of the content's sample are dead, through refusals of other requests, and a new copy that had been refused nowhere went to the third one before the report arrived. (2) A copy was permitted while both lived; they died before its upstream was chosen, and the choice avoided them.

Change: after a death is first heard of, content that has not succeeded lately waits crash.Policy.Refused (100 ms, as refused runs do already); and exec asks again whether the permit stands once the upstream is chosen (Recheck).

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -13,10 +13,12 @@
 // else runs beside it, isolate it; an operator can list and clear entries, and they expire.
 //
 // One poisonous request takes down at most 2 upstreams if it is not dispatched by nodes that do not know yet: one
-// before it is a suspect and one in its solo run. Two rules keep the others from dispatching it. A failure is answered
+// before it is a suspect and one in its solo run. Four rules keep the others from dispatching it. A failure is answered
 // only after the report is known to the node (action Release), so a caller that waits for the answer cannot outrun it.
-// And a node samples upstreams for a stage by the fingerprint (route.Need.Fingerprint), so copies sent at the same time
-// through several nodes go to the same two upstreams of the pool. docs/notes/routing.md states the limits.
+// A node samples upstreams for a stage by the fingerprint (route.Need.Fingerprint), so copies sent at the same time
+// through several nodes go to the same two upstreams of the pool. A node that hears of a death lets content that has not
+// succeeded lately wait for the report. And a permit is checked again (Stands) once the upstream is chosen.
+// docs/notes/routing.md states the limits.
 //
 // Usage (on a node; the control group's answers come back as Learned and SoloAnswer events):
 //
--- a/internal/flow/crash/crash_test.go
+++ b/internal/flow/crash/crash_test.go
@@ -115,6 +115,42 @@
 	assert.DeepEqual(t, m.Step(start.Add(100*time.Millisecond), crash.Tick{}), []crash.Action{crash.Run{ID: 1}})
 }
 
+// Guards against content that goes to a third upstream on a node that refused nothing of it: the node knows that the two
+// upstreams on which the content would be sampled are dead, and does not know yet that it was running there.
+func TestUnprovenContentWaitsForNewsOfDeath(t *testing.T) {
+	m := crash.New(crash.DefaultPolicy())
+	m.Step(start, crash.Ask{ID: 1, Fingerprint: fp(2)})
+	m.Step(start, crash.Started{ID: 1, Upstream: "u3", Incarnation: 1})
+	m.Step(start, crash.Ended{ID: 1, OK: true})
+	m.Step(start, crash.Died{Upstream: "u1", Incarnation: 1})
+	at := func(d time.Duration) time.Time { return start.Add(d * time.Millisecond) }
+	assert.Equal(t, len(m.Step(at(10), crash.Ask{ID: 2, Fingerprint: fp(1)})), 0)
+	assert.DeepEqual(t, m.Step(at(10), crash.Ask{ID: 3, Fingerprint: fp(2)}), []crash.Action{crash.Run{ID: 3, Proven: true}})
+	m.Step(at(90), crash.Died{Upstream: "u1", Incarnation: 1}) // heard twice
+	assert.Equal(t, len(m.Step(at(99), crash.Tick{})), 0)
+	assert.DeepEqual(t, m.Step(at(100), crash.Tick{}), []crash.Action{crash.Run{ID: 2}})
+}
+
+// Guards against a run that was permitted while its upstreams lived, and goes to a third one because they died before the
+// choice.
+func TestPermitFallsWithDeathBeforeDispatch(t *testing.T) {
+	m := crash.New(crash.DefaultPolicy())
+	m.Step(start, crash.Ask{ID: 1, Fingerprint: fp(1)})
+	m.Step(start, crash.Started{ID: 1, Upstream: "u1", Incarnation: 1})
+	m.Step(start, crash.Ask{ID: 2, Fingerprint: fp(1)})
+	m.Step(start, crash.Ask{ID: 3, Fingerprint: fp(2)})
+	assert.Assert(t, m.Stands(start, 2))
+	m.Step(start, crash.Broken{ID: 1})
+	assert.Assert(t, !m.Stands(start, 2) && m.Stands(start, 3))
+	assert.Equal(t, len(m.Step(start, crash.Recheck{ID: 2})), 0)
+	assert.Assert(t, m.Asking(2))
+	entry := crash.Entry{Fingerprint: fp(2), Status: crash.Isolated, Deaths: 2, Expires: start.Add(time.Hour)}
+	m.Step(start, crash.Learned{Version: 1, Entries: []crash.Entry{entry}})
+	assert.Assert(t, !m.Stands(start, 3))
+	want := []crash.Action{crash.Block{ID: 3, Fingerprint: fp(2), Status: crash.Isolated, RetryAfter: 100 * time.Millisecond}}
+	assert.DeepEqual(t, m.Step(start, crash.Recheck{ID: 3}), want)
+}
+
 // Guards against content that silences one upstream after the other before the first lease runs out.
 func TestSilentUpstreamsAreLimitedToTwo(t *testing.T) {
 	m := crash.New(crash.DefaultPolicy())
--- a/internal/flow/crash/machine.go
+++ b/internal/flow/crash/machine.go
@@ -15,8 +15,8 @@
 	HoldAnswer time.Duration
 	// Retry is the delay before a claim that was not granted is made again, and the delay that held callers are told.
 	Retry time.Duration
-	// Refused is the delay of a run after an upstream refused its connection: the upstream has just died, and what died
-	// with it should be known before the run goes to another one.
+	// Refused is the delay of a run after an upstream refused its connection, and of all contents that are not proven
+	// after the node heard of a death: what died with the upstream should be known before the run goes to another one.
 	Refused time.Duration
 	// Proven is the number of contents that are remembered as having succeeded.
 	Proven int
@@ -53,6 +53,9 @@
 // Refused says that the upstream refused the connection, so that the run was not dispatched. It is answered like Ask.
 type Refused struct{ ID uint64 }
 
+// Recheck takes back a permit that was given before what is known now. It is answered like Ask; see Stands.
+type Recheck struct{ ID uint64 }
+
 // Ended says that the run ended while its upstream was seen to live, or that it could not be started. OK says that it
 // produced its whole result.
 type Ended struct {
@@ -113,6 +116,7 @@
 func (Ask) event()        {}
 func (Started) event()    {}
 func (Refused) event()    {}
+func (Recheck) event()    {}
 func (Ended) event()      {}
 func (Broken) event()     {}
 func (Died) event()       {}
@@ -208,6 +212,12 @@
 	confirmed   uint64    // version of the report, 0 if it is not confirmed
 }
 
+// gone is the death of an upstream as one node heard of it.
+type gone struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // Machine is the part of one node. It is not safe for concurrent use.
 type Machine struct {
 	policy  Policy
@@ -219,12 +229,18 @@
 	proven  map[Fingerprint]bool
 	ring    []Fingerprint // of proven, in the order of their first success
 	next    int
-	out     []Action
+	// dead holds the highest incarnation of each upstream that died lately, and newsUntil the time by which what died with
+	// the latest of them should be known.
+	dead      map[string]gone
+	newsUntil time.Time
+	out       []Action
 }
 
 // New returns a machine that knows no suspects.
 func New(policy Policy) *Machine {
-	return &Machine{policy: policy, entries: map[Fingerprint]Entry{}, runs: map[uint64]*run{}, proven: map[Fingerprint]bool{}}
+	return &Machine{
+		policy: policy, entries: map[Fingerprint]Entry{}, runs: map[uint64]*run{}, proven: map[Fingerprint]bool{}, dead: map[string]gone{},
+	}
 }
 
 // Step takes one event and returns the actions that follow, in the order in which they must be carried out.
@@ -248,6 +264,10 @@
 			r.enter(now, asking)
 			r.notBefore = now.Add(m.policy.Refused)
 		}
+	case Recheck:
+		if r := m.runs[e.ID]; r != nil && r.phase == allowed {
+			m.answer(now, r)
+		}
 	case Ended:
 		m.ended(e)
 	case Broken:
@@ -306,10 +326,7 @@
 		r.solo = true
 		r.enter(now, claiming)
 		m.do(ClaimSolo{r.id, r.fingerprint})
-	case now.Before(r.notBefore):
-		r.enter(now, asking)
-	case m.unresolved(r.fingerprint):
-		// Another run of the same content lost its upstream a moment ago. Whether that was a crash is known soon.
+	case m.awaitsNews(now, r):
 		r.enter(now, asking)
 	default:
 		r.solo = false
@@ -318,6 +335,19 @@
 	}
 }
 
+// awaitsNews reports whether it will be known soon whether a content that is not suspected crashed an upstream: an upstream
+// has just died, or refused this run, or another run of the same content lost its upstream.
+func (m *Machine) awaitsNews(now time.Time, r *run) bool {
+	return now.Before(r.notBefore) || now.Before(m.newsUntil) && !m.proven[r.fingerprint] || m.unresolved(r.fingerprint)
+}
+
+// Stands reports whether a permit would be given again. An upstream may die between the permit and the choice of one, and
+// the choice then avoids it although what died with it is not known.
+func (m *Machine) Stands(now time.Time, id uint64) bool {
+	r := m.runs[id]
+	return r == nil || r.phase != allowed || r.solo || m.status(now, r.fingerprint) == Clean && !m.awaitsNews(now, r)
+}
+
 func (m *Machine) block(r *run, s Status) {
 	delete(m.runs, r.id)
 	m.do(Block{ID: r.id, Fingerprint: r.fingerprint, Status: s, RetryAfter: m.policy.Retry})
@@ -393,6 +423,10 @@
 
 // died makes all runs on the incarnation suspects, those that broke earlier included.
 func (m *Machine) died(now time.Time, e Died) {
+	if d, known := m.dead[e.Upstream]; !known || d.incarnation < e.Incarnation {
+		m.dead[e.Upstream] = gone{e.Incarnation, now}
+		m.newsUntil = now.Add(m.policy.Refused)
+	}
 	var fresh []*run
 	for _, r := range m.on(e.Upstream, e.Incarnation) {
 		if r.died {
@@ -571,6 +605,11 @@
 			delete(m.entries, fp)
 		}
 	}
+	for upstream, d := range m.dead {
+		if now.Sub(d.at) >= m.policy.Remember {
+			delete(m.dead, upstream)
+		}
+	}
 	m.answerWaiting(now)
 }
 
--- a/internal/flow/exec/guard.go
+++ b/internal/flow/exec/guard.go
@@ -37,6 +37,9 @@
 	Ask(ctx context.Context, f crash.Fingerprint, claim func() (upstream string, ok bool)) Permit
 	// Again waits for the next permit of a run after Refused returned true.
 	Again(ctx context.Context, id uint64, claim func() (upstream string, ok bool)) Permit
+	// Stands reports whether the permit of a run is still good once its upstream is chosen. If not, Again or Cancelled must
+	// follow.
+	Stands(id uint64) bool
 	// Started says that a run has a connection and will be sent.
 	Started(id uint64, upstream string, incarnation uint64)
 	// Refused says that the run was not sent, because no connection could be made. If it returns true, Again or Cancelled
@@ -71,27 +74,32 @@
 		return st.last.Upstream.ID, true
 	}
 	fp := st.fingerprint()
-	if st.pending {
-		st.permit = g.Again(ctx, st.permit.ID, claim)
-	} else {
-		st.permit = g.Ask(ctx, fp, claim)
-	}
-	st.pending = false
-	if !st.permit.Run {
-		return st.blocked(fp)
-	}
-	if resume || st.permit.Solo {
-		return nil
-	}
-	word := fp.Word()
-	if st.permit.Proven {
-		word = 0
-	}
-	f := st.pick(ctx, word)
-	if f != nil {
-		g.Cancelled(st.permit.ID)
+	for {
+		if st.pending {
+			st.permit = g.Again(ctx, st.permit.ID, claim)
+		} else {
+			st.permit = g.Ask(ctx, fp, claim)
+		}
+		st.pending = false
+		if !st.permit.Run {
+			return st.blocked(fp)
+		}
+		if resume || st.permit.Solo {
+			return nil
+		}
+		word := fp.Word()
+		if st.permit.Proven {
+			word = 0
+		}
+		if f := st.pick(ctx, word); f != nil {
+			g.Cancelled(st.permit.ID)
+			return f
+		}
+		if g.Stands(st.permit.ID) {
+			return nil
+		}
+		st.pending = true
 	}
-	return f
 }
 
 // dropPermit gives back a permit that is still owed.
--- a/internal/node/guard/runs.go
+++ b/internal/node/guard/runs.go
@@ -128,6 +128,18 @@
 	return false
 }
 
+// Stands implements exec.Guard.
+func (g *Guard) Stands(id uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.m.Stands(g.recent, id) {
+		return true
+	}
+	g.expect(id)
+	g.locked(crash.Recheck{ID: id})
+	return false
+}
+
 // Ended implements exec.Guard.
 func (g *Guard) Ended(id uint64, ok bool) { g.often(crash.Ended{ID: id, OK: ok}) }
 
