Pin the admission limit in the test of the metrics

Cause: the test expected the limit of 32 slots with which admission starts. The limit adapts once a period of 100 ms has a finished request, and then is at most 1.5 times the recent use plus 4 (admit.idleFactor, idleRoom), so it was 8 whenever the one request took longer than 100 ms.

Change: the test's configuration sets limits.max_in_flight to the least limit (4), so that the published value is exact whatever the speed. The check also shows now that the configured bound reaches admission.

--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -35,7 +35,10 @@
 	address, dir := l.Addr().String(), t.TempDir()
 	l.Close()
 	cfg := fleet.Config{
-		FormatVersion: fleet.FormatVersion, Ranks: []fleet.Rank{{Name: "urgent", Share: 0.5}}, Teams: []fleet.Team{{Name: "crew"}},
+		FormatVersion: fleet.FormatVersion,
+		// The least limit that admission goes down to, so that it does not adapt when a request takes long on a busy machine.
+		Limits: fleet.Limits{MaxInFlight: 4},
+		Ranks:  []fleet.Rank{{Name: "urgent", Share: 0.5}}, Teams: []fleet.Team{{Name: "crew"}},
 		Pipelines: []fleet.Pipeline{{Name: "ask", DeadlineMS: 8000, Stages: []fleet.Stage{{Name: "encode", Kind: fleet.Encode}}}},
 	}
 	file := filepath.Join(dir, "config.json")
@@ -86,7 +89,7 @@
 		for _, line := range []string{
 			`berylledge_requests_total{outcome="on_time",rank="urgent",team="crew"} 1`, `code="unknown_pipeline"`,
 			`berylledge_attempts_total{stage="encode"}`, `berylledge_control_leader 1`, `berylledge_config_revision 1`,
-			`berylledge_nodes{state="alive"} 1`, `berylledge_admission_limit 32`, `berylledge_dropped_messages_total{where="control"} 0`,
+			`berylledge_nodes{state="alive"} 1`, `berylledge_admission_limit 4`, `berylledge_dropped_messages_total{where="control"} 0`,
 		} {
 			if !strings.Contains(text, line) {
 				return poll.Continue("%s is missing in\n%s", line, text)
