Repeat the making of a data folder that was interrupted

Cause: a folder counted as made when it was not empty. A process that died inside store.Create left `lock` or `state.db.new` there; at each later start opening it failed on the missing state.db, and the process ended until somebody removed the folder. The entry of the folder in its parent was not synced either.

Change: store.Exists asks for the data file, and keep and ctrl make the folder unless it is there; store.Create accepted such a folder already. It now syncs the parent as well.

--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -112,12 +112,15 @@
 }
 
 func (n *Node) open() error {
-	if _, err := os.Stat(n.o.Data); errors.Is(err, os.ErrNotExist) || emptyFolder(n.o.Data) {
+	made, err := store.Exists(n.o.Data)
+	if err != nil {
+		return err
+	}
+	if !made {
 		if _, err := store.Create(n.o.Data, n.o.Name, n.o.Address, rand.Reader); err != nil {
 			return err
 		}
 	}
-	var err error
 	if n.store, err = store.Open(n.o.Data, store.Options{}); err != nil {
 		return err
 	}
@@ -125,11 +128,6 @@
 	return nil
 }
 
-func emptyFolder(dir string) bool {
-	entries, err := os.ReadDir(dir)
-	return err == nil && len(entries) == 0
-}
-
 func (n *Node) keepIdentity() {
 	id := n.store.Identity
 	n.identity.Store(&id)
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -123,7 +123,11 @@
 }
 
 func (m *Member) openFolder() error {
-	if entries, err := os.ReadDir(m.folder()); err != nil || len(entries) == 0 {
+	made, err := store.Exists(m.folder())
+	if err != nil {
+		return err
+	}
+	if !made {
 		if _, err := store.Create(m.folder(), m.o.Address, m.o.Address, rand.Reader); err != nil {
 			return err
 		}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -129,6 +129,15 @@
 	return id.Member.ID, create(dir, id, nil)
 }
 
+// Exists reports whether a folder holds a member. One whose making was interrupted holds none, and Create accepts it.
+func Exists(dir string) (bool, error) {
+	_, err := os.Stat(filepath.Join(dir, dataFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, errors.Wrap(err, "look for the data file")
+}
+
 func create(dir string, id Identity, p *raft.Persist) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return errors.Wrap(err, "create the data folder")
@@ -139,7 +148,11 @@
 	}
 	defer func() { _ = lock.Close() }()
 	path := filepath.Join(dir, dataFile)
-	if _, err := os.Stat(path); err == nil {
+	made, err := Exists(dir)
+	if err != nil {
+		return err
+	}
+	if made {
 		return &ExistsError{Dir: dir}
 	}
 	// The file gets its name once it is complete, so that a crash leaves no member without an identity.
@@ -153,7 +166,10 @@
 	if err := os.Rename(temporary, path); err != nil {
 		return errors.Wrap(err, "name the data file")
 	}
-	return syncDir(dir)
+	if err := syncDir(dir); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(dir)) // which names the folder
 }
 
 func fill(path string, id Identity, p *raft.Persist) error {
