Block forwarded requests that crash the upstreams that run them

Cause: the crash defence served pipelines only. A forwarded request that crashes its upstream and comes again, at any entry node, was bounded by the attempts of its route and the retry budget alone, so each arrival could take down upstreams until the caller gave up.

Change: package gate/blame keeps, by content (host, path, team, body), the starts of upstreams that broke off while they ran it; an answer clears what was noted. Three that are not cleared block the content on all nodes until ten minutes after the last. Records merge in any order; entry nodes bring their notes to all control nodes with their questions, at once after a crash, and hear of contents with two starts or more with the answers. A content that broke any upstream is sent again only after a control node has answered (feed.Consult, 250 ms at most). flow/crash was not used: its fleet part needs an ordered log and a grant for each run of a suspect, and the group of forwarding replicates one document.

Pieces of stages are not covered (docs/open.md).

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -82,6 +82,9 @@
 	ForwardRefused  Code = 8002
 	ForwardSent     Code = 8003
 	ForwardRetried  Code = 8004
+	ContentCrashed  Code = 8005
+	ContentBlocked  Code = 8006
+	ContentCleared  Code = 8007
 	PieceFailed     Code = 8101
 	CallFailed      Code = 8102
 )
@@ -149,6 +152,9 @@
 	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
 	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
 	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
+	{ContentCrashed, "content_crashed", hclog.Info, "The connection to an upstream broke while it ran a forwarded request; crashes counts the starts of upstreams that broke so since the content was last answered.", []string{"request", "content", "upstream", "born_ms", "crashes"}, ""},
+	{ContentBlocked, "content_blocked", hclog.Warn, "Requests with this content are refused from now on: each upstream that ran it broke.", []string{"content", "peer"}, "Find the first content_crashed lines with this content; ask the caller what it sends."},
+	{ContentCleared, "content_cleared", hclog.Info, "A content that had been running on upstreams that broke was answered, so it is not their cause.", []string{"request", "content"}, ""},
 	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made.", []string{"request", "stage", "piece", "upstream", "reason"}, ""},
 	{CallFailed, "call_failed", hclog.Info, "A call of a stage upstream failed as a whole.", []string{"upstream", "pieces", "outcome", "reason"}, ""},
 }
--- /dev/null
+++ b/internal/gate/blame/blame_test.go
@@ -0,0 +1,169 @@
+package blame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/berylledge/berylledge/internal/gate/blame"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func content(i int) blame.Content { return blame.Sum("h", "/p", "t", []byte{byte(i)}) }
+
+func blocked(b *blame.Board, now time.Time, i int) bool {
+	_, yes := b.Blocked(now, content(i))
+	return yes
+}
+
+// Guards against a content that is never blocked, against one that is blocked because one upstream broke several
+// connections, and against a block without an end.
+func TestThreeStartsBlock(t *testing.T) {
+	b := blame.New()
+	for i := range 3 {
+		assert.Assert(t, !blocked(b, t0, 1))
+		b.Crashed(t0, content(1), blame.Start("r", int64(i)))
+		b.Crashed(t0, content(1), blame.Start("r", int64(i)))
+	}
+	assert.Assert(t, blocked(b, t0, 1) && !blocked(b, t0, 2))
+	left, _ := b.Blocked(t0.Add(time.Minute), content(1))
+	assert.Equal(t, left, blame.ForgetAfter-time.Minute)
+	assert.Assert(t, !blocked(b, t0.Add(blame.ForgetAfter), 1))
+}
+
+// Guards against innocent requests that are blocked because they ran on upstreams that other requests crashed.
+func TestAnswerClears(t *testing.T) {
+	b := blame.New()
+	for i := range 5 {
+		b.Crashed(t0, content(1), blame.Start("r", int64(i)))
+		if i%2 == 1 {
+			assert.Assert(t, b.Worked(t0, content(1)))
+			assert.Assert(t, !b.Worked(t0, content(1)))
+		}
+		assert.Assert(t, !blocked(b, t0, 1))
+	}
+}
+
+// Guards against nodes that disagree for good because they heard the same in another order or several times, against a
+// crash that counts again after it was cleared, and against records that are never told.
+func TestNodesAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 4
+		var entries [nodes]*blame.Board
+		var told, seen [nodes]uint64
+		for i := range entries {
+			entries[i] = blame.New()
+		}
+		control := blame.New()
+		ask := func(i int, lost bool) {
+			own, at := entries[i].Own(t0, told[i])
+			control.Merge(t0, own)
+			list, version := control.Suspects(t0, seen[i])
+			if lost {
+				return
+			}
+			entries[i].Merge(t0, list)
+			told[i], seen[i] = at, version
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i, c := rapid.IntRange(0, nodes-1).Draw(t, "node"), content(rapid.IntRange(0, 2).Draw(t, "content"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				entries[i].Crashed(t0, c, uint64(rapid.IntRange(0, 5).Draw(t, "start")))
+			case 2:
+				entries[i].Worked(t0, c)
+			case 3:
+				ask(i, false)
+			case 4:
+				ask(i, true)
+			}
+		}
+		for range 2 {
+			for i := range entries {
+				ask(i, false)
+			}
+		}
+		for c := range 3 {
+			for i := range entries {
+				if got, want := blocked(entries[i], t0, c), blocked(control, t0, c); got != want {
+					t.Fatalf("content %d: node %d says blocked=%v, the control node %v", c, i, got, want)
+				}
+			}
+		}
+	})
+}
+
+// Load pattern: one request crashes each upstream that runs it and comes again every 300 to 700 ms at any of 20 nodes,
+// beside innocent requests that run on the same upstreams. Guards against more than three runs after the third crash, and
+// against innocent requests that are blocked.
+func TestCrashingRequestThatComesAgainAtAnyNode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes, askEvery = 20, 250 * time.Millisecond
+		var entries [nodes]*blame.Board
+		var told, seen [nodes]uint64
+		for i := range entries {
+			entries[i] = blame.New()
+		}
+		control := blame.New()
+		ask := func(now time.Time, i int) {
+			own, at := entries[i].Own(now, told[i])
+			control.Merge(now, own)
+			list, version := control.Suspects(now, seen[i])
+			entries[i].Merge(now, list)
+			told[i], seen[i] = at, version
+		}
+		crashes, late := 0, 0
+		next := t0
+		for now := t0; now.Before(t0.Add(time.Minute)); now = now.Add(50 * time.Millisecond) {
+			for i := range entries {
+				if (now.Sub(t0)+time.Duration(i)*10*time.Millisecond)%askEvery < 50*time.Millisecond {
+					ask(now, i)
+				}
+			}
+			if now.Before(next) {
+				continue
+			}
+			next = now.Add(time.Duration(rapid.IntRange(300, 700).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			if blocked(entries[i], now, 0) {
+				continue
+			}
+			crashes++
+			if crashes > blame.MostCrashes {
+				late++
+			}
+			start := blame.Start("r", int64(crashes))
+			entries[i].Crashed(now, content(0), start)
+			ask(now, i) // a crash is reported at once
+			for c := 1; c < 4; c++ {
+				j := rapid.IntRange(0, nodes-1).Draw(t, "beside")
+				entries[j].Crashed(now, content(c), start)
+				k := rapid.IntRange(0, nodes-1).Draw(t, "again")
+				if blocked(entries[k], now, c) {
+					t.Fatalf("innocent content %d is blocked at node %d", c, k)
+				}
+				ask(now, j)
+				entries[j].Worked(now, content(c)) // its repeat succeeds at the same node
+				ask(now, j)
+			}
+		}
+		if late > 3 {
+			t.Fatalf("%d runs after the third crash", late)
+		}
+	})
+}
+
+// Guards against memory that grows with the requests that an outage of many upstreams cuts off.
+func TestOldestRecordsAreForgotten(t *testing.T) {
+	b := blame.New()
+	for i := range 5000 {
+		b.Crashed(t0, blame.Sum("h", fmt.Sprint(i), "t", nil), 1)
+	}
+	assert.Assert(t, b.Len() <= 4097, "%d", b.Len())
+	b.Crashed(t0.Add(blame.ForgetAfter), content(1), 1)
+	assert.Equal(t, b.Len(), 1)
+}
--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -26,6 +26,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -66,6 +67,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	blame *blame.Board
+
 	mu       sync.Mutex
 	board    *roster.Board
 	lastSync time.Time
@@ -80,7 +83,7 @@
 // New starts a desk.
 func New(o Options) *Desk {
 	d := &Desk{
-		o: o, epoch: uint64(o.Clock.Now().UnixNano()),
+		o: o, epoch: uint64(o.Clock.Now().UnixNano()), blame: blame.New(),
 		board: roster.New(roster.Config{
 			SilentAfter: missedBeats * o.BeatEvery, ForgetAfter: forgetAfter, EntryAfter: entryAfter,
 		}),
@@ -212,9 +215,13 @@
 	sure, _, _ := d.status()
 	tell := feed.Tell{Epoch: d.epoch, Sure: sure, Control: d.o.Member.Addresses()}
 	if ask.Epoch != d.epoch {
-		ask.Seen = 0
+		ask.Seen, ask.SuspectsSeen = 0, 0
 	}
 	now := d.o.Clock.Now()
+	for _, c := range d.blame.Merge(now, ask.Crashes) {
+		d.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", ask.Entry.Node))
+	}
+	tell.Suspects, tell.SuspectsVersion = d.blame.Suspects(now, ask.SuspectsSeen)
 	d.mu.Lock()
 	changed := d.board.Report(now, ask.Entry)
 	tell.Delta = d.board.Since(now, ask.Seen)
@@ -239,6 +246,9 @@
 	return out
 }
 
+// Suspects returns the number of contents that entry nodes reported after a crash, for metrics.
+func (d *Desk) Suspects() int { return d.blame.Len() }
+
 func plain(w http.ResponseWriter, status int, text string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -24,6 +24,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -37,6 +38,9 @@
 	Epoch   uint64       `cbor:"2,keyasint,omitempty"` // of the control node's last answer
 	Seen    uint64       `cbor:"3,keyasint,omitempty"` // version of its last Delta
 	Version uint64       `cbor:"4,keyasint,omitempty"` // of the configuration in force here
+	// Crashes are this node's notes of contents that crashed upstreams, those that the control node may not have.
+	Crashes      []blame.Record `cbor:"5,keyasint,omitempty"`
+	SuspectsSeen uint64         `cbor:"6,keyasint,omitempty"` // version of the last Suspects
 }
 
 // Tell is the answer.
@@ -46,6 +50,9 @@
 	Delta    roster.Delta   `cbor:"3,keyasint"`
 	Document *vdoc.Document `cbor:"4,keyasint,omitempty"` // a newer configuration
 	Control  []string       `cbor:"5,keyasint,omitempty"` // peer addresses of the other control nodes
+	// Suspects are contents that crashed upstreams and changed since the version of the question.
+	Suspects        []blame.Record `cbor:"6,keyasint,omitempty"`
+	SuspectsVersion uint64         `cbor:"7,keyasint,omitempty"`
 }
 
 // Options configure a Feed.
@@ -56,6 +63,7 @@
 	Clock   clock.Clock
 	Events  *event.Log
 	Hub     *peer.Hub
+	Blame   *blame.Board
 	// Changed is called after each change of the view. It must not block, and may call View and SetReady only.
 	Changed func(*View)
 }
@@ -96,6 +104,8 @@
 	entries   map[string]*knownEntry
 	sources   map[string]*source // by peer address
 	answered  time.Time
+	asked     time.Time     // when the latest question that was answered was asked
+	news      chan struct{} // closed with each answer
 	lost      bool
 }
 
@@ -121,6 +131,8 @@
 	asking  bool
 	asked   time.Time
 	heard   time.Time // when it last answered
+	crashes uint64    // version of the own notes of crashes that it has
+	blame   uint64    // version of the last Suspects
 }
 
 // New starts a feed.
@@ -128,6 +140,7 @@
 	f := &Feed{
 		o: o, started: o.Clock.Now().UnixNano(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
+		news: make(chan struct{}),
 	}
 	f.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -146,15 +159,45 @@
 
 // SetReady says whether this node takes new callers. The control nodes are told at once.
 func (f *Feed) SetReady(ready bool) {
-	if f.ready.Swap(ready) == ready {
-		return
+	if f.ready.Swap(ready) != ready {
+		f.AskNow()
 	}
+}
+
+// AskNow asks, and so tells, all control nodes at once.
+func (f *Feed) AskNow() {
 	select {
 	case f.wake <- struct{}{}:
 	default: // a wake is planned already
 	}
 }
 
+// consultAge is the age up to which an answer counts as news. It bounds the questions ahead of time.
+const consultAge = 100 * time.Millisecond
+
+// Consult returns when a control node has answered a question that was asked a moment ago, or after the context's end.
+func (f *Feed) Consult(ctx context.Context) {
+	since := f.o.Clock.Now().Add(-consultAge)
+	asked := false
+	for {
+		f.mu.Lock()
+		fresh, news := f.asked.After(since), f.news
+		f.mu.Unlock()
+		if fresh {
+			return
+		}
+		if !asked {
+			asked = true
+			f.AskNow()
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 const tickEvery = 50 * time.Millisecond
 
 func (f *Feed) run() {
@@ -231,7 +274,10 @@
 	f.report++
 	q := Ask{Entry: f.o.Self, Epoch: s.epoch, Seen: s.seen, Version: f.version}
 	q.Entry.Started, q.Entry.Report, q.Entry.Ready = f.started, f.report, f.ready.Load()
+	q.SuspectsSeen = s.blame
+	told := s.crashes
 	f.mu.Unlock()
+	q.Crashes, told = f.o.Blame.Own(f.o.Clock.Now(), told)
 	body, err := cbor.Marshal(q)
 	if err != nil { // the question holds plain values only
 		panic(err)
@@ -253,6 +299,10 @@
 		return
 	}
 	s.failed, s.sure, s.heard = 0, tell.Sure, now
+	s.crashes = told
+	if s.epoch != tell.Epoch && s.epoch != 0 {
+		s.crashes = 0 // it restarted, and has forgotten what it was told
+	}
 	// A moving average, so that one slow answer does not change the primary node.
 	if took := now.Sub(began); s.took == 0 {
 		s.took = took
@@ -260,6 +310,11 @@
 		s.took += (took - s.took) / 8
 	}
 	f.take(now, s, tell)
+	if began.After(f.asked) {
+		f.asked = began
+	}
+	close(f.news)
+	f.news = make(chan struct{})
 }
 
 // failed counts a question without an answer. A node that is not a seed and does not answer for long is forgotten.
@@ -283,6 +338,12 @@
 	for _, a := range tell.Control {
 		f.addSource(a)
 	}
+	if len(tell.Suspects) > 0 {
+		for _, c := range f.o.Blame.Merge(now, tell.Suspects) {
+			f.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", s.address))
+		}
+	}
+	s.blame = tell.SuspectsVersion
 	changed := f.takeDelta(now, tell.Delta, s.address, tell.Sure)
 	if tell.Document != nil && tell.Document.Version > f.version {
 		changed = f.takeDocument(tell.Document, s.address) || changed
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
@@ -44,6 +45,7 @@
 	staged    time.Duration   // until the stages were done
 	first     time.Duration   // until the first event or the answer was passed on
 	failed    map[string]bool // upstreams that failed this request
+	content   *blame.Content  // nil until it was needed
 }
 
 // refusal is an answer of this node.
@@ -70,6 +72,10 @@
 	x.limitTime()
 	defer x.cancel()
 	x.f.countRequest(x.service)
+	if refused := x.blocked(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
 	x.forward()
 }
 
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -33,6 +33,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/feed"
@@ -58,7 +59,11 @@
 	Maker      *maker.Maker
 	Hub        *peer.Hub
 	Budget     Budget
-	Seed       uint64
+	Blame      *blame.Board
+	Report     func() // called after a note on Blame that other nodes should hear of soon; it must not block
+	// Consult waits until Blame holds what a control node knew a moment ago, or until the context ends.
+	Consult func(context.Context)
+	Seed    uint64
 }
 
 // Front is a running forwarder; it is an http.Handler.
@@ -77,6 +82,8 @@
 	budget  *budget
 	rng     *rand.Rand
 	placers map[placeKey]*engine.Placer // of engines, where this node keeps them
+	// reported is when a crash was last reported ahead of the next question.
+	reported time.Time
 }
 
 const sweepEvery = time.Second
--- a/internal/gate/front/front_test.go
+++ b/internal/gate/front/front_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
@@ -63,6 +66,7 @@
 	f := New(Options{
 		Node: "e1", DataCentre: "a", Region: "n", RegionOf: map[string]string{"a": "n"}, Dialect: d, Clock: c, Events: events,
 		View: load, Pool: pool, Maker: mk, Budget: Budget{Ratio: 1, Window: time.Second, Slack: 100},
+		Blame: blame.New(), Report: func() {}, Consult: func(context.Context) {},
 	})
 	server := httptest.NewServer(f)
 	t.Cleanup(func() {
@@ -209,6 +213,45 @@
 	assert.Equal(t, len(three[0].Requests())+len(three[1].Requests())+len(three[2].Requests()), 2)
 }
 
+// Guards against a request that takes down one upstream after the other by coming again, against its blocking without a
+// true refusal, and against other requests that are blocked with it.
+func TestCrashingContentIsBlocked(t *testing.T) {
+	dies := func(c *rawup.Conn, _ *rawup.Request) { c.Reset() }
+	ups := []*rawup.Upstream{rawup.New(t, dies), rawup.New(t, dies), rawup.New(t, dies), rawup.New(t, dies)}
+	s := newSite(t, func(r *conf.Route) { r.Attempts = 3 }, ups...)
+	runs := func() (n int) {
+		for _, u := range ups {
+			n += len(u.Requests())
+		}
+		return n
+	}
+	assert.Equal(t, s.do(s.request("/x/", "id1")).status, http.StatusBadGateway)
+	assert.Equal(t, runs(), 3)
+	got := s.do(s.request("/x/", "id2"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, runs(), 3)
+	assert.Equal(t, s.do(s.request("/x/other", "id3")).status, http.StatusBadGateway)
+	assert.Equal(t, runs(), 6)
+}
+
+// Guards against an innocent request that is blocked because the upstreams that it ran on broke, although it was answered
+// in between.
+func TestAnsweredContentIsNotBlocked(t *testing.T) {
+	var count atomic.Int32
+	third := func(c *rawup.Conn, r *rawup.Request) {
+		if count.Add(1)%3 != 0 {
+			c.Reset()
+			return
+		}
+		c.WriteString(answerOf(200, r.Header.Get("Berylledge-Request"), "ok", signed))
+	}
+	s := newSite(t, func(r *conf.Route) { r.Attempts = 3 }, rawup.New(t, third), rawup.New(t, third), rawup.New(t, third), rawup.New(t, third))
+	for i := range 3 {
+		assert.Equal(t, s.do(s.request("/x/", fmt.Sprint("id", i))).status, 200)
+	}
+}
+
 // Guards against an upstream's failure that is replaced by one of this node, or passed on with another status.
 func TestUpstreamsFailureIsPassedOn(t *testing.T) {
 	fails := func(c *rawup.Conn, r *rawup.Request) {
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -128,7 +128,7 @@
 	case len(x.failed) >= maxUnsent:
 		r = x.giveUp("the upstreams cannot be reached", retrySoon)
 	default:
-		return nil
+		return x.blocked()
 	}
 	return &r
 }
@@ -163,6 +163,9 @@
 	if outcome == upcon.MaybeRan {
 		x.sent++
 		x.maybeRan = true
+		if x.ctx.Err() == nil && brokeOff(err) {
+			x.noteCrash(a.from)
+		}
 	}
 	return x.mayAttempt()
 }
@@ -358,6 +361,7 @@
 		result = pick.Fault
 	}
 	x.finished(a, result)
+	x.noteAnswer()
 	if whole {
 		x.write(a, body)
 		return
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -42,6 +42,7 @@
 		err := s.pass(a)
 		if err == nil {
 			x.finished(a, pick.Good)
+			x.noteAnswer()
 			x.maybeRan = false
 			x.log(a.Status, "")
 			return
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -18,6 +18,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/desk"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/front"
@@ -54,7 +55,8 @@
 	member *keep.Member // control nodes
 	desk   *desk.Desk
 
-	feed  *feed.Feed // entry nodes
+	feed  *feed.Feed   // entry nodes
+	board *blame.Board // contents that crash upstreams, as this entry node knows them
 	maker *maker.Maker
 	front *front.Front
 	pool  *upcon.Pool
@@ -197,11 +199,12 @@
 		<-assigned
 		p.viewChanged(v)
 	}
+	p.board = blame.New()
 	p.feed = feed.New(feed.Options{
 		Self: roster.Entry{
 			Node: p.s.Node, Address: p.s.Listen.Callers, Peer: address, DataCentre: p.s.DataCentre, Region: p.s.Region,
 		},
-		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Changed: changed,
+		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Blame: p.board, Changed: changed,
 	})
 	close(assigned)
 	p.maker = maker.New(maker.Options{
@@ -217,7 +220,7 @@
 		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
 		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker, Hub: p.hub,
 		Budget: front.Budget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
-		Seed:   uint64(p.o.Clock.Now().UnixNano()),
+		Blame:  p.board, Report: p.feed.AskNow, Consult: p.feed.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
 	idle := newIdle(p.o.Clock, p.idleTime)
 	p.http = &http.Server{Handler: p.front, ConnState: idle.state, ErrorLog: log.New(io.Discard, "", 0)}
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -11,12 +11,14 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -31,6 +33,7 @@
 	nodes map[int]*Process
 	seeds []string
 	up    *rawup.Upstream
+	born  int64 // start of the upstream
 }
 
 const (
@@ -43,7 +46,7 @@
 )
 
 func newFleet(t *testing.T, network int) *fleet {
-	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}}
+	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}, born: 5}
 	for i := 1; i <= 3; i++ {
 		f.seeds = append(f.seeds, f.at(i, controlPort))
 	}
@@ -154,7 +157,7 @@
 
 func (f *fleet) beat(node int, state roster.State, sequence int64) int {
 	u := roster.Upstream{
-		Service: "desk", Address: f.up.Address, DataCentre: "a", State: state, Born: 5, Sequence: sequence,
+		Service: "desk", Address: f.up.Address, DataCentre: "a", State: state, Born: f.born, Sequence: sequence,
 	}
 	status, _ := f.do("PUT", "http://"+f.at(node, controlPort)+"/v1/traffic/upstreams/u1", u)
 	return status
@@ -309,6 +312,61 @@
 	assert.Assert(t, err != nil, "the listener is closed")
 }
 
+// Guards against a request that crashes each upstream that runs it and comes again at another entry node each time, against
+// a control node that forgets what it was told when it restarts, and against other requests that are blocked with it.
+func TestCrashingContentIsBlockedOnAllNodes(t *testing.T) {
+	f := newFleet(t, 66)
+	var runs atomic.Int32
+	f.up = rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+		if r.RequestURI == "/x/bad" {
+			runs.Add(1)
+			c.Reset()
+			return
+		}
+		c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nBerylledge-Request: %s\r\nBerylledge-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+			r.Header.Get("Berylledge-Request")))
+	})
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	f.put(1, f.config(5, "/x/"))
+	for n := 11; n <= 13; n++ {
+		p := f.start(n, false)
+		f.born++
+		f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+		f.eventually("the entry node knows its latest start", func() bool {
+			list := p.feed.View().Services["desk"]
+			return p.isReady() && len(list) == 1 && list[0].Born == f.born
+		})
+		assert.Equal(t, f.request(n, "/x/bad"), http.StatusBadGateway)
+	}
+	assert.Equal(t, runs.Load(), int32(blame.MostCrashes))
+	for _, n := range []int{11, 12, 13} {
+		f.eventually("each entry node refuses it", func() bool { return f.request(n, "/x/bad") == http.StatusServiceUnavailable })
+	}
+	assert.Assert(t, runs.Load() <= 2*blame.MostCrashes, "%d runs", runs.Load())
+	before := runs.Load()
+	for n := 1; n <= 3; n++ {
+		f.stop(n)
+		f.start(n, false)
+		f.eventually("the entry nodes ask it", func() bool { return f.read(n) == 5 })
+	}
+	f.eventually("the upstream is registered again", func() bool { return f.beat(1, roster.Ready, 2) == 200 })
+	f.eventually("the control nodes are told again", func() bool {
+		_, blocked := f.nodes[11].board.Blocked(time.Now(), f.badContent())
+		return blocked && f.nodes[1].desk.Suspects() > 0 && f.nodes[2].desk.Suspects() > 0 && f.nodes[3].desk.Suspects() > 0
+	})
+	p := f.start(14, false)
+	f.eventually("a new entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	f.eventually("it serves others", func() bool { return f.request(14, "/x/good") == http.StatusOK })
+	assert.Equal(t, f.request(14, "/x/bad"), http.StatusServiceUnavailable)
+	assert.Equal(t, runs.Load(), before)
+}
+
+func (f *fleet) badContent() blame.Content {
+	return blame.Sum("api.example", "/x/bad", "", []byte("null"))
+}
+
 // Guards against settings that only show their fault later.
 func TestSettingsAreChecked(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.json")
--- a/internal/node/gated/metrics.go
+++ b/internal/node/gated/metrics.go
@@ -22,8 +22,10 @@
 		for state, n := range p.desk.Upstreams() {
 			line("upstreams", fmt.Sprintf(`{state="%d"}`, state), n)
 		}
+		line("suspect_contents", `{role="control"}`, p.desk.Suspects())
 	}
 	if p.front != nil {
+		line("suspect_contents", `{role="entry"}`, p.board.Len())
 		p.front.WriteMetrics(line)
 		line("dialed", "", p.pool.Dialed())
 	}
