Model forming, repair and versions; keep a majority while adding voters

Cause: keep.Decide gave two waiting members a vote, one after the other, when the group had an odd number of voters, even if another voter was silent. Of three voters with one silent, the first of the two changes needs three of four: if the new voter dies then, the group has no majority until it or the silent one returns. Found by the new exhaustive test.

Change: such a vote is given only while the voters that answer suffice without the new one; otherwise the silent voter is replaced first. TestEachChangeLeavesAMajority tries all groups of up to 6 other members and failed first. spec/ has three new models with nine mutants: forming from seeds, repair (PAIR_WITH_SILENT is this fault), highest version.

--- a/internal/state/keep/repair.go
+++ b/internal/state/keep/repair.go
@@ -27,14 +27,18 @@
 // Decide returns the next change of the members, made by the leader, or false. voters is the number of voters aimed at.
 //
 // The group is kept at an odd number of voters up to that number: an even one needs a larger majority and bears no more
-// losses. A voter that cannot return is removed at once, because it only enlarges the majority.
+// losses. A voter that cannot return is removed at once, because it only enlarges the majority. A vote that enlarges the
+// majority is given only while the voters that answer suffice without it: the member may have died since it was heard.
 func Decide(peers []Peer, voters int) (raft.Change, bool) {
-	have := 1 // the leader itself
+	have, live := 1, 1 // the leader itself
 	var waiting []Peer
 	for _, p := range peers {
 		switch {
 		case !p.Learner:
 			have++
+			if !p.Lost && p.Silent < replaceAfter {
+				live++
+			}
 		case !p.Lost && p.Silent < replaceAfter && p.Lag <= maxLag:
 			waiting = append(waiting, p)
 		}
@@ -48,7 +52,8 @@
 		return raft.Change{}, false
 	}
 	room := have < voters
-	if room && (have%2 == 0 || len(waiting) >= 2 && have+2 <= voters) {
+	pair := len(waiting) >= 2 && have+2 <= voters && (have == 1 || 2*live > have+1)
+	if room && (have%2 == 0 || pair) {
 		return raft.Change{Kind: raft.Promote, Member: waiting[0].Member}, true
 	}
 	for _, p := range peers {
--- a/internal/state/keep/repair_test.go
+++ b/internal/state/keep/repair_test.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,73 @@
 		}
 	}
 }
+
+// Guards, over all groups of up to 6 other members, against a change of the members that costs a majority that was there:
+// the voters that answer must be able to commit it, even if a member that gets its vote has died since it last answered.
+// Guards also against changes without end.
+func TestEachChangeLeavesAMajority(t *testing.T) {
+	const others, most = 6, 7
+	lost := voter("", 0)
+	lost.Lost = true
+	kinds := []Peer{voter("", 0), voter("", time.Minute), lost, learner("", 0), learner("", 999), {
+		Member: raft.Member{Learner: true}, Silent: time.Minute,
+	}}
+	var try func(peers []Peer, kind int)
+	try = func(peers []Peer, kind int) {
+		for _, voters := range []int{1, 3, 5, most} {
+			checkChanges(t, peers, voters)
+		}
+		if len(peers) == others {
+			return
+		}
+		for k := kind; k < len(kinds); k++ {
+			p := kinds[k]
+			p.ID = string(rune('a' + len(peers)))
+			try(append(slices.Clone(peers), p), k)
+		}
+	}
+	try(nil, 0)
+}
+
+// checkChanges applies one change after the other while the members stay as they are.
+func checkChanges(t *testing.T, peers []Peer, voters int) {
+	t.Helper()
+	start := peers
+	peers = slices.Clone(peers)
+	for step := range 20 {
+		live, have := 1, 1
+		for _, p := range peers {
+			if p.Learner {
+				continue
+			}
+			have++
+			if !p.Lost && p.Silent == 0 {
+				live++
+			}
+		}
+		if 2*live <= have {
+			return // the leader cannot change anything
+		}
+		change, ok := Decide(peers, voters)
+		if !ok {
+			return
+		}
+		at := slices.IndexFunc(peers, func(p Peer) bool { return p.ID == change.Member.ID })
+		switch change.Kind {
+		case raft.Promote:
+			// A single voter cannot gain a second one without relying on it.
+			if have > 1 && 2*live <= have+1 {
+				t.Fatalf("%+v, %d voters: after %d changes, promoting %s leaves %d sure voters of %d", start, voters, step, change.Member.ID, live, have+1)
+			}
+			peers[at].Learner = false
+		case raft.Remove:
+			if p := peers[at]; !p.Learner && !p.Lost && p.Silent == 0 {
+				t.Fatalf("%+v: a voter that answers is removed", start)
+			}
+			peers = slices.Delete(peers, at, at+1)
+		case raft.AddLearner:
+			t.Fatalf("%+v: members ask to be added", start)
+		}
+	}
+	t.Fatalf("%+v, %d voters: changes without end", start, voters)
+}
--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -24,6 +24,20 @@
 consensus-wiped-votes | consensus | -DM_WIPED_VOTES | leader_of
 consensus-old-log-wins | consensus | -DM_OLD_LOG_WINS | done_term
 consensus-late-append | consensus | -DM_LATE_APPEND_TRUNCATES | done
+forming | forming | | holds
+forming-twice-lost | forming | -DWIPES=2 | holds
+forming-majority | forming | -DM_FIRST_LEADER_BY_MAJORITY | led==group
+forming-without-all | forming | -DM_FORM_WITHOUT_ALL | led==group
+repair | repair | | holds
+repair-seven | repair | -DWANTED=7 -DMOST=8 | holds
+repair-pair-with-silent | repair | -DM_PAIR_WITH_SILENT | 2*live
+repair-vote-at-once | repair | -DM_VOTE_AT_ONCE | 2*live
+repair-heard-none | repair | -DM_NEW_LEADER_HEARD_NONE | 2*live
+version | version | | holds
+version-last-wins | version | -DM_LAST_WINS | first_content
+version-equal-replaces | version | -DM_EQUAL_REPLACES | first_content
+version-entry-takes-any | version | -DM_ENTRY_TAKES_ANY | version[i]>=in_force
+version-read-without-index | version | -DM_READ_WITHOUT_INDEX | version[i]>=acknowledged
 ledger | ledger | | holds
 ledger-no-horizon | ledger | -DM_NO_HORIZON | runs<=1
 ledger-regrant-unknown | ledger | -DM_REGRANT_UNKNOWN | runs<=1
