--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -1,6 +1,6 @@
 // Package crash finds requests that crash the upstreams that run them, and keeps them from running again.
 //
-// It has two deterministic state machines. Fleet is the shared part: it is applied in the order of the control group's
+// It has two deterministic state machines. poison.Fleet is the shared part: it is applied in the order of the control group's
 // log and decides the status of each fingerprint. Machine is the part of one entry node: it watches attempts, reports
 // the deaths of upstreams and asks for permission to run a suspect.
 //
@@ -23,94 +23,40 @@
 // Usage (on a node; the control group's answers come back as Learned and SoloAnswer events):
 //
 //	m := crash.New(crash.DefaultPolicy())
-//	for _, a := range m.Step(now, crash.Ask{ID: 1, Fingerprint: crash.Sum("ask", "rerank", input)}) {
+//	for _, a := range m.Step(now, crash.Ask{ID: 1, Fingerprint: poison.Sum("ask", "rerank", input)}) {
 //		switch a := a.(type) {
 //		case crash.Run:       // dispatch, then Step(now, crash.Started{...})
-//		case crash.ClaimSolo: // propose crash.AskSolo to the control group
+//		case crash.ClaimSolo: // propose poison.AskSolo to the control group
 //		...
 //		}
 //	}
 package crash
 
-import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
-	"time"
-)
-
-// Fingerprint identifies the content of a stage run, whoever sent it.
-type Fingerprint [16]byte
-
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
-
-// Word returns the first 8 bytes as a number, for route.Need.Fingerprint.
-func (f Fingerprint) Word() uint64 { return binary.LittleEndian.Uint64(f[:8]) }
-
-// Sum returns the fingerprint of a stage run: the first half of the sha256 of the pipeline, the stage and the input, which
-// may be given in parts.
-// A cryptographic hash is used so that a team cannot construct a request that is isolated in place of another team's.
-func Sum(pipeline, stage string, input ...[]byte) Fingerprint {
-	// One buffer, usually on the stack, costs less than several writes to a hash.
-	buf := make([]byte, 0, 512)
-	for _, name := range []string{pipeline, stage} {
-		// The lengths keep "a"+"bc" apart from "ab"+"c".
-		buf = binary.LittleEndian.AppendUint64(buf, uint64(len(name)))
-		buf = append(buf, name...)
-	}
-	for _, part := range input {
-		buf = append(buf, part...)
-	}
-	sum := sha256.Sum256(buf)
-	return Fingerprint(sum[:len(Fingerprint{})])
-}
-
-// Status is what the fleet thinks of a fingerprint.
-type Status int
-
-// The statuses.
-const (
-	// Clean fingerprints run freely.
-	Clean Status = iota
-	// Suspect ones run solo.
-	Suspect
-	// Held ones were running at two deaths and wait until those that ran beside them are cleared.
-	Held
-	// Isolated ones do not run until they expire or are cleared.
-	Isolated
-)
-
-// String returns the name of the status as it appears in lists.
-func (s Status) String() string {
-	switch s {
-	case Clean:
-		return "clean"
-	case Suspect:
-		return "suspect"
-	case Held:
-		return "held"
-	case Isolated:
-		return "isolated"
-	}
-	return "unknown"
-}
-
-// Entry is a fingerprint with its status.
-type Entry struct {
-	Fingerprint Fingerprint
-	Status      Status
-	Deaths      int
-	Expires     time.Time
+import "time"
+
+// Policy holds the parameters of a Machine. DefaultPolicy fills all of them.
+type Policy struct {
+	// Confirm is how long a broken attempt waits for evidence that its upstream died or survived.
+	Confirm time.Duration
+	// Remember is how long broken attempts are kept for evidence that comes late, such as an expired lease.
+	Remember time.Duration
+	// HoldAnswer is the longest time for which the answer to a failure is held back until the report is known.
+	HoldAnswer time.Duration
+	// Retry is the delay before a claim that was not granted is made again, and the delay that held callers are told.
+	Retry time.Duration
+	// Refused is the delay of a run after an upstream refused its connection, and of all contents that are not proven
+	// after the node heard of a death: what died with the upstream should be known before the run goes to another one.
+	Refused time.Duration
+	// Proven is the number of contents that are remembered as having succeeded.
+	Proven int
+	// MaxWait is the longest wait of a request for a solo run; it is refused afterwards as not run.
+	MaxWait time.Duration
 }
 
-// ParseFingerprint reads the hexadecimal form.
-func ParseFingerprint(s string) (Fingerprint, bool) {
-	var f Fingerprint
-	b, err := hex.DecodeString(s)
-	if err != nil || len(b) != len(f) {
-		return f, false
+// DefaultPolicy returns the parameters that docs/notes/routing.md explains.
+func DefaultPolicy() Policy {
+	return Policy{
+		Confirm: 500 * time.Millisecond, Remember: 30 * time.Second, HoldAnswer: time.Second,
+		Retry: 100 * time.Millisecond, Refused: 100 * time.Millisecond, Proven: 4096, MaxWait: 10 * time.Second,
 	}
-	copy(f[:], b)
-	return f, true
 }
--- a/internal/flow/crash/crash_test.go
+++ b/internal/flow/crash/crash_test.go
@@ -7,12 +7,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
-func fp(b byte) crash.Fingerprint { return crash.Fingerprint{b} }
+func fp(b byte) poison.Fingerprint { return poison.Fingerprint{b} }
 
-func statuses(f *crash.Fleet) map[byte]crash.Status {
-	out := map[byte]crash.Status{}
+func statuses(f *poison.Fleet) map[byte]poison.Status {
+	out := map[byte]poison.Status{}
 	for _, e := range f.List() {
 		out[e.Fingerprint[0]] = e.Status
 	}
@@ -22,17 +23,17 @@
 // Guards against blame for what only ran beside the guilty request, against isolation before the reports of other nodes
 // have come, and against entries that never expire or cannot be cleared.
 func TestFleetTellsSuspectsApart(t *testing.T) {
-	f := crash.NewFleet(crash.DefaultFleetPolicy())
-	die := func(at time.Duration, up string, members ...crash.Fingerprint) uint64 {
-		return f.Apply(start.Add(at), crash.ReportDeath{Upstream: up, Incarnation: 1, Members: members}).Version
+	f := poison.NewFleet(poison.DefaultFleetPolicy())
+	die := func(at time.Duration, up string, members ...poison.Fingerprint) uint64 {
+		return f.Apply(start.Add(at), poison.ReportDeath{Upstream: up, Incarnation: 1, Members: members}).Version
 	}
 	v := die(0, "u1", fp(1), fp(2))
 	die(0, "u1", fp(1)) // another node's report of the same death is not a second death
-	assert.DeepEqual(t, statuses(f), map[byte]crash.Status{1: crash.Suspect, 2: crash.Suspect})
-	ask := func(b byte, up string) crash.Result {
-		return f.Apply(start.Add(crash.DefaultFleetPolicy().SoloAfter), crash.AskSolo{Fingerprint: fp(b), Upstream: up, Node: "n"})
+	assert.DeepEqual(t, statuses(f), map[byte]poison.Status{1: poison.Suspect, 2: poison.Suspect})
+	ask := func(b byte, up string) poison.Result {
+		return f.Apply(start.Add(poison.DefaultFleetPolicy().SoloAfter), poison.AskSolo{Fingerprint: fp(b), Upstream: up, Node: "n"})
 	}
-	early := f.Apply(start, crash.AskSolo{Fingerprint: fp(1), Upstream: "u2", Node: "n"})
+	early := f.Apply(start, poison.AskSolo{Fingerprint: fp(1), Upstream: "u2", Node: "n"})
 	assert.Assert(t, !early.Granted, "a copy may have killed another upstream at the same time")
 	assert.Assert(t, ask(1, "u2").Granted)
 	assert.Assert(t, !ask(1, "u3").Granted, "two solo runs of one suspect")
@@ -40,18 +41,18 @@
 	assert.Assert(t, !ask(9, "u3").Granted, "a clean one needs no grant")
 	die(0, "u2", fp(1))
 	die(0, "u2", fp(3)) // known to another node only, so its report comes later
-	assert.DeepEqual(t, statuses(f), map[byte]crash.Status{1: crash.Held, 2: crash.Suspect, 3: crash.Suspect})
-	f.Apply(start.Add(time.Minute), crash.ReportSuccess{Fingerprint: fp(2), Version: v - 1})
-	assert.Equal(t, statuses(f)[2], crash.Suspect, "a run from before the death cleared its suspect")
-	last := f.Apply(start.Add(time.Minute), crash.ReportSuccess{Fingerprint: fp(3), Version: v + 20})
-	assert.DeepEqual(t, statuses(f), map[byte]crash.Status{1: crash.Isolated, 2: crash.Suspect})
-	assert.DeepEqual(t, last.Changed, []crash.Entry{
-		{Fingerprint: fp(1), Status: crash.Isolated, Deaths: 2, Expires: start.Add(time.Hour)}, {Fingerprint: fp(3)},
+	assert.DeepEqual(t, statuses(f), map[byte]poison.Status{1: poison.Held, 2: poison.Suspect, 3: poison.Suspect})
+	f.Apply(start.Add(time.Minute), poison.ReportSuccess{Fingerprint: fp(2), Version: v - 1})
+	assert.Equal(t, statuses(f)[2], poison.Suspect, "a run from before the death cleared its suspect")
+	last := f.Apply(start.Add(time.Minute), poison.ReportSuccess{Fingerprint: fp(3), Version: v + 20})
+	assert.DeepEqual(t, statuses(f), map[byte]poison.Status{1: poison.Isolated, 2: poison.Suspect})
+	assert.DeepEqual(t, last.Changed, []poison.Entry{
+		{Fingerprint: fp(1), Status: poison.Isolated, Deaths: 2, Expires: start.Add(time.Hour)}, {Fingerprint: fp(3)},
 	})
 	assert.Assert(t, !ask(1, "u4").Granted)
-	f.Apply(start, crash.Clear{Fingerprint: fp(1)})
-	assert.DeepEqual(t, statuses(f), map[byte]crash.Status{2: crash.Suspect})
-	f.Apply(start.Add(time.Hour), crash.Expire{})
+	f.Apply(start, poison.Clear{Fingerprint: fp(1)})
+	assert.DeepEqual(t, statuses(f), map[byte]poison.Status{2: poison.Suspect})
+	f.Apply(start.Add(time.Hour), poison.Expire{})
 	assert.Equal(t, len(f.List()), 0)
 }
 
@@ -59,7 +60,7 @@
 // against an answer that lets the caller outrun the report.
 func TestMachineHoldsBackUntilTheReportIsKnown(t *testing.T) {
 	m := crash.New(crash.DefaultPolicy())
-	report := crash.ReportCrash{Report: crash.ReportDeath{Upstream: "u1", Incarnation: 1, Members: []crash.Fingerprint{fp(1), fp(2)}}}
+	report := crash.ReportCrash{Report: poison.ReportDeath{Upstream: "u1", Incarnation: 1, Members: []poison.Fingerprint{fp(1), fp(2)}}}
 	want := func(at time.Duration, ev crash.Event, actions ...crash.Action) {
 		t.Helper()
 		assert.DeepEqual(t, m.Step(start.Add(at), ev), actions)
@@ -76,15 +77,15 @@
 	want(time.Second+2, crash.Tick{}, crash.Release{ID: 0}, crash.Release{ID: 1}, report) // not confirmed in time
 	want(time.Second+3, crash.Reported{Upstream: "u1", Incarnation: 1, Version: 5})
 	expires := start.Add(time.Hour)
-	entry := crash.Entry{Fingerprint: fp(1), Status: crash.Suspect, Deaths: 1, Expires: expires}
-	want(time.Second+4, crash.Learned{Version: 5, Entries: []crash.Entry{entry}}, crash.ClaimSolo{ID: 10, Fingerprint: fp(1)})
+	entry := poison.Entry{Fingerprint: fp(1), Status: poison.Suspect, Deaths: 1, Expires: expires}
+	want(time.Second+4, crash.Learned{Version: 5, Entries: []poison.Entry{entry}}, crash.ClaimSolo{ID: 10, Fingerprint: fp(1)})
 	want(time.Second+4, crash.SoloAnswer{ID: 10, Fingerprint: fp(1)}) // another node runs it
 	want(2*time.Second, crash.Tick{}, crash.ClaimSolo{ID: 10, Fingerprint: fp(1)})
 	want(2*time.Second, crash.Cancelled{ID: 10})
 	want(2*time.Second, crash.SoloAnswer{ID: 10, Fingerprint: fp(1), Granted: true}, crash.FinishSolo{ID: 10, Fingerprint: fp(1)})
-	entry.Status = crash.Isolated
-	want(2*time.Second, crash.Learned{Version: 6, Entries: []crash.Entry{entry}})
-	block := crash.Block{ID: 11, Fingerprint: fp(1), Status: crash.Isolated, RetryAfter: 100 * time.Millisecond}
+	entry.Status = poison.Isolated
+	want(2*time.Second, crash.Learned{Version: 6, Entries: []poison.Entry{entry}})
+	block := crash.Block{ID: 11, Fingerprint: fp(1), Status: poison.Isolated, RetryAfter: 100 * time.Millisecond}
 	want(2*time.Second, crash.Ask{ID: 11, Fingerprint: fp(1)}, block)
 	want(time.Hour, crash.Ask{ID: 12, Fingerprint: fp(1)}, crash.Run{ID: 12})
 }
@@ -92,18 +93,18 @@
 // Guards against two requests that were beside each other at two deaths, wait for each other for good, or run at the same
 // time, which would leave the case open.
 func TestSuspectsOfTheSameDeathsRunOneAfterTheOther(t *testing.T) {
-	f := crash.NewFleet(crash.DefaultFleetPolicy())
+	f := poison.NewFleet(poison.DefaultFleetPolicy())
 	var v uint64
 	for _, up := range []string{"u1", "u2"} {
-		v = f.Apply(start, crash.ReportDeath{Upstream: up, Incarnation: 1, Members: []crash.Fingerprint{fp(1), fp(2)}}).Version
+		v = f.Apply(start, poison.ReportDeath{Upstream: up, Incarnation: 1, Members: []poison.Fingerprint{fp(1), fp(2)}}).Version
 	}
 	ask := func(b byte, up string) bool {
-		return f.Apply(start.Add(time.Second), crash.AskSolo{Fingerprint: fp(b), Upstream: up, Node: "n"}).Granted
+		return f.Apply(start.Add(time.Second), poison.AskSolo{Fingerprint: fp(b), Upstream: up, Node: "n"}).Granted
 	}
 	assert.Assert(t, ask(2, "u3"))
 	assert.Assert(t, !ask(1, "u4"))
-	f.Apply(start.Add(2*time.Second), crash.ReportSuccess{Fingerprint: fp(2), Version: v})
-	assert.DeepEqual(t, statuses(f), map[byte]crash.Status{1: crash.Isolated})
+	f.Apply(start.Add(2*time.Second), poison.ReportSuccess{Fingerprint: fp(2), Version: v})
+	assert.DeepEqual(t, statuses(f), map[byte]poison.Status{1: poison.Isolated})
 }
 
 // Guards against a run that goes from an upstream that has just died to the next one before the suspects are known.
@@ -144,10 +145,10 @@
 	assert.Assert(t, !m.Stands(start, 2) && m.Stands(start, 3))
 	assert.Equal(t, len(m.Step(start, crash.Recheck{ID: 2})), 0)
 	assert.Assert(t, m.Asking(2))
-	entry := crash.Entry{Fingerprint: fp(2), Status: crash.Isolated, Deaths: 2, Expires: start.Add(time.Hour)}
-	m.Step(start, crash.Learned{Version: 1, Entries: []crash.Entry{entry}})
+	entry := poison.Entry{Fingerprint: fp(2), Status: poison.Isolated, Deaths: 2, Expires: start.Add(time.Hour)}
+	m.Step(start, crash.Learned{Version: 1, Entries: []poison.Entry{entry}})
 	assert.Assert(t, !m.Stands(start, 3))
-	want := []crash.Action{crash.Block{ID: 3, Fingerprint: fp(2), Status: crash.Isolated, RetryAfter: 100 * time.Millisecond}}
+	want := []crash.Action{crash.Block{ID: 3, Fingerprint: fp(2), Status: poison.Isolated, RetryAfter: 100 * time.Millisecond}}
 	assert.DeepEqual(t, m.Step(start, crash.Recheck{ID: 3}), want)
 }
 
@@ -168,7 +169,7 @@
 
 // Guards against fingerprints that depend on the caller or confuse the borders of their parts.
 func TestSum(t *testing.T) {
-	assert.Equal(t, crash.Sum("p", "s", []byte("x")), crash.Sum("p", "s", []byte("x")))
-	assert.Assert(t, crash.Sum("ab", "c", nil) != crash.Sum("a", "bc", nil))
-	assert.Assert(t, crash.Sum("a", "b", []byte("c")) != crash.Sum("a", "bc", nil))
+	assert.Equal(t, poison.Sum("p", "s", []byte("x")), poison.Sum("p", "s", []byte("x")))
+	assert.Assert(t, poison.Sum("ab", "c", nil) != poison.Sum("a", "bc", nil))
+	assert.Assert(t, poison.Sum("a", "b", []byte("c")) != poison.Sum("a", "bc", nil))
 }
--- a/internal/flow/crash/machine.go
+++ b/internal/flow/crash/machine.go
@@ -3,185 +3,9 @@
 import (
 	"slices"
 	"time"
-)
-
-// Policy holds the parameters of a Machine. DefaultPolicy fills all of them.
-type Policy struct {
-	// Confirm is how long a broken attempt waits for evidence that its upstream died or survived.
-	Confirm time.Duration
-	// Remember is how long broken attempts are kept for evidence that comes late, such as an expired lease.
-	Remember time.Duration
-	// HoldAnswer is the longest time for which the answer to a failure is held back until the report is known.
-	HoldAnswer time.Duration
-	// Retry is the delay before a claim that was not granted is made again, and the delay that held callers are told.
-	Retry time.Duration
-	// Refused is the delay of a run after an upstream refused its connection, and of all contents that are not proven
-	// after the node heard of a death: what died with the upstream should be known before the run goes to another one.
-	Refused time.Duration
-	// Proven is the number of contents that are remembered as having succeeded.
-	Proven int
-	// MaxWait is the longest wait of a request for a solo run; it is refused afterwards as not run.
-	MaxWait time.Duration
-}
-
-// DefaultPolicy returns the parameters that docs/notes/routing.md explains.
-func DefaultPolicy() Policy {
-	return Policy{
-		Confirm: 500 * time.Millisecond, Remember: 30 * time.Second, HoldAnswer: time.Second,
-		Retry: 100 * time.Millisecond, Refused: 100 * time.Millisecond, Proven: 4096, MaxWait: 10 * time.Second,
-	}
-}
-
-// Event is something that happened on the node.
-//
-//sumtype:decl
-type Event interface{ event() }
-
-// Ask wants to start a run. The answer is Run, RunSolo (after ClaimSolo) or Block, at once or later.
-type Ask struct {
-	ID          uint64
-	Fingerprint Fingerprint
-}
-
-// Started says that the run was dispatched to an upstream.
-type Started struct {
-	ID          uint64
-	Upstream    string
-	Incarnation uint64
-}
-
-// Refused says that the upstream refused the connection, so that the run was not dispatched. It is answered like Ask.
-type Refused struct{ ID uint64 }
-
-// Recheck takes back a permit that was given before what is known now. It is answered like Ask; see Stands.
-type Recheck struct{ ID uint64 }
-
-// Ended says that the run ended while its upstream was seen to live, or that it could not be started. OK says that it
-// produced its whole result.
-type Ended struct {
-	ID uint64
-	OK bool
-}
-
-// Broken says that the connection of the run broke, or that its upstream fell silent. Run's failure is answered after
-// Release.
-type Broken struct{ ID uint64 }
-
-// Died says that an incarnation of an upstream is gone: a higher one was announced, its lease ran out, or a new
-// connection to it was refused. It is not used for an upstream that said that it leaves.
-type Died struct {
-	Upstream    string
-	Incarnation uint64
-}
-
-// Survived says that an incarnation of an upstream was heard of, by a renewal or an answer. At is a time at which it
-// certainly lived: a renewal that was on its way when the upstream died says nothing about runs that broke later. The
-// zero value means now.
-type Survived struct {
-	Upstream    string
-	Incarnation uint64
-	At          time.Time
-}
-
-// Cancelled says that a request that was waiting for its answer to Ask has gone.
-type Cancelled struct{ ID uint64 }
-
-// Learned carries entries from the control group. Unless it is whole, it is used only by a node that knows the entries
-// as of the version Before; see Gap. One that is older than what the node knows is ignored.
-type Learned struct {
-	Version uint64
-	Before  uint64
-	Whole   bool // the entries are all that there are
-	Entries []Entry
-}
-
-// Reported says that the control group applied a ReportDeath, as the command of the given version.
-type Reported struct {
-	Upstream    string
-	Incarnation uint64
-	Version     uint64
-}
-
-// SoloAnswer is the control group's answer to a ClaimSolo. Granted is false as well if the group could not be reached.
-type SoloAnswer struct {
-	ID          uint64
-	Fingerprint Fingerprint
-	Granted     bool
-	Until       time.Time
-}
-
-// Tick lets time pass; it is due every 100 ms while requests wait.
-type Tick struct{}
-
-func (Ask) event()        {}
-func (Started) event()    {}
-func (Refused) event()    {}
-func (Recheck) event()    {}
-func (Ended) event()      {}
-func (Broken) event()     {}
-func (Died) event()       {}
-func (Survived) event()   {}
-func (Cancelled) event()  {}
-func (Learned) event()    {}
-func (Reported) event()   {}
-func (SoloAnswer) event() {}
-func (Tick) event()       {}
-
-// Action is what the node has to do.
-//
-//sumtype:decl
-type Action interface{ action() }
-
-// Run lets a run start. Proven says that the content succeeded lately; unless it is set, the upstream must be sampled by
-// the fingerprint (route.Need.Fingerprint).
-type Run struct {
-	ID     uint64
-	Proven bool
-}
-
-// ClaimSolo asks for an upstream to be picked and AskSolo to be proposed for it.
-type ClaimSolo struct {
-	ID          uint64
-	Fingerprint Fingerprint
-}
-
-// RunSolo lets a run start on the upstream of its claim. It must be cancelled at Until.
-type RunSolo struct {
-	ID    uint64
-	Until time.Time
-}
-
-// Block refuses a run as not run. Unless it is isolated, the caller may send it again after RetryAfter.
-type Block struct {
-	ID          uint64
-	Fingerprint Fingerprint
-	Status      Status
-	RetryAfter  time.Duration
-}
-
-// ReportCrash asks for ReportDeath to be proposed. It is repeated until Reported confirms it.
-type ReportCrash struct{ Report ReportDeath }
-
-// ReportClear asks for ReportSuccess to be proposed.
-type ReportClear struct{ Report ReportSuccess }
-
-// Release says that the failure of a broken run may now be answered or retried (through a new Ask).
-type Release struct{ ID uint64 }
-
-// FinishSolo asks for EndSolo to be proposed: a solo run ended.
-type FinishSolo struct {
-	ID          uint64
-	Fingerprint Fingerprint
-}
 
-func (Run) action()         {}
-func (ClaimSolo) action()   {}
-func (RunSolo) action()     {}
-func (Block) action()       {}
-func (ReportCrash) action() {}
-func (ReportClear) action() {}
-func (Release) action()     {}
-func (FinishSolo) action()  {}
+	"github.com/berylledge/berylledge/internal/state/poison"
+)
 
 // phase is where a run stands.
 type phase int
@@ -198,7 +22,7 @@
 
 type run struct {
 	id          uint64
-	fingerprint Fingerprint
+	fingerprint poison.Fingerprint
 	phase       phase
 	since       time.Time // of the phase
 	asked       time.Time
@@ -222,12 +46,12 @@
 type Machine struct {
 	policy  Policy
 	version uint64
-	entries map[Fingerprint]Entry
+	entries map[poison.Fingerprint]poison.Entry
 	runs    map[uint64]*run
 	free    *run // a run that ended, to be used again
 	trouble bool // some run may be beyond the running phase; spares the search for it on each Ask
-	proven  map[Fingerprint]bool
-	ring    []Fingerprint // of proven, in the order of their first success
+	proven  map[poison.Fingerprint]bool
+	ring    []poison.Fingerprint // of proven, in the order of their first success
 	next    int
 	// dead holds the highest incarnation of each upstream that died lately, and newsUntil the time by which what died with
 	// the latest of them should be known.
@@ -239,7 +63,7 @@
 // New returns a machine that knows no suspects.
 func New(policy Policy) *Machine {
 	return &Machine{
-		policy: policy, entries: map[Fingerprint]Entry{}, runs: map[uint64]*run{}, proven: map[Fingerprint]bool{}, dead: map[string]gone{},
+		policy: policy, entries: map[poison.Fingerprint]poison.Entry{}, runs: map[uint64]*run{}, proven: map[poison.Fingerprint]bool{}, dead: map[string]gone{},
 	}
 }
 
@@ -306,10 +130,10 @@
 func (m *Machine) do(a Action) { m.out = append(m.out, a) }
 
 // status returns the status of a fingerprint, without entries that have expired.
-func (m *Machine) status(now time.Time, fp Fingerprint) Status {
+func (m *Machine) status(now time.Time, fp poison.Fingerprint) poison.Status {
 	e, ok := m.entries[fp]
 	if !ok || !now.Before(e.Expires) {
-		return Clean
+		return poison.Clean
 	}
 	return e.Status
 }
@@ -318,11 +142,11 @@
 func (m *Machine) answer(now time.Time, r *run) {
 	status := m.status(now, r.fingerprint)
 	switch {
-	case status == Isolated || status == Held:
+	case status == poison.Isolated || status == poison.Held:
 		m.block(r, status)
 	case now.Sub(r.asked) >= m.policy.MaxWait:
-		m.block(r, Suspect)
-	case status == Suspect:
+		m.block(r, poison.Suspect)
+	case status == poison.Suspect:
 		r.solo = true
 		r.enter(now, claiming)
 		m.do(ClaimSolo{r.id, r.fingerprint})
@@ -345,10 +169,10 @@
 // the choice then avoids it although what died with it is not known.
 func (m *Machine) Stands(now time.Time, id uint64) bool {
 	r := m.runs[id]
-	return r == nil || r.phase != allowed || r.solo || m.status(now, r.fingerprint) == Clean && !m.awaitsNews(now, r)
+	return r == nil || r.phase != allowed || r.solo || m.status(now, r.fingerprint) == poison.Clean && !m.awaitsNews(now, r)
 }
 
-func (m *Machine) block(r *run, s Status) {
+func (m *Machine) block(r *run, s poison.Status) {
 	delete(m.runs, r.id)
 	m.do(Block{ID: r.id, Fingerprint: r.fingerprint, Status: s, RetryAfter: m.policy.Retry})
 }
@@ -357,7 +181,7 @@
 // it yet. A run whose upstream is silent stops counting after Confirm, because most silent upstreams have another cause;
 // two of them on different upstreams count until there is evidence, so that content that silences its upstreams does not
 // take one after the other.
-func (m *Machine) unresolved(fp Fingerprint) bool {
+func (m *Machine) unresolved(fp poison.Fingerprint) bool {
 	if !m.trouble {
 		return false
 	}
@@ -384,7 +208,7 @@
 		m.prove(r.fingerprint)
 	}
 	if _, known := m.entries[r.fingerprint]; known && e.OK {
-		m.do(ReportClear{ReportSuccess{r.fingerprint, r.version}})
+		m.do(ReportClear{poison.ReportSuccess{Fingerprint: r.fingerprint, Version: r.version}})
 	}
 	m.finishSolo(r)
 	m.free = r
@@ -401,7 +225,7 @@
 }
 
 // prove remembers a content that succeeded, and forgets the oldest one above the limit.
-func (m *Machine) prove(fp Fingerprint) {
+func (m *Machine) prove(fp poison.Fingerprint) {
 	if m.proven[fp] || m.policy.Proven <= 0 {
 		return
 	}
@@ -421,92 +245,6 @@
 	}
 }
 
-// died makes all runs on the incarnation suspects, those that broke earlier included.
-func (m *Machine) died(now time.Time, e Died) {
-	if d, known := m.dead[e.Upstream]; !known || d.incarnation < e.Incarnation {
-		m.dead[e.Upstream] = gone{e.Incarnation, now}
-		m.newsUntil = now.Add(m.policy.Refused)
-	}
-	var fresh []*run
-	for _, r := range m.on(e.Upstream, e.Incarnation) {
-		if r.died {
-			continue
-		}
-		r.died = true
-		m.trouble = true
-		fresh = append(fresh, r)
-		if r.phase != over {
-			r.enter(now, dead)
-		}
-	}
-	m.report(now, fresh)
-}
-
-// report reports runs on the same incarnation.
-func (m *Machine) report(now time.Time, runs []*run) {
-	if len(runs) == 0 {
-		return
-	}
-	var members []Fingerprint
-	for _, r := range runs {
-		r.reportedAt = now
-		members = append(members, r.fingerprint)
-	}
-	slices.SortFunc(members, compare)
-	m.do(ReportCrash{ReportDeath{runs[0].upstream, runs[0].incarnation, slices.Compact(members)}})
-}
-
-// settle ends the runs whose report is confirmed and in force on this node.
-func (m *Machine) settle() {
-	for _, r := range m.ordered(func(r *run) bool { return r.confirmed > 0 && r.confirmed <= m.version }) {
-		if r.phase == dead {
-			m.do(Release{r.id})
-		}
-		delete(m.runs, r.id)
-	}
-}
-
-// on returns the dispatched runs on an incarnation, ordered by id.
-func (m *Machine) on(upstream string, incarnation uint64) []*run {
-	return m.ordered(func(r *run) bool {
-		return r.phase >= running && r.upstream == upstream && r.incarnation == incarnation
-	})
-}
-
-func (m *Machine) ordered(match func(*run) bool) []*run {
-	var out []*run
-	for _, r := range m.runs {
-		if match(r) {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b *run) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-func (m *Machine) survived(e Survived) {
-	for _, r := range m.on(e.Upstream, e.Incarnation) {
-		if !e.At.IsZero() && r.since.After(e.At) {
-			continue
-		}
-		switch r.phase {
-		case broken:
-			m.do(Release{r.id})
-			m.finishSolo(r)
-			delete(m.runs, r.id)
-		case over:
-			m.finishSolo(r)
-			delete(m.runs, r.id)
-		case asking, claiming, allowed, running, dead:
-		}
-	}
-}
-
 // Gap reports whether changes between what the node knows and a Learned are missing, so that all entries must be asked
 // for.
 func (m *Machine) Gap(e Learned) bool { return !e.Whole && e.Before > m.version }
@@ -535,7 +273,7 @@
 		clear(m.entries)
 	}
 	for _, entry := range e.Entries {
-		if entry.Status == Clean {
+		if entry.Status == poison.Clean {
 			delete(m.entries, entry.Fingerprint)
 		} else {
 			m.entries[entry.Fingerprint] = entry
@@ -613,34 +351,14 @@
 	m.answerWaiting(now)
 }
 
-// repeatReports sends the reports again that are not confirmed.
-func (m *Machine) repeatReports(now time.Time) {
-	due := m.ordered(func(r *run) bool {
-		return r.died && r.confirmed == 0 && now.Sub(r.reportedAt) >= m.policy.HoldAnswer
-	})
-	for len(due) > 0 {
-		first := due[0]
-		var same, rest []*run
-		for _, r := range due {
-			if r.upstream == first.upstream && r.incarnation == first.incarnation {
-				same = append(same, r)
-			} else {
-				rest = append(rest, r)
-			}
-		}
-		m.report(now, same)
-		due = rest
-	}
-}
-
 // List returns the entries that the node knows, ordered by fingerprint.
-func (m *Machine) List(now time.Time) []Entry {
-	var out []Entry
+func (m *Machine) List(now time.Time) []poison.Entry {
+	var out []poison.Entry
 	for _, e := range m.entries {
 		if now.Before(e.Expires) {
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(out, func(a, b poison.Entry) int { return a.Fingerprint.Compare(b.Fingerprint) })
 	return out
 }
--- a/internal/flow/crash/sim_test.go
+++ b/internal/flow/crash/sim_test.go
@@ -12,6 +12,7 @@
 	"github.com/berylledge/berylledge/internal/fleet/upview"
 	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/flow/route"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/pkg/upapi"
 )
 
@@ -46,14 +47,14 @@
 	rng     *rand.Rand
 	nodes   []*node
 	ups     []*upstream
-	fleet   *crash.Fleet
+	fleet   *poison.Fleet
 	lag     time.Duration // longest delay of a message
 	sampled bool          // samples by the fingerprint
 
 	deaths    int
 	served    int
 	innocents int
-	isolated  map[crash.Fingerprint]bool
+	isolated  map[poison.Fingerprint]bool
 }
 
 type upstream struct {
@@ -75,7 +76,7 @@
 
 // request is one sending of a content; done is told how it ended.
 type request struct {
-	fp     crash.Fingerprint
+	fp     poison.Fingerprint
 	poison bool
 	done   func(isolated, ok bool)
 }
@@ -98,8 +99,8 @@
 
 func newWorld(seed uint64, nodes, upstreams int, lag time.Duration) *world {
 	w := &world{
-		now: start, rng: rand.New(rand.NewPCG(seed, 3)), fleet: crash.NewFleet(crash.DefaultFleetPolicy()), lag: lag,
-		sampled: true, isolated: map[crash.Fingerprint]bool{},
+		now: start, rng: rand.New(rand.NewPCG(seed, 3)), fleet: poison.NewFleet(poison.DefaultFleetPolicy()), lag: lag,
+		sampled: true, isolated: map[poison.Fingerprint]bool{},
 	}
 	for i := range upstreams {
 		w.ups = append(w.ups, &upstream{up: true, running: map[uint64]*attempt{}, announce: upapi.Announce{
@@ -153,24 +154,24 @@
 		case crash.Block:
 			q := n.asked[a.ID]
 			delete(n.asked, a.ID)
-			q.done(a.Status == crash.Isolated, false)
+			q.done(a.Status == poison.Isolated, false)
 		case crash.Release:
 			q := n.asked[a.ID]
 			delete(n.asked, a.ID)
 			q.done(false, false)
 		case crash.ReportCrash:
-			n.propose(a.Report, func(res crash.Result) {
+			n.propose(a.Report, func(res poison.Result) {
 				n.step(crash.Reported{Upstream: a.Report.Upstream, Incarnation: a.Report.Incarnation, Version: res.Version})
 			})
 		case crash.ReportClear:
 			n.propose(a.Report, nil)
 		case crash.FinishSolo:
-			n.propose(crash.EndSolo{Fingerprint: a.Fingerprint, Node: n.name, Run: a.ID}, nil)
+			n.propose(poison.EndSolo{Fingerprint: a.Fingerprint, Node: n.name, Run: a.ID}, nil)
 		}
 	}
 }
 
-func (n *node) pick(fp crash.Fingerprint, proven bool) route.Choice {
+func (n *node) pick(fp poison.Fingerprint, proven bool) route.Choice {
 	need := route.Need{Pool: "s", DataCentre: "a", Region: "r", Rank: 1, Repeatable: true}
 	if !proven && n.w.sampled {
 		need.Fingerprint = fp.Word()
@@ -185,18 +186,18 @@
 func (n *node) claim(a crash.ClaimSolo) {
 	c := n.pick(a.Fingerprint, true) // a random one, so that a claim that meets another solo run finds a free upstream
 	n.solo[a.ID] = c
-	n.propose(crash.AskSolo{Fingerprint: a.Fingerprint, Upstream: c.Upstream.ID, Node: n.name, Run: a.ID}, func(res crash.Result) {
+	n.propose(poison.AskSolo{Fingerprint: a.Fingerprint, Upstream: c.Upstream.ID, Node: n.name, Run: a.ID}, func(res poison.Result) {
 		n.step(crash.SoloAnswer{ID: a.ID, Fingerprint: a.Fingerprint, Granted: res.Granted, Until: res.Until})
 	})
 }
 
 // propose applies a command after a delay, tells all nodes what changed, each after its own delay, and answers.
-func (n *node) propose(cmd crash.Command, answer func(crash.Result)) {
+func (n *node) propose(cmd poison.Command, answer func(poison.Result)) {
 	w := n.w
 	w.after(w.delay(), func() {
 		res := w.fleet.Apply(w.now, cmd)
 		for _, e := range res.Changed {
-			if e.Status == crash.Isolated {
+			if e.Status == poison.Isolated {
 				w.isolated[e.Fingerprint] = true
 			}
 		}
@@ -304,7 +305,7 @@
 // innocent sends a content that does no harm, and again, up to 40 times, until it is served.
 func (w *world) innocent(i int) {
 	w.innocents++
-	fp := crash.Sum("p", "innocent", fmt.Appendf(nil, "%d", i))
+	fp := poison.Sum("p", "innocent", fmt.Appendf(nil, "%d", i))
 	tries := 0
 	var q request
 	q = request{fp: fp, done: func(_, ok bool) {
@@ -325,7 +326,7 @@
 		w.after(time.Duration(i)*2*time.Millisecond, func() { w.innocent(i) })
 	}
 	for p := range poisons {
-		q := request{fp: crash.Sum("p", "poison", []byte{byte(p)}), poison: true}
+		q := request{fp: poison.Sum("p", "poison", []byte{byte(p)}), poison: true}
 		sent := 0
 		resend := func() {
 			sent++
@@ -344,7 +345,7 @@
 		})
 	}
 	for i := range 30 {
-		w.after(time.Duration(i)*time.Second, func() { w.nodes[0].propose(crash.Expire{}, nil) })
+		w.after(time.Duration(i)*time.Second, func() { w.nodes[0].propose(poison.Expire{}, nil) })
 	}
 	w.run(30 * time.Second)
 	return w
@@ -364,7 +365,7 @@
 					assert.Assert(t, w.deaths <= 2*poisons, "%d deaths", w.deaths)
 					assert.Equal(t, w.served, w.innocents)
 					for p := range poisons {
-						fp := crash.Sum("p", "poison", []byte{byte(p)})
+						fp := poison.Sum("p", "poison", []byte{byte(p)})
 						assert.Assert(t, w.isolated[fp], "poison %d is not isolated: %v", p, w.fleet.List())
 						delete(w.isolated, fp)
 					}
--- a/internal/flow/exec/guard.go
+++ b/internal/flow/exec/guard.go
@@ -13,8 +13,8 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/fleet/upview"
-	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/flow/retry"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/pkg/caller"
 )
 
@@ -22,7 +22,7 @@
 type Permit struct {
 	ID     uint64
 	Run    bool // the run may start; if it may not, Status says why, Clean if the context ended first
-	Status crash.Status
+	Status poison.Status
 	// Proven says that the content succeeded lately, so any upstream may be picked.
 	Proven bool
 	// Solo runs start on the upstream that claim picked, and are cancelled at Until.
@@ -34,7 +34,7 @@
 // ended by exactly one of Refused, Ended, Broken, Lost and Cancelled.
 type Guard interface {
 	// Ask waits until a content may run. claim picks an upstream for a solo run; it may be called several times.
-	Ask(ctx context.Context, f crash.Fingerprint, claim func() (upstream string, ok bool)) Permit
+	Ask(ctx context.Context, f poison.Fingerprint, claim func() (upstream string, ok bool)) Permit
 	// Again waits for the next permit of a run after Refused returned true.
 	Again(ctx context.Context, id uint64, claim func() (upstream string, ok bool)) Permit
 	// Stands reports whether the permit of a run is still good once its upstream is chosen. If not, Again or Cancelled must
@@ -110,17 +110,17 @@
 }
 
 // fingerprint hashes what the upstream works on.
-func (st *stageRun) fingerprint() crash.Fingerprint {
-	return crash.Sum(st.req.Pipeline.Name, st.stage.Name, st.req.InputHash[:], []byte(st.prior))
+func (st *stageRun) fingerprint() poison.Fingerprint {
+	return poison.Sum(st.req.Pipeline.Name, st.stage.Name, st.req.InputHash[:], []byte(st.prior))
 }
 
-func (st *stageRun) blocked(fp crash.Fingerprint) *failure {
-	if st.permit.Status == crash.Clean {
+func (st *stageRun) blocked(fp poison.Fingerprint) *failure {
+	if st.permit.Status == poison.Clean {
 		return &failure{code: caller.CodeDeadline, message: "stage " + st.stage.Name + ": the deadline passed"}
 	}
 	st.o.Events.Emit(event.RequestBlocked, event.F("request", st.req.ID), event.F("stage", st.stage.Name),
 		event.F("team", st.req.Team), event.F("fingerprint", fp), event.F("status", st.permit.Status))
-	if st.permit.Status == crash.Isolated {
+	if st.permit.Status == poison.Isolated {
 		return &failure{code: caller.CodeQuarantined, message: "stage " + st.stage.Name + ": requests with this content crashed upstreams"}
 	}
 	st.mu.Lock()
--- a/internal/node/ctrl/suspects.go
+++ b/internal/node/ctrl/suspects.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/state/table"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
@@ -84,7 +84,7 @@
 	if count == 0 || !n.leads() {
 		return
 	}
-	for _, c := range table.CrashCommands(crash.Expire{}, n.o.Clock.Now().UnixMilli()) {
+	for _, c := range table.CrashCommands(poison.Expire{}, n.o.Clock.Now().UnixMilli()) {
 		if body, err := table.EncodeCommand(c); err == nil {
 			ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
 			_, _ = n.running().Propose(ctx, body) // repeated by the next turn
--- a/internal/node/guard/guard.go
+++ b/internal/node/guard/guard.go
@@ -26,6 +26,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/flow/exec"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/state/table"
 )
 
@@ -70,7 +71,7 @@
 	recent  time.Time // of the last tick; exact enough for events whose time decides nothing
 	waiting map[uint64]chan crash.Action
 	solos   map[uint64]grant // by the id of the run
-	known   map[crash.Fingerprint]crash.Status
+	known   map[poison.Fingerprint]poison.Status
 }
 
 // grant is the claim under which a solo run was granted.
@@ -88,7 +89,7 @@
 	}
 	g := &Guard{
 		o: o, m: crash.New(o.Policy), gap: make(chan struct{}, 1), waiting: map[uint64]chan crash.Action{},
-		solos: map[uint64]grant{}, known: map[crash.Fingerprint]crash.Status{},
+		solos: map[uint64]grant{}, known: map[poison.Fingerprint]poison.Status{},
 		// Starts with the time, so that the claims of a node that restarted are not taken for resends of earlier ones.
 		nextID: uint64(o.Clock.Now().UnixNano()), recent: o.Clock.Now(),
 	}
@@ -149,7 +150,7 @@
 	case crash.FinishSolo:
 		if s, ok := g.solos[a.ID]; ok {
 			delete(g.solos, a.ID)
-			g.propose(clearTimeout, crash.EndSolo{Fingerprint: a.Fingerprint, Node: g.o.Node, Run: s.run}, nil)
+			g.propose(clearTimeout, poison.EndSolo{Fingerprint: a.Fingerprint, Node: g.o.Node, Run: s.run}, nil)
 		}
 	}
 }
@@ -164,7 +165,7 @@
 	}
 }
 
-func (g *Guard) report(r crash.ReportDeath) {
+func (g *Guard) report(r poison.ReportDeath) {
 	g.propose(proposeTimeout, r, func(res table.CrashResult) {
 		g.o.Events.Emit(event.DeathReported, event.F("upstream", r.Upstream), event.F("incarnation", r.Incarnation),
 			event.F("members", len(r.Members)))
@@ -174,7 +175,7 @@
 
 // propose brings a command to the control group in the background. done gets the result of the last part; without an
 // answer it is not called. The caller holds the lock.
-func (g *Guard) propose(timeout time.Duration, cmd crash.Command, done func(table.CrashResult)) {
+func (g *Guard) propose(timeout time.Duration, cmd poison.Command, done func(table.CrashResult)) {
 	if g.closed {
 		return
 	}
@@ -188,7 +189,7 @@
 }
 
 // send proposes a command and learns what it changed.
-func (g *Guard) send(ctx context.Context, cmd crash.Command) (last table.CrashResult, err error) {
+func (g *Guard) send(ctx context.Context, cmd poison.Command) (last table.CrashResult, err error) {
 	for _, c := range table.CrashCommands(cmd, g.o.Clock.Now().UnixMilli()) {
 		res, err := g.o.Propose(ctx, c)
 		if err != nil {
@@ -198,7 +199,7 @@
 		if !ok {
 			return last, &RefusedError{Result: res}
 		}
-		g.learn(r.Learned())
+		g.learn(learnedResult(r))
 		last = r
 	}
 	return last, nil
@@ -210,7 +211,7 @@
 func (e *RefusedError) Error() string { return "the control group refused the command" }
 
 // Learn takes what the control group sent.
-func (g *Guard) Learn(n table.CrashNews) { g.learn(n.Learned()) }
+func (g *Guard) Learn(n table.CrashNews) { g.learn(learnedNews(n)) }
 
 func (g *Guard) learn(e crash.Learned) {
 	g.mu.Lock()
@@ -227,20 +228,20 @@
 	g.mu.Unlock()
 	for _, c := range changed {
 		switch c.Status {
-		case crash.Clean:
+		case poison.Clean:
 			g.o.Events.Emit(event.SuspectCleared, event.F("fingerprint", c.Fingerprint))
-		case crash.Isolated:
+		case poison.Isolated:
 			g.o.Events.Emit(event.RequestIsolated, event.F("fingerprint", c.Fingerprint), event.F("deaths", c.Deaths))
-		case crash.Suspect, crash.Held:
+		case poison.Suspect, poison.Held:
 			g.o.Events.Emit(event.RequestSuspected, event.F("fingerprint", c.Fingerprint), event.F("status", c.Status), event.F("deaths", c.Deaths))
 		}
 	}
 }
 
 // changes returns the entries whose status differs from what was reported as an event before. The caller holds the lock.
-func (g *Guard) changes() []crash.Entry {
-	var out []crash.Entry
-	next := map[crash.Fingerprint]crash.Status{}
+func (g *Guard) changes() []poison.Entry {
+	var out []poison.Entry
+	next := map[poison.Fingerprint]poison.Status{}
 	for _, e := range g.m.List(g.o.Clock.Now()) {
 		next[e.Fingerprint] = e.Status
 		if g.known[e.Fingerprint] != e.Status {
@@ -249,7 +250,7 @@
 	}
 	for fp := range g.known {
 		if _, ok := next[fp]; !ok {
-			out = append(out, crash.Entry{Fingerprint: fp})
+			out = append(out, poison.Entry{Fingerprint: fp})
 		}
 	}
 	g.known = next
@@ -257,7 +258,7 @@
 }
 
 // List returns the suspects that this node knows.
-func (g *Guard) List() []crash.Entry {
+func (g *Guard) List() []poison.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.m.List(g.o.Clock.Now())
--- a/internal/node/guard/guard_test.go
+++ b/internal/node/guard/guard_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
-	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/node/entry"
 	"github.com/berylledge/berylledge/internal/node/guard"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/state/table"
 	"github.com/berylledge/berylledge/internal/test/fake"
 	"github.com/berylledge/berylledge/internal/test/leak"
@@ -33,7 +33,7 @@
 const (
 	nodes     = 3
 	upstreams = 8
-	poison    = "poison"
+	badInput  = "poison"
 	// restartAfter is how long a stand-in takes to come back after a crash.
 	restartAfter = 300 * time.Millisecond
 )
@@ -98,7 +98,7 @@
 	r.startUpstream("gen", upapi.KindEngine)
 	r.wg.Go(func() {
 		for clock.Sleep(ctx, c, time.Second) == nil {
-			_, _ = r.ledger.Propose(ctx, table.CrashCommands(crash.Expire{}, c.Now().UnixMilli())[0])
+			_, _ = r.ledger.Propose(ctx, table.CrashCommands(poison.Expire{}, c.Now().UnixMilli())[0])
 		}
 	})
 	t.Cleanup(r.close)
@@ -164,7 +164,7 @@
 		return
 	}
 	if kind != upapi.KindEngine && !r.cured.Load() {
-		u.Set(fake.Behaviour{CrashOn: poison})
+		u.Set(fake.Behaviour{CrashOn: badInput})
 	}
 	close(made)
 	r.mu.Lock()
@@ -226,7 +226,7 @@
 			var mu sync.Mutex
 			codes := map[caller.Code]int{}
 			shoot := func(i int) {
-				ref := r.send(i, poison)
+				ref := r.send(i, badInput)
 				if ref == nil {
 					t.Errorf("poison %d was answered", i)
 					return
@@ -265,7 +265,7 @@
 			assert.NilError(t, err)
 			for i := range nodes {
 				poll.WaitOn(t, func(poll.LogT) poll.Result {
-					if ref := r.send(i, poison); ref != nil {
+					if ref := r.send(i, badInput); ref != nil {
 						return poll.Continue("%v", ref)
 					}
 					return poll.Success()
@@ -286,12 +286,12 @@
 
 // awaitIsolated sends the innocent contents again meanwhile: those that ran beside the poison at its second death, and
 // were answered before it was known, keep it held instead of isolated until they are cleared.
-func (r *rig) awaitIsolated(again func()) (fp crash.Fingerprint) {
+func (r *rig) awaitIsolated(again func()) (fp poison.Fingerprint) {
 	r.t.Helper()
 	for _, g := range r.guards {
 		poll.WaitOn(r.t, func(poll.LogT) poll.Result {
 			for _, e := range g.List() {
-				if e.Status == crash.Isolated {
+				if e.Status == poison.Isolated {
 					fp = e.Fingerprint
 					return poll.Success()
 				}
@@ -307,7 +307,7 @@
 func TestWithoutGuardPoisonTakesDownMore(t *testing.T) {
 	r := start(t, false)
 	for i := range 50 {
-		r.send(i, poison)
+		r.send(i, badInput)
 	}
 	t.Logf("%d crashes without the guard", r.crashes.Load())
 	assert.Assert(t, r.crashes.Load() > 2)
--- a/internal/node/guard/runs.go
+++ b/internal/node/guard/runs.go
@@ -7,10 +7,11 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/flow/exec"
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
 // Ask implements exec.Guard. Content that is not suspected gets its permit at once.
-func (g *Guard) Ask(ctx context.Context, f crash.Fingerprint, claim func() (string, bool)) exec.Permit {
+func (g *Guard) Ask(ctx context.Context, f poison.Fingerprint, claim func() (string, bool)) exec.Permit {
 	g.mu.Lock()
 	g.nextID++
 	id := g.nextID
@@ -76,7 +77,7 @@
 			g.step(crash.Cancelled{ID: id})
 			return exec.Permit{ID: id}
 		case <-g.ctx.Done():
-			return exec.Permit{ID: id, Status: crash.Suspect}
+			return exec.Permit{ID: id, Status: poison.Suspect}
 		}
 	}
 }
@@ -96,12 +97,12 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	res, err := g.send(ctx, crash.AskSolo{Fingerprint: a.Fingerprint, Upstream: upstream, Node: g.o.Node, Run: number})
+	res, err := g.send(ctx, poison.AskSolo{Fingerprint: a.Fingerprint, Upstream: upstream, Node: g.o.Node, Run: number})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case err != nil: // it may have been granted
-		g.propose(clearTimeout, crash.EndSolo{Fingerprint: a.Fingerprint, Node: g.o.Node, Run: number}, nil)
+		g.propose(clearTimeout, poison.EndSolo{Fingerprint: a.Fingerprint, Node: g.o.Node, Run: number}, nil)
 	case res.Granted:
 		answer.Granted, answer.Until = true, time.UnixMilli(res.UntilMS)
 		g.solos[a.ID] = grant{number, answer.Until}
--- a/internal/node/guard/unit_test.go
+++ b/internal/node/guard/unit_test.go
@@ -12,6 +12,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/node/guard"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/test/local"
 )
 
@@ -24,7 +25,7 @@
 		Node: "e", Clock: c, Events: event.New(event.Options{Node: "e", Clock: c}), Propose: l.Propose, Fetch: l.Fetch, Policy: policy,
 	})
 	defer g.Close()
-	ctx, suspect, other := context.Background(), crash.Fingerprint{1}, crash.Fingerprint{2}
+	ctx, suspect, other := context.Background(), poison.Fingerprint{1}, poison.Fingerprint{2}
 	claim := func() (string, bool) { return "u2", true }
 	p := g.Ask(ctx, suspect, claim)
 	assert.Assert(t, p.Run && !p.Solo)
@@ -36,7 +37,7 @@
 	l.Fail(true)
 	p = g.Ask(ctx, suspect, claim)
 	assert.Assert(t, !p.Run)
-	assert.Equal(t, p.Status, crash.Suspect)
+	assert.Equal(t, p.Status, poison.Suspect)
 	p = g.Ask(ctx, other, claim)
 	assert.Assert(t, p.Run && !p.Solo)
 	g.Started(p.ID, "u2", 1)
--- a/internal/flow/crash/fleet.go
+++ b/internal/state/poison/fleet.go
@@ -1,4 +1,4 @@
-package crash
+package poison
 
 import (
 	"bytes"
@@ -183,11 +183,12 @@
 	for _, e := range f.entries {
 		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(out, func(a, b Entry) int { return a.Fingerprint.Compare(b.Fingerprint) })
 	return out
 }
 
-func compare(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) }
+// Compare orders fingerprints.
+func (f Fingerprint) Compare(g Fingerprint) int { return bytes.Compare(f[:], g[:]) }
 
 func (f *Fleet) expire(now time.Time) {
 	f.deaths = slices.DeleteFunc(f.deaths, func(d *death) bool { return now.Sub(d.at) >= f.policy.Expire || len(d.members) == 0 })
@@ -360,6 +361,6 @@
 		}
 	}
 	f.entries = next
-	slices.SortFunc(changed, func(a, b Entry) int { return compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(changed, func(a, b Entry) int { return a.Fingerprint.Compare(b.Fingerprint) })
 	return changed
 }
--- a/internal/flow/crash/snapshot.go
+++ b/internal/state/poison/snapshot.go
@@ -1,4 +1,4 @@
-package crash
+package poison
 
 import (
 	"maps"
@@ -68,7 +68,7 @@
 }
 
 func sortedKeys[V any](m map[Fingerprint]V) []Fingerprint {
-	return slices.SortedFunc(maps.Keys(m), compare)
+	return slices.SortedFunc(maps.Keys(m), Fingerprint.Compare)
 }
 
 // RestoreFleet returns the fleet of a snapshot. It refuses one that exceeds the bounds of the policy.
--- a/internal/state/table/codec_test.go
+++ b/internal/state/table/codec_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/state/table"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -37,7 +37,7 @@
 	p.Note = "first"
 	lease := acquire("h", t0+8)
 	lease.ChecksFence = true
-	fp := crash.Fingerprint{0xab, 15: 0xcd}
+	fp := poison.Fingerprint{0xab, 15: 0xcd}
 	return []table.Command{
 		p, claim("k", "tok", t0+5), s, abandon("k", "tok", t0+7), lease,
 		table.RenewLease{Upstream: "u", Holder: "h", Fence: 1, TTLMS: 9, AtMS: t0 + 9},
--- a/internal/state/table/crash.go
+++ b/internal/state/table/crash.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
-// CrashOp says which command of package crash a Crash carries.
+// CrashOp says which command of package poison a Crash carries.
 type CrashOp string
 
 // The operations. Clear is a command of its own, ClearQuarantine, because operators give it.
@@ -21,12 +21,12 @@
 // MaxCrashMembers bounds the fingerprints of one report of a death; a node with more of them reports in parts.
 const MaxCrashMembers = 256
 
-// Crash carries a command of package crash. Fields that the operation does not use are zero.
+// Crash carries a command of package poison. Fields that the operation does not use are zero.
 type Crash struct {
-	Op          CrashOp           `cbor:"1,keyasint"`
-	Fingerprint crash.Fingerprint `cbor:"2,keyasint"`
-	Upstream    string            `cbor:"3,keyasint,omitempty"`
-	Incarnation uint64            `cbor:"4,keyasint,omitempty"`
+	Op          CrashOp            `cbor:"1,keyasint"`
+	Fingerprint poison.Fingerprint `cbor:"2,keyasint"`
+	Upstream    string             `cbor:"3,keyasint,omitempty"`
+	Incarnation uint64             `cbor:"4,keyasint,omitempty"`
 	// Members holds the fingerprints of a report of a death, one after the other.
 	Members []byte `cbor:"5,keyasint,omitempty"`
 	Node    string `cbor:"6,keyasint,omitempty"`
@@ -35,11 +35,11 @@
 	AtMS    int64  `cbor:"9,keyasint"`
 }
 
-// CrashCommands returns the commands that carry a command of package crash: more than one for a report with more than
-// MaxCrashMembers members, and none for crash.Clear.
-func CrashCommands(c crash.Command, atMS int64) []Crash {
+// CrashCommands returns the commands that carry a command of package poison: more than one for a report with more than
+// MaxCrashMembers members, and none for poison.Clear.
+func CrashCommands(c poison.Command, atMS int64) []Crash {
 	switch c := c.(type) {
-	case crash.ReportDeath:
+	case poison.ReportDeath:
 		var out []Crash
 		for rest := c.Members; len(rest) > 0; {
 			n := min(len(rest), MaxCrashMembers)
@@ -50,39 +50,39 @@
 			out, rest = append(out, x), rest[n:]
 		}
 		return out
-	case crash.ReportSuccess:
+	case poison.ReportSuccess:
 		return []Crash{{Op: CrashReportSuccess, Fingerprint: c.Fingerprint, Version: c.Version, AtMS: atMS}}
-	case crash.AskSolo:
+	case poison.AskSolo:
 		return []Crash{{Op: CrashAskSolo, Fingerprint: c.Fingerprint, Upstream: c.Upstream, Node: c.Node, Run: c.Run, AtMS: atMS}}
-	case crash.EndSolo:
+	case poison.EndSolo:
 		return []Crash{{Op: CrashEndSolo, Fingerprint: c.Fingerprint, Node: c.Node, Run: c.Run, AtMS: atMS}}
-	case crash.Expire:
+	case poison.Expire:
 		return []Crash{{Op: CrashExpire, AtMS: atMS}}
-	case crash.Clear:
+	case poison.Clear:
 	}
 	return nil
 }
 
-func (c Crash) command() crash.Command {
+func (c Crash) command() poison.Command {
 	switch c.Op {
 	case CrashReportDeath:
-		r := crash.ReportDeath{Upstream: c.Upstream, Incarnation: c.Incarnation}
+		r := poison.ReportDeath{Upstream: c.Upstream, Incarnation: c.Incarnation}
 		for m := c.Members; len(m) > 0; m = m[fingerprintBytes:] {
-			r.Members = append(r.Members, crash.Fingerprint(m[:fingerprintBytes]))
+			r.Members = append(r.Members, poison.Fingerprint(m[:fingerprintBytes]))
 		}
 		return r
 	case CrashReportSuccess:
-		return crash.ReportSuccess{Fingerprint: c.Fingerprint, Version: c.Version}
+		return poison.ReportSuccess{Fingerprint: c.Fingerprint, Version: c.Version}
 	case CrashAskSolo:
-		return crash.AskSolo{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Node: c.Node, Run: c.Run}
+		return poison.AskSolo{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Node: c.Node, Run: c.Run}
 	case CrashEndSolo:
-		return crash.EndSolo{Fingerprint: c.Fingerprint, Node: c.Node, Run: c.Run}
+		return poison.EndSolo{Fingerprint: c.Fingerprint, Node: c.Node, Run: c.Run}
 	case CrashExpire:
 	}
-	return crash.Expire{}
+	return poison.Expire{}
 }
 
-const fingerprintBytes = len(crash.Fingerprint{})
+const fingerprintBytes = len(poison.Fingerprint{})
 
 func (c Crash) check() error {
 	f := fields{kind: c.kind()}
@@ -108,18 +108,18 @@
 
 // CrashEntry is a suspect with its status, in results and in messages between processes.
 type CrashEntry struct {
-	Fingerprint crash.Fingerprint `cbor:"1,keyasint"`
-	Status      crash.Status      `cbor:"2,keyasint"`
-	Deaths      int               `cbor:"3,keyasint"`
-	ExpiresMS   int64             `cbor:"4,keyasint"`
+	Fingerprint poison.Fingerprint `cbor:"1,keyasint"`
+	Status      poison.Status      `cbor:"2,keyasint"`
+	Deaths      int                `cbor:"3,keyasint"`
+	ExpiresMS   int64              `cbor:"4,keyasint"`
 }
 
-// CrashEntries returns entries of package crash in the form that messages carry.
-func CrashEntries(list []crash.Entry) []CrashEntry {
+// CrashEntries returns entries of package poison in the form that messages carry.
+func CrashEntries(list []poison.Entry) []CrashEntry {
 	out := make([]CrashEntry, 0, len(list))
 	for _, e := range list {
 		x := CrashEntry{Fingerprint: e.Fingerprint, Status: e.Status, Deaths: e.Deaths}
-		if e.Status != crash.Clean {
+		if e.Status != poison.Clean {
 			x.ExpiresMS = e.Expires.UnixMilli()
 		}
 		out = append(out, x)
@@ -134,37 +134,16 @@
 	Brief   bool         `cbor:"3,keyasint,omitempty"`
 }
 
-// Learned returns the event for the machine of a node.
-func (n CrashNews) Learned() crash.Learned {
-	if n.Brief {
-		return crash.Learned{Version: n.Version, Before: n.Version}
-	}
-	return crash.Learned{Version: n.Version, Whole: true, Entries: learnedEntries(n.Entries)}
-}
-
-func learnedEntries(list []CrashEntry) []crash.Entry {
-	out := make([]crash.Entry, 0, len(list))
-	for _, e := range list {
-		out = append(out, crash.Entry{
-			Fingerprint: e.Fingerprint, Status: e.Status, Deaths: e.Deaths, Expires: time.UnixMilli(e.ExpiresMS).UTC(),
-		})
-	}
-	return out
+// Entry returns the entry in the form of package poison.
+func (e CrashEntry) Entry() poison.Entry {
+	return poison.Entry{Fingerprint: e.Fingerprint, Status: e.Status, Deaths: e.Deaths, Expires: time.UnixMilli(e.ExpiresMS).UTC()}
 }
 
 // maxChanged bounds the changed entries of a result, so that it stays within the limits of the decoder.
 const maxChanged = 48
 
-// Learned returns the event for the machine of the node that proposed the command.
-func (r CrashResult) Learned() crash.Learned {
-	if r.Brief {
-		return crash.Learned{Version: r.Version, Before: r.Version}
-	}
-	return crash.Learned{Version: r.Version, Before: r.Before, Entries: learnedEntries(r.Changed)}
-}
-
 // applyCrash carries out a command at the state's time.
-func (s *State) applyCrash(cmd crash.Command) CrashResult {
+func (s *State) applyCrash(cmd poison.Command) CrashResult {
 	res := s.suspects.Apply(time.UnixMilli(s.nowMS).UTC(), cmd)
 	out := CrashResult{Version: res.Version, Before: res.Before, Granted: res.Granted, UpstreamTaken: res.UpstreamTaken}
 	if res.Granted {
@@ -178,11 +157,11 @@
 
 // clearQuarantine accepts what an operator typed: an unknown or malformed fingerprint clears nothing.
 func (s *State) clearQuarantine(c ClearQuarantine) ClearResult {
-	fp, ok := crash.ParseFingerprint(c.Fingerprint)
-	if !ok || s.suspects.Entry(fp).Status == crash.Clean {
+	fp, ok := poison.ParseFingerprint(c.Fingerprint)
+	if !ok || s.suspects.Entry(fp).Status == poison.Clean {
 		return ClearResult{}
 	}
-	s.applyCrash(crash.Clear{Fingerprint: fp})
+	s.applyCrash(poison.Clear{Fingerprint: fp})
 	return ClearResult{Cleared: true}
 }
 
@@ -195,15 +174,15 @@
 }
 
 // Suspects returns all entries, isolated ones included, ordered by fingerprint.
-func (s *State) Suspects() []crash.Entry { return s.suspects.List() }
+func (s *State) Suspects() []poison.Entry { return s.suspects.List() }
 
 // Isolated reports whether a fingerprint is isolated.
-func (s *State) Isolated(fp crash.Fingerprint) bool {
-	return s.suspects.Entry(fp).Status == crash.Isolated
+func (s *State) Isolated(fp poison.Fingerprint) bool {
+	return s.suspects.Entry(fp).Status == poison.Isolated
 }
 
-func (s *State) crashPolicy() crash.FleetPolicy {
-	p := crash.DefaultFleetPolicy()
+func (s *State) crashPolicy() poison.FleetPolicy {
+	p := poison.DefaultFleetPolicy()
 	p.MaxDeaths, p.Expire = s.rules.maxDeaths, time.Duration(s.rules.quarantineMS)*time.Millisecond
 	return p
 }
--- a/internal/state/table/result.go
+++ b/internal/state/table/result.go
@@ -161,7 +161,7 @@
 	RetryAfterMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// CrashResult answers Crash; see crash.Result. Granted, UntilMS and UpstreamTaken answer CrashAskSolo.
+// CrashResult answers Crash; see poison.Result. Granted, UntilMS and UpstreamTaken answer CrashAskSolo.
 type CrashResult struct {
 	Version       uint64       `cbor:"1,keyasint"`
 	Before        uint64       `cbor:"2,keyasint"`
--- a/internal/state/table/snapshot.go
+++ b/internal/state/table/snapshot.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
 
@@ -37,7 +37,7 @@
 	OrderHorizonMS int64                 `cbor:"12,keyasint"`
 	Bucket         bucket                `cbor:"13,keyasint"`
 	Downloads      []row[DownloadResult] `cbor:"14,keyasint"`
-	Suspects       []byte                `cbor:"17,keyasint"` // see crash.Fleet.Snapshot
+	Suspects       []byte                `cbor:"17,keyasint"` // see poison.Fleet.Snapshot
 }
 
 func rows[V any](a *aging[V]) []row[V] {
@@ -130,7 +130,7 @@
 		s.rules = s.rulesOf(cfg)
 	}
 	var err error
-	s.suspects, err = crash.RestoreFleet(s.crashPolicy(), im.Suspects)
+	s.suspects, err = poison.RestoreFleet(s.crashPolicy(), im.Suspects)
 	return s, errors.Wrap(err, "snapshot")
 }
 
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -45,7 +45,7 @@
 // of command may be proposed only when each member of the group runs a version that knows it.
 package table
 
-import "github.com/berylledge/berylledge/internal/flow/crash"
+import "github.com/berylledge/berylledge/internal/state/poison"
 
 // Limits bound the state. A zero value means the default in its comment. All replicas of a group must start from equal
 // limits; afterwards the limits travel in the snapshot. Times are in milliseconds.
@@ -161,7 +161,7 @@
 	bucket    bucket
 	downloads *aging[DownloadResult]
 
-	suspects *crash.Fleet
+	suspects *poison.Fleet
 }
 
 // New returns an empty state.
@@ -175,7 +175,7 @@
 	s.downloads = newAging[DownloadResult]()
 	s.bucket = bucket{Level: s.limits.StoreBurstBytes * bucketUnit}
 	s.rules = s.rulesOf(nil)
-	s.suspects = crash.NewFleet(s.crashPolicy())
+	s.suspects = poison.NewFleet(s.crashPolicy())
 	return s
 }
 
@@ -244,7 +244,7 @@
 func (s *State) Counts() Counts {
 	isolated := 0
 	for _, e := range s.suspects.List() {
-		if e.Status == crash.Isolated {
+		if e.Status == poison.Isolated {
 			isolated++
 		}
 	}
--- a/internal/state/table/table_test.go
+++ b/internal/state/table/table_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/berylledge/berylledge/internal/flow/crash"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/state/table"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -321,33 +321,33 @@
 // against a solo grant that is lost with its answer.
 func TestCrashSuspectsAreToldApart(t *testing.T) {
 	r := newRig(t, table.Limits{})
-	bad, neighbour := crash.Fingerprint{1}, crash.Fingerprint{2}
-	do := func(at int64, c crash.Command) (last table.CrashResult) {
+	bad, neighbour := poison.Fingerprint{1}, poison.Fingerprint{2}
+	do := func(at int64, c poison.Command) (last table.CrashResult) {
 		for _, x := range table.CrashCommands(c, at) {
 			last = apply[table.CrashResult](r, x)
 		}
 		return last
 	}
-	die := func(at int64, up string, members ...crash.Fingerprint) table.CrashResult {
-		return do(at, crash.ReportDeath{Upstream: up, Incarnation: 1, Members: members})
+	die := func(at int64, up string, members ...poison.Fingerprint) table.CrashResult {
+		return do(at, poison.ReportDeath{Upstream: up, Incarnation: 1, Members: members})
 	}
 	die(t0, "u1", bad, neighbour)
 	assert.Equal(t, len(die(t0, "u1", bad).Changed), 0, "one death was counted twice")
-	solo := crash.AskSolo{Fingerprint: bad, Upstream: "u2", Node: "n", Run: 7}
+	solo := poison.AskSolo{Fingerprint: bad, Upstream: "u2", Node: "n", Run: 7}
 	assert.Assert(t, do(t0+500, solo).Granted)
 	r.reload()
 	assert.Assert(t, do(t0+500, solo).Granted, "the resend of a granted claim was refused")
-	do(t0+500, crash.EndSolo{Fingerprint: bad, Node: "n", Run: 6})
+	do(t0+500, poison.EndSolo{Fingerprint: bad, Node: "n", Run: 6})
 	solo.Run = 8
 	assert.Assert(t, !do(t0+500, solo).Granted, "the end of an earlier run ended a later one")
 	die(t0+sec, "u2", bad)
 	r.reload()
 	assert.Assert(t, !r.s.Isolated(bad), "isolated before the reports of other nodes can have come")
-	do(t0+2*sec, crash.Expire{})
+	do(t0+2*sec, poison.Expire{})
 	assert.Assert(t, r.s.Isolated(bad))
 	assert.Assert(t, !r.s.Isolated(neighbour))
-	assert.DeepEqual(t, r.s.Suspects()[0], crash.Entry{
-		Fingerprint: bad, Status: crash.Isolated, Deaths: 2, Expires: time.UnixMilli(t0 + sec + hour).UTC(),
+	assert.DeepEqual(t, r.s.Suspects()[0], poison.Entry{
+		Fingerprint: bad, Status: poison.Isolated, Deaths: 2, Expires: time.UnixMilli(t0 + sec + hour).UTC(),
 	})
 	assert.Equal(t, r.s.Counts().Isolated, 1)
 	assert.Equal(t, r.s.Counts().Suspects, 1)
@@ -357,31 +357,31 @@
 	assert.Assert(t, !r.s.Isolated(bad))
 	die(t0+2*sec, "u3", bad)
 	die(t0+2*sec, "u4", bad)
-	do(t0+4*sec, crash.Expire{})
+	do(t0+4*sec, poison.Expire{})
 	assert.Assert(t, r.s.Isolated(bad))
-	do(t0+2*sec+hour, crash.Expire{})
+	do(t0+2*sec+hour, poison.Expire{})
 	assert.Equal(t, len(r.s.Suspects()), 0)
 
 	apply[table.ConfigResult](r, put(0, "c1", config(fleet.Limits{MaxUpstreamDeaths: 3, QuarantineMS: 10 * sec}), t0+2*hour))
 	r.reload()
 	for i, up := range []string{"u5", "u6", "u7"} {
 		die(t0+2*hour, up, bad)
-		do(t0+2*hour+2*sec, crash.Expire{})
+		do(t0+2*hour+2*sec, poison.Expire{})
 		assert.Equal(t, r.s.Isolated(bad), i == 2, up)
 	}
-	do(t0+2*hour+20*sec, crash.Expire{})
+	do(t0+2*hour+20*sec, poison.Expire{})
 	assert.Equal(t, len(r.s.Suspects()), 0)
 }
 
 // Guards against a result that its receiver cannot decode, and against a state that grows with each report.
 func TestCrashReportsAreBounded(t *testing.T) {
 	l := table.NewLog(table.Limits{})
-	index, list := uint64(0), make([]crash.Fingerprint, 600)
+	index, list := uint64(0), make([]poison.Fingerprint, 600)
 	for d := range uint64(200) {
 		for i := range list {
 			binary.LittleEndian.PutUint64(list[i][:], d<<16+uint64(i)+1)
 		}
-		for _, c := range table.CrashCommands(crash.ReportDeath{Upstream: "u", Incarnation: d, Members: list}, t0) {
+		for _, c := range table.CrashCommands(poison.ReportDeath{Upstream: "u", Incarnation: d, Members: list}, t0) {
 			data, err := table.EncodeCommand(c)
 			assert.NilError(t, err)
 			index++
