Log the inputs of refusals and of pieces that were not made

`no route matches` did not name host and path, and a piece `refused` by a queue named neither the service nor what the queue knew.

Change: forward_refused has host and path; piece_failed has service, region, queue length, pieces made a second lately, time waited and time left.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -149,13 +149,13 @@
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
 	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it.", []string{"request", "route", "team", "status", "upstream", "attempts", "stage_ms", "first_ms", "elapsed_ms", "ran", "reason"}, "See docs/OPERATIONS.md."},
-	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
+	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "host", "path", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
 	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
 	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
 	{ContentCrashed, "content_crashed", hclog.Info, "The connection to an upstream broke while it ran a forwarded request; crashes counts the starts of upstreams that broke so since the content was last answered.", []string{"request", "content", "upstream", "born_ms", "crashes"}, ""},
 	{ContentBlocked, "content_blocked", hclog.Warn, "Requests with this content are refused from now on: each upstream that ran it broke.", []string{"content", "peer"}, "Find the first content_crashed lines with this content; ask the caller what it sends."},
 	{ContentCleared, "content_cleared", hclog.Info, "A content that had been running on upstreams that broke was answered, so it is not their cause.", []string{"request", "content"}, ""},
-	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made.", []string{"request", "stage", "piece", "upstream", "reason"}, ""},
+	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made. It says how many pieces waited in the queue of the service in that region, how many were made a second lately (0: not known), how long this one waited, and how much longer its result would have been of use.", []string{"request", "stage", "piece", "service", "region", "upstream", "reason", "queued", "per_second", "waited_ms", "left_ms"}, ""},
 	{CallFailed, "call_failed", hclog.Info, "A call of a stage upstream failed as a whole.", []string{"upstream", "pieces", "outcome", "reason"}, ""},
 }
 
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -270,8 +270,18 @@
 	if x.table != nil {
 		version = x.table.Config.Version
 	}
-	x.f.o.Events.Emit(event.ForwardRefused, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
-		event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()), event.F("version", version))
+	x.f.o.Events.Emit(event.ForwardRefused, event.F("request", x.id), event.F("host", x.r.Host), event.F("path", shortened(x.r.URL.EscapedPath())),
+		event.F("route", x.name()), event.F("team", x.teamName()), event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()), event.F("version", version))
+}
+
+// pathLogged bounds the part of a path that is logged.
+const pathLogged = 80
+
+func shortened(path string) string {
+	if len(path) > pathLogged {
+		return path[:pathLogged] + "..."
+	}
+	return path
 }
 
 // log writes the line of a request that has ended. Status 0 means that the connection was closed without a whole answer.
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -303,10 +304,13 @@
 }
 
 func (m *Maker) deliver(q *queue, replies []stage.Reply) {
+	now := m.o.Clock.Now()
 	for _, r := range replies {
 		if r.Handle == "" {
-			m.o.Events.Emit(event.PieceFailed, event.F("request", r.Request), event.F("stage", r.Stage),
-				event.F("piece", r.Piece), event.F("upstream", r.Upstream), event.F("reason", r.Reason))
+			m.o.Events.Emit(event.PieceFailed, event.F("request", r.Request), event.F("stage", r.Stage), event.F("piece", r.Piece),
+				event.F("service", q.service), event.F("region", q.area), event.F("upstream", r.Upstream), event.F("reason", r.Reason),
+				event.F("queued", q.Len()), event.F("per_second", math.Round(q.Rate())),
+				event.F("waited_ms", r.Waited(now).Milliseconds()), event.F("left_ms", r.Deadline.Sub(now).Milliseconds()))
 		}
 		if f := m.waiting[r.Tag]; f != nil {
 			delete(m.waiting, r.Tag)
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -38,6 +38,9 @@
 	Upstream string
 }
 
+// Waited returns how long a job has been in the queue.
+func (j Job) Waited(now time.Time) time.Duration { return now.Sub(j.added) }
+
 // Target is an upstream of the service.
 type Target struct {
 	ID         string
@@ -167,6 +170,9 @@
 	}
 }
 
+// Rate returns the pieces a second that were made lately while others waited; 0: not known.
+func (q *Queue) Rate() float64 { return q.rate }
+
 // Len returns the number of jobs that wait.
 func (q *Queue) Len() int { return len(q.jobs) }
 
