Elect soon after a restart; ask often without a configuration

Their first election timer was 1 to 2 s, and an entry node without a main control node asked each one every 1.2 s only.

Change: the first election timer of a started member is one to two heartbeats (a leader at work is heard before, and the pre-vote protects it); an entry node without a configuration asks every 250 ms. Its first configuration comes from a control node that knows a leader, or from any after 2 s: an earlier answer could be older than what was acknowledged before the restart.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -74,6 +74,7 @@
 	roundEvery   = 1200 * time.Millisecond
 	askTimeout   = 800 * time.Millisecond
 	lostAfter    = 2 * time.Second
+	unsureAfter  = 2 * time.Second // longer than an election takes
 	forgetAfter  = 60 * time.Second
 	maxControl   = 32
 )
@@ -234,11 +235,7 @@
 	}
 	primary := f.primary()
 	for _, s := range f.sources {
-		every := roundEvery
-		if s == primary {
-			every = primaryEvery
-		}
-		if !s.asking && now.Sub(s.asked) >= every {
+		if !s.asking && now.Sub(s.asked) >= f.every(primary, s) {
 			s.asking, s.asked = true, now
 			f.wg.Go(func() { f.ask(s) })
 		}
@@ -249,6 +246,14 @@
 	}
 }
 
+// every is the time between two questions to a control node.
+func (f *Feed) every(primary, s *source) time.Duration {
+	if s == primary || f.table == nil {
+		return primaryEvery
+	}
+	return roundEvery
+}
+
 func (f *Feed) addSource(address string) {
 	if address != "" && f.sources[address] == nil && len(f.sources) < maxControl {
 		f.sources[address] = &source{address: address}
@@ -345,7 +350,7 @@
 	}
 	s.blame = tell.SuspectsVersion
 	changed := f.takeDelta(now, tell.Delta, s.address, tell.Sure)
-	if tell.Document != nil && tell.Document.Version > f.version {
+	if tell.Document != nil && tell.Document.Version > f.version && f.trusts(now, tell) {
 		changed = f.takeDocument(tell.Document, s.address) || changed
 	}
 	if changed {
@@ -353,6 +358,12 @@
 	}
 }
 
+// trusts reports whether the first configuration may come from a control node. One that knows no leader may lack what the
+// group acknowledged before both restarted; its configuration is used if no other comes soon.
+func (f *Feed) trusts(now time.Time, tell Tell) bool {
+	return f.table != nil || tell.Sure || now.UnixNano()-f.started >= int64(unsureAfter)
+}
+
 // takeDocument puts a configuration in force. It was checked before the group took it.
 func (f *Feed) takeDocument(d *vdoc.Document, from string) bool {
 	cfg, err := f.o.Dialect.DecodeConfig(d.Body)
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -87,6 +87,32 @@
 	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
 }
 
+// Guards against a restarted entry node that puts a configuration in force that the group replaced before it restarted as
+// well, and against one that serves nothing while the group has no leader.
+func TestFirstConfigurationComesFromASureControlNode(t *testing.T) {
+	f := newFeed()
+	f.started = t0.UnixNano()
+	old := Tell{Document: &vdoc.Document{Version: 5, Body: []byte(`{"version":5}`)}}
+	f.tell(t0.Add(time.Second), "a", old)
+	assert.Assert(t, f.View().Table == nil)
+	f.tell(t0.Add(time.Second), "b", Tell{Sure: true, Document: &vdoc.Document{Version: 7, Body: []byte(`{"version":7}`)}})
+	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
+
+	f = newFeed()
+	f.started = t0.UnixNano()
+	f.tell(t0.Add(unsureAfter), "a", old)
+	assert.Equal(t, f.View().Table.Config.Version, uint64(5))
+}
+
+// Guards against a restarted entry node that asks the control nodes only now and then, while it can serve no one.
+func TestEntryNodeWithoutConfigurationAsksOften(t *testing.T) {
+	f := newFeed()
+	assert.Equal(t, f.every(nil, f.sources["a"]), primaryEvery)
+	f.tell(t0, "a", Tell{Sure: true, Document: &vdoc.Document{Version: 7, Body: []byte(`{"version":7}`)}})
+	assert.Equal(t, f.every(nil, f.sources["a"]), roundEvery)
+	assert.Equal(t, f.every(f.sources["a"], f.sources["a"]), primaryEvery)
+}
+
 // Guards against entry nodes that are taken for gone because a control node that is cut off does not hear them.
 func TestOnlyASureControlNodeSaysThatAnEntryNodeIsGone(t *testing.T) {
 	f := newFeed()
--- a/internal/state/raft/elect.go
+++ b/internal/state/raft/elect.go
@@ -7,6 +7,13 @@
 	m.election = m.now.Add(m.cfg.ElectionTimeout + jitter)
 }
 
+// firstElection sets the timer of a member that has just started. It is shorter than later ones, so that a group whose members
+// all restarted has a leader soon: a leader at work is heard within a heartbeat, and otherwise the pre-vote is refused.
+func (m *Machine) firstElection() {
+	jitter := time.Duration(m.rng.Int64N(int64(m.cfg.Heartbeat)))
+	m.election = m.now.Add(m.cfg.Heartbeat + jitter)
+}
+
 // follow makes this member a follower in term. Proposals that it has appended as leader stay pending, because a later
 // leader may still commit them.
 func (m *Machine) follow(term uint64, leader string) {
--- a/internal/state/raft/machine.go
+++ b/internal/state/raft/machine.go
@@ -88,7 +88,7 @@
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	m.now, m.out = now, nil
 	if m.election.IsZero() {
-		m.resetElection()
+		m.firstElection()
 	}
 	if m.restoring {
 		m.restoring = false
--- a/internal/state/raft/step_test.go
+++ b/internal/state/raft/step_test.go
@@ -176,3 +176,17 @@
 	assert.Equal(t, appends, 1) // the entry of the term fills the other place
 	assert.Equal(t, refused, 11)
 }
+
+// Guards against a group whose members all restarted and that then waits as long for a leader as if it had lost one.
+func TestRestartedMemberCampaignsSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		m := New(Config{ID: "a", Seed: seed, Bootstrap: three}, Restored{HardState: HardState{Term: 3}, Entries: entriesOf(3, 1, 2)})
+		now := time.Unix(1, 0)
+		m.Step(now, Tick{})
+		wait := m.Deadline().Sub(now)
+		assert.Assert(t, wait >= DefaultHeartbeat && wait < 2*DefaultHeartbeat, "%s", wait)
+		m.Step(m.Deadline(), Tick{})
+		assert.Equal(t, m.Status().Role, PreCandidate)
+		assert.Assert(t, m.Deadline().Sub(now) >= wait+DefaultElectionTimeout)
+	}
+}
