Start another dial attempt after 250 ms

Cause: each entry node had its configuration 1.007 s after its start: the first packet to a control node that was not up yet was lost, and Linux repeats it after a second. The same second met each new connection whose first packet a lossy link dropped, and upcon gave up after one second.

Change: package wire/dial starts another attempt beside the first one after 250 ms and keeps the connection that is made first. The peer links, the connections to upstreams and the HTTP client use it.

--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -31,6 +31,9 @@
 	"github.com/zeromicro/go-zero/rest/chain"
 	"github.com/zeromicro/go-zero/rest/handler"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/wire/dial"
 )
 
 // Options configure a Server.
@@ -195,7 +198,7 @@
 	t := &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial.Dialer{Clock: clock.Real(), Timeout: dialTimeout}.DialContext,
 		TLSClientConfig:     tlsConf,
 		DisableCompression:  true,
 	}
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -7,6 +7,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/wire/dial"
 )
 
 // link is the outgoing side to one address: a queue, a goroutine that dials and writes, and one that reads answers.
@@ -120,7 +121,8 @@
 func (l *link) dial() *websocket.Conn {
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	defer cancel()
-	d := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	tcp := dial.Dialer{Clock: l.hub.o.Clock, Timeout: dialTimeout}
+	d := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: tcp.DialContext}
 	conn, resp, err := d.DialContext(ctx, "ws://"+l.address+path, nil)
 	if err != nil {
 		return nil
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -45,6 +45,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/wire/dial"
 )
 
 // Outcome says what became of a request that got no answer.
@@ -265,7 +266,7 @@
 	h.open++
 	p.dialed++
 	p.mu.Unlock()
-	d := net.Dialer{Timeout: p.o.DialTimeout, KeepAliveConfig: probes}
+	d := dial.Dialer{Clock: p.o.Clock, Timeout: p.o.DialTimeout, KeepAlive: probes}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.mu.Lock()
