--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -113,8 +113,8 @@
 
 func (p *Process) start() error {
 	var err error
-	address := p.s.peerAddress(p.s.IP)
-	p.hub, err = peer.New(peer.Options{ID: p.s.Node, Address: address, Clock: p.o.Clock, Events: p.events, Handle: p.handle})
+	address := p.s.ownPeer()
+	p.hub, err = peer.New(peer.Options{ID: p.s.Node, Address: p.s.peerAddress(p.s.IP), Clock: p.o.Clock, Events: p.events, Handle: p.handle})
 	if err != nil {
 		return err
 	}
--- a/internal/node/gated/settings.go
+++ b/internal/node/gated/settings.go
@@ -28,6 +28,7 @@
 type Settings struct {
 	Node       string            `json:"node"`
 	IP         string            `json:"ip"`
+	Advertise  string            `json:"advertise"` // IP number at which other processes reach this one; empty: IP
 	DataCentre string            `json:"data_centre"`
 	Region     string            `json:"region"`
 	Regions    map[string]string `json:"regions"` // by data centre
@@ -106,6 +107,8 @@
 	need(s.DataCentre != "", "data_centre", s.DataCentre, "a name is required")
 	ip, err := netip.ParseAddr(s.IP)
 	need(err == nil && !ip.IsUnspecified(), "ip", s.IP, "an IP number of this VM is required")
+	advertised, err := netip.ParseAddr(s.Advertise)
+	need(s.Advertise == "" || err == nil && !advertised.IsUnspecified(), "advertise", s.Advertise, "an IP number is required")
 	need(s.PeerPort > 0 && s.PeerPort <= maxPort, "peer_port", strconv.Itoa(s.PeerPort), "1 to 65535 are allowed")
 	need(s.Metrics >= 0 && s.Metrics <= maxPort, "metrics_port", strconv.Itoa(s.Metrics), "0 to 65535 are allowed")
 	for field, address := range map[string]string{
@@ -153,6 +156,14 @@
 	return out
 }
 
+// ownPeer returns the peer address of this process as others reach it.
+func (s *Settings) ownPeer() string {
+	if s.Advertise != "" {
+		return s.peerAddress(s.Advertise)
+	}
+	return s.peerAddress(s.IP)
+}
+
 func (s *Settings) peerAddress(host string) string {
 	return net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
 }
