--- a/internal/test/soak/doc.go
+++ b/internal/test/soak/doc.go
@@ -2,6 +2,9 @@
 // proxies that delay, reset, hold one way or silence connections, signals that stop, freeze and kill processes, lost and
 // damaged folders, upstreams that break, hang and refuse. Callers, an operator and upstreams check the promises meanwhile.
 //
-//	go test ./internal/test/soak                                        # the regression seeds and a short new run
-//	go test ./internal/test/soak -run Fresh -soak.seeds 50 -soak.first 1000 -soak.for 10s -soak.beside 3
+//	go test ./internal/test/soak                                  # the regression seeds and one short run
+//	make soak                                                     # some minutes with fresh seeds
+//	go test ./internal/test/soak -run Seeds -soak.first 1000 -soak.seeds 50 -soak.for 10s -soak.beside 3
+//
+// A seed fixes which faults are drawn and in which order; the moments at which they meet a request differ from run to run.
 package soak
