Log how an entry node sees each upstream

Cause: entry nodes wrote no line when an upstream became known, silent, heard again or left, so a queue that slowed down could not be led back to the upstream that it lost.

Change: feed writes upstream_announced, upstream_expired and upstream_leaving when its view of an upstream changes, and not with each answer of each control node. The test failed first.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -114,6 +114,7 @@
 	roster.Upstream
 	told     time.Time
 	silentAt map[string]bool // control nodes that do not hear it, by address
+	logged   standing
 }
 
 type knownEntry struct {
@@ -384,9 +385,12 @@
 			delete(have.silentAt, from) // it speaks of an older start or heartbeat
 			continue
 		}
-		next := &known{u, now, map[string]bool{}}
-		if have != nil && have.Born == u.Born {
-			next.silentAt = have.silentAt
+		next := &known{Upstream: u, told: now, silentAt: map[string]bool{}}
+		if have != nil {
+			next.logged = have.logged
+			if have.Born == u.Born {
+				next.silentAt = have.silentAt
+			}
 		}
 		delete(next.silentAt, from)
 		if u.Silent {
@@ -445,12 +449,37 @@
 	return true
 }
 
+// standing is what matters to a request of an upstream's record.
+type standing struct {
+	born   int64
+	state  roster.State
+	silent bool
+}
+
+func seenAs(u roster.Upstream) standing { return standing{u.Born, u.State, u.Silent} }
+
+// logUpstream writes a line when this node begins to see an upstream in another way.
+func (f *Feed) logUpstream(u roster.Upstream) {
+	switch {
+	case u.State != roster.Ready:
+		f.o.Events.Emit(event.UpstreamLeaving, event.F("upstream", u.ID))
+	case u.Silent:
+		f.o.Events.Emit(event.UpstreamExpired, event.F("upstream", u.ID))
+	default:
+		f.o.Events.Emit(event.UpstreamAnnounced, event.F("upstream", u.ID), event.F("kind", u.Service), event.F("address", u.Address))
+	}
+}
+
 func (f *Feed) publish(now time.Time) {
 	v := &View{Table: f.table, Services: map[string][]roster.Upstream{}}
 	for _, u := range f.upstreams {
+		out := u.Upstream
+		out.Silent = f.silent(now, u)
+		if now := seenAs(out); now != u.logged {
+			u.logged = now
+			f.logUpstream(out)
+		}
 		if u.State != roster.Gone {
-			out := u.Upstream
-			out.Silent = f.silent(now, u)
 			v.Services[u.Service] = append(v.Services[u.Service], out)
 		}
 	}
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -62,6 +62,25 @@
 	assert.Assert(t, f.state(t).Silent, "b has not answered for a while")
 }
 
+// Guards against an entry node whose log does not tell how it sees an upstream, or repeats it with each answer.
+func TestViewOfUpstreamIsLoggedOnce(t *testing.T) {
+	f := newFeed()
+	var codes []event.Code
+	f.o.Events = event.New(event.Options{Clock: clock.NewFake(t0), Keep: 16})
+	for _, tell := range []Tell{
+		upstream(roster.Ready, 1, false), upstream(roster.Ready, 2, false), upstream(roster.Ready, 2, true),
+		upstream(roster.Ready, 3, false), upstream(roster.Draining, 4, false),
+	} {
+		f.tell(t0, "a", tell)
+		f.tell(t0, "b", tell)
+	}
+	for _, e := range f.o.Events.Select(event.Filter{}) {
+		codes = append(codes, e.Code)
+	}
+	want := []event.Code{event.UpstreamAnnounced, event.UpstreamExpired, event.UpstreamAnnounced, event.UpstreamLeaving}
+	assert.DeepEqual(t, codes, want)
+}
+
 // Guards against work for an upstream that leaves, because a control node that lags says that it is ready.
 func TestOlderWordChangesNothing(t *testing.T) {
 	f := newFeed()
