--- /dev/null
+++ b/internal/gate/pick/bench_test.go
@@ -0,0 +1,28 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// Cost of one choice among the upstreams of a service of a small and of a grown site.
+func BenchmarkChoose(b *testing.B) {
+	for _, upstreams := range []int{9, 90} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			var list []roster.Upstream
+			for i := range upstreams {
+				list = append(list, roster.Upstream{ID: fmt.Sprint("u", i), DataCentre: []string{"own", "region", "far"}[i%3], State: roster.Ready})
+			}
+			c := New()
+			b.ReportAllocs()
+			for b.Loop() {
+				u, _ := c.Choose(t0, list, Want{Near: near})
+				c.Begin(u.ID)
+				c.End(t0, u.ID, Good, time.Millisecond)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gate/stage/bench_test.go
@@ -0,0 +1,52 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+// Cost of one piece from its arrival to its result, with the queue of a burst on a small and on a grown site.
+func BenchmarkPiece(b *testing.B) {
+	for _, c := range []struct{ upstreams, waiting int }{{3, 100}, {10, 300}} {
+		b.Run(fmt.Sprintf("upstreams=%d,waiting=%d", c.upstreams, c.waiting), func(b *testing.B) {
+			const batch = 8
+			q := NewQueue(conf.Pool{Slots: 1, Queue: 2, Batch: batch, CallTime: 150, ItemTime: 16, RoomMB: 1000, HandleFor: 4000})
+			var list []Target
+			for i := range c.upstreams {
+				list = append(list, Target{ID: fmt.Sprint("u", i), DataCentre: "a"})
+			}
+			q.SetTargets(list)
+			next := 0
+			add := func() {
+				q.Add(t0, Job{Item: Item{Request: fmt.Sprint(next / 6), Piece: next % 6}, Bytes: 1000, Due: t0.Add(1e9), Deadline: t0.Add(9e9)})
+				next++
+			}
+			for range c.waiting {
+				add()
+			}
+			var open []Call
+			b.ReportAllocs()
+			for b.Loop() {
+				for range batch {
+					add()
+				}
+				calls, _ := q.Next(t0)
+				open = append(open, calls...)
+				if len(open) > 0 {
+					outcomes := make([]Outcome, len(open[0].Jobs))
+					handles := make([]string, len(outcomes))
+					for i := range outcomes {
+						handles[i] = fmt.Sprint(next, "-", i)
+						outcomes[i].Handle = handles[i]
+					}
+					q.Done(t0, open[0].ID, Answered, outcomes)
+					q.Free(handles)
+					open = open[1:]
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/piece")
+		})
+	}
+}
