Build the program for process tests in one place

internal/test/procs and internal/test/soak each built the binary in their TestMain; package built does it for both. No behaviour changes; both pass.

--- a/internal/test/procs/harness_test.go
+++ b/internal/test/procs/harness_test.go
@@ -21,27 +21,13 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/berylledge/berylledge/internal/test/built"
 	"github.com/berylledge/berylledge/internal/test/fake"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
 
-var binary string
-
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "berylledge-procs-")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "berylledge")
-	build := exec.Command("go", "build", "-o", binary, "github.com/berylledge/berylledge/cmd/berylledge")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("build: %v\n%s", err, out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { built.Main(m) }
 
 // proc is a running process of the program.
 type proc struct {
@@ -69,7 +55,7 @@
 // run starts the program. A process that still runs at the end of the test is killed.
 func run(t *testing.T, name string, args ...string) *proc {
 	t.Helper()
-	p := &proc{t: t, name: name, cmd: exec.Command(binary, args...), first: make(chan string, 1), exited: make(chan struct{})}
+	p := &proc{t: t, name: name, cmd: exec.Command(built.Program(), args...), first: make(chan string, 1), exited: make(chan struct{})}
 	out, err := p.cmd.StdoutPipe()
 	assert.NilError(t, err)
 	p.cmd.Stderr = p
--- a/internal/test/soak/fleet_test.go
+++ b/internal/test/soak/fleet_test.go
@@ -12,24 +12,10 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/node/gated"
+	"github.com/berylledge/berylledge/internal/test/built"
 )
 
-var binary string
-
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "berylledge-soak-")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "berylledge")
-	build := exec.Command("go", "build", "-o", binary, "github.com/berylledge/berylledge/cmd/berylledge")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("build: %v\n%s", err, out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { built.Main(m) }
 
 const (
 	controlPort   = 7301
@@ -153,7 +139,7 @@
 	if err := os.WriteFile(p.path, body, 0o600); err != nil {
 		return err
 	}
-	cmd := exec.Command(binary, "gate", "--settings", p.path)
+	cmd := exec.Command(built.Program(), "gate", "--settings", p.path)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
