Measure the age of a restarted entry node by monotonic time

Cause, found at the read-through: the wait for a control node that knows a leader compared wall times, so a step of the clock back right after the start could prolong it by as much as the step.

Change: the feed keeps the time of its start with its monotonic part.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -98,7 +98,8 @@
 
 	mu        sync.Mutex
 	report    int64
-	started   int64
+	started   int64     // as other nodes are told: Unix nanoseconds
+	begun     time.Time // the same for the own use; steps of the clock do not change the time since then
 	table     *conf.Table
 	version   uint64
 	upstreams map[string]*known
@@ -142,7 +143,7 @@
 	f := &Feed{
 		o: o, started: o.Clock.Now().UnixNano(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
-		news: make(chan struct{}),
+		news: make(chan struct{}), begun: o.Clock.Now(),
 	}
 	f.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -362,7 +363,7 @@
 // trusts reports whether the first configuration may come from a control node. One that knows no leader may lack what the
 // group acknowledged before both restarted; its configuration is used if no other comes soon.
 func (f *Feed) trusts(now time.Time, tell Tell) bool {
-	return f.table != nil || tell.Sure || now.UnixNano()-f.started >= int64(unsureAfter)
+	return f.table != nil || tell.Sure || now.Sub(f.begun) >= unsureAfter
 }
 
 // takeDocument puts a configuration in force. It was checked before the group took it.
