Sync the names of a data folder at each start

Cause: store.Create synced the folder and its parent after it had named the data file. A process that died between the two steps left a file with its name; the next start found it, opened it and never synced the names. What was acknowledged from then on could be lost with the name when the power failed.

Change: Open syncs the folder and its parent before it returns, at each start; Create no longer does.

Two syncs more at each start.

--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -74,6 +74,8 @@
 type Options struct {
 	// MaxFileBytes bounds the size of the data file; 0 means no bound. Exceeding it is reported as *DiskFullError.
 	MaxFileBytes int
+	// SyncFolder makes the names in a folder durable; nil: the operating system does. Tests let it fail.
+	SyncFolder func(dir string) error
 }
 
 // Identity says who the member in a folder is. A new folder has a new ID, so that a wiped member cannot return under
@@ -166,10 +168,7 @@
 	if err := os.Rename(temporary, path); err != nil {
 		return errors.Wrap(err, "name the data file")
 	}
-	if err := syncDir(dir); err != nil {
-		return err
-	}
-	return syncDir(filepath.Dir(dir)) // which names the folder
+	return nil // Open syncs the folder
 }
 
 func fill(path string, id Identity, p *raft.Persist) error {
@@ -242,9 +241,27 @@
 	if err := s.open(o); err != nil {
 		return nil, errors.CombineErrors(typedError(dir, err), s.Close())
 	}
+	if err := syncNames(dir, o); err != nil {
+		return nil, errors.CombineErrors(err, s.Close())
+	}
 	return s, nil
 }
 
+// syncNames makes the names of the data file and of its folder durable. It is done at each start: the process that made them
+// may have died before, and what is acknowledged from now on must not be lost with a name.
+func syncNames(dir string, o Options) error {
+	sync := o.SyncFolder
+	if sync == nil {
+		sync = syncDir
+	}
+	for _, folder := range []string{dir, filepath.Dir(dir)} {
+		if err := sync(folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Store) open(o Options) error {
 	path := filepath.Join(s.dir, dataFile)
 	read, err := checkFile(path)
--- a/internal/state/store/store_test.go
+++ b/internal/state/store/store_test.go
@@ -346,3 +346,34 @@
 	assert.NilError(t, os.WriteFile(path, after, 0o600))
 	detected()
 }
+
+// Guards against a member that acknowledges entries although the name of its data file, or of its folder, is not durable:
+// the process that made them died before it synced them, and a loss of power takes the whole folder back.
+func TestNamesAreDurableBeforeTheFolderIsUsed(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "group")
+	_, err := store.Create(dir, "a", "127.0.0.1:1", random)
+	assert.NilError(t, err)
+	for range 2 { // at each start: the last one may have died
+		var synced []string
+		s, err := store.Open(dir, store.Options{SyncFolder: func(folder string) error {
+			synced = append(synced, folder)
+			return nil
+		}})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, synced, []string{dir, filepath.Dir(dir)})
+		assert.NilError(t, s.Close())
+	}
+	failed := errors.New("the disk is gone")
+	for _, at := range []string{dir, filepath.Dir(dir)} {
+		_, err = store.Open(dir, store.Options{SyncFolder: func(folder string) error {
+			if folder == at {
+				return failed
+			}
+			return nil
+		}})
+		assert.ErrorIs(t, err, failed)
+	}
+	s, err := store.Open(dir, store.Options{})
+	assert.NilError(t, err, "the lock was given back")
+	assert.NilError(t, s.Close())
+}
