Let nodes that were told of crashes tell restarted control nodes

Cause: an entry node told a restarted control node only its own notes. If the nodes that had noted the crashes died as well, a blocked content was free again as soon as a new entry node took it, although others still knew.

Change: the first answer to a control node holds all records that the entry node knows. The test failed first; the package comment says what is still lost when processes die.

--- a/internal/gate/blame/blame.go
+++ b/internal/gate/blame/blame.go
@@ -12,7 +12,8 @@
 // nodes of contents with two starts or more (Suspects). Records merge in any order and any number of times with the same
 // result: the starts of a content only grow, and each is cleared once.
 //
-// The limit of the method: copies that are sent before a note has reached a node, some 300 ms, are not held back there.
+// The limits of the method: copies that are sent before a note has reached a node, some 300 ms, are not held back there. A
+// note is lost if its node dies before a control node has it, and a single start that only one node noted if both die.
 //
 // Usage:
 //
@@ -228,9 +229,10 @@
 	return ok
 }
 
-// Own returns the records that this node's own notes changed after a version, and the version as of which that holds.
+// Own returns the records that this node's own notes changed after a version, and the version as of which that holds. After
+// version 0 it returns all records: a control node that restarted has none, and the nodes that noted them may be gone.
 func (b *Board) Own(now time.Time, after uint64) ([]Record, uint64) {
-	return b.since(now, func(r *record) bool { return r.own > after })
+	return b.since(now, func(r *record) bool { return r.own > after || after == 0 })
 }
 
 // Suspects returns the records of contents with two starts or more that changed after a version, and the version as of
--- a/internal/gate/blame/blame_test.go
+++ b/internal/gate/blame/blame_test.go
@@ -157,6 +157,25 @@
 	})
 }
 
+// Guards against crashes that are forgotten because the nodes that noted them died before the control nodes restarted: those
+// that were told know them as well.
+func TestTheToldTellRestartedControlNodes(t *testing.T) {
+	noted, told, control := blame.New(), blame.New(), blame.New()
+	for i := range uint64(blame.MostCrashes) {
+		noted.Crashed(t0, content(1), i)
+	}
+	own, _ := noted.Own(t0, 0)
+	control.Merge(t0, own)
+	suspects, _ := control.Suspects(t0, 0)
+	told.Merge(t0, suspects)
+	restarted := blame.New()
+	again, at := told.Own(t0, 0)
+	restarted.Merge(t0, again)
+	assert.Assert(t, blocked(restarted, t0, 1))
+	again, _ = told.Own(t0, at)
+	assert.Equal(t, len(again), 0, "told once")
+}
+
 // Guards against memory that grows with the requests that an outage of many upstreams cuts off.
 func TestOldestRecordsAreForgotten(t *testing.T) {
 	b := blame.New()
