Wait for news of a content once after each crash

Cause: after a crash the check ran twice, before the decision to repeat and before the repeat itself. While the control nodes cannot be reached each wait takes 250 ms, so an innocent repeat came half a second late.

Change: an exchange waits once after each crash. The test failed first.

--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -46,6 +46,7 @@
 	first     time.Duration   // until the first event or the answer was passed on
 	failed    map[string]bool // upstreams that failed this request
 	content   *blame.Content  // nil until it was needed
+	informed  bool            // news of the content were waited for since its last crash
 }
 
 // refusal is an answer of this node.
--- a/internal/gate/front/front_test.go
+++ b/internal/gate/front/front_test.go
@@ -33,6 +33,7 @@
 	front  *Front
 	server *httptest.Server
 	events *event.Log
+	asked  *atomic.Int32 // times that news of a content were waited for
 }
 
 // newSite starts a front with one route, which change may alter.
@@ -63,10 +64,11 @@
 	pool := upcon.New(upcon.Options{Clock: c, IDHeader: d.Headers.RequestID})
 	load := func() *feed.View { return view }
 	mk := maker.New(maker.Options{Node: "e1", Peer: "self", Dialect: d, Clock: c, Events: events, View: load, Pool: pool})
+	asked := new(atomic.Int32)
 	f := New(Options{
 		Node: "e1", DataCentre: "a", Region: "n", RegionOf: map[string]string{"a": "n"}, Dialect: d, Clock: c, Events: events,
 		View: load, Pool: pool, Maker: mk, Budget: Budget{Ratio: 1, Window: time.Second, Slack: 100},
-		Blame: blame.New(), Report: func() {}, Consult: func(context.Context) {},
+		Blame: blame.New(), Report: func() {}, Consult: func(context.Context) { asked.Add(1) },
 	})
 	server := httptest.NewServer(f)
 	t.Cleanup(func() {
@@ -75,7 +77,7 @@
 		mk.Close()
 		pool.Close()
 	})
-	return &site{t, f, server, events}
+	return &site{t, f, server, events, asked}
 }
 
 type reply struct {
@@ -252,6 +254,18 @@
 	}
 }
 
+// Guards against a request that waits for news of its content more than once after each crash: while the control nodes cannot
+// be reached, each wait takes its whole time.
+func TestNewsAreWaitedForOnceAfterEachCrash(t *testing.T) {
+	dies := func(c *rawup.Conn, _ *rawup.Request) { c.Reset() }
+	s := newSite(t, nil, rawup.New(t, dies), good(t))
+	s.front.begin("u1")
+	assert.Equal(t, s.do(s.request("/x/", "id1")).status, 200)
+	assert.Equal(t, s.asked.Load(), int32(1))
+	assert.Equal(t, s.do(s.request("/x/", "id2")).status, 200)
+	assert.Equal(t, s.asked.Load(), int32(1), "the answer cleared it")
+}
+
 // Guards against an upstream's failure that is replaced by one of this node, or passed on with another status.
 func TestUpstreamsFailureIsPassedOn(t *testing.T) {
 	fails := func(c *rawup.Conn, r *rawup.Request) {
--- a/internal/gate/front/suspects.go
+++ b/internal/gate/front/suspects.go
@@ -31,9 +31,12 @@
 	if x.f.o.Blame.Len() == 0 || x.f.o.Blame.Open(x.contentOf()) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, consultWait)
-	x.f.o.Consult(ctx)
-	cancel()
+	if !x.informed {
+		x.informed = true
+		ctx, cancel := context.WithTimeout(x.ctx, consultWait)
+		x.f.o.Consult(ctx)
+		cancel()
+	}
 	left, yes := x.f.o.Blame.Blocked(x.f.o.Clock.Now(), x.contentOf())
 	if !yes {
 		return nil
@@ -44,6 +47,7 @@
 
 // noteCrash notes that an upstream broke the connection while it ran the request.
 func (x *exchange) noteCrash(u roster.Upstream) {
+	x.informed = false
 	now, c := x.f.o.Clock.Now(), x.contentOf()
 	crashes := x.f.o.Blame.Crashed(now, c, blame.Start(u.ID, u.Born))
 	x.f.o.Events.Emit(event.ContentCrashed, event.F("request", x.id), event.F("content", c), event.F("upstream", u.ID),
