Use the fingerprint of the crash defence for forwarded requests

Cause: gate/blame had a second type and a second hash for the content of a request, beside poison.Fingerprint and poison.Sum.

Change: one type and one hash.

--- a/internal/gate/blame/blame.go
+++ b/internal/gate/blame/blame.go
@@ -25,13 +25,13 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
 const (
@@ -47,24 +47,10 @@
 	maxStarts = 16
 )
 
-// Content identifies a request by what an upstream works on, whoever sent it.
-type Content [16]byte
-
-// String returns the content in hexadecimal.
-func (c Content) String() string { return hex.EncodeToString(c[:]) }
-
-// Sum returns the content of a request. A cryptographic hash is used so that a caller cannot make a request that is blocked
-// in place of another caller's.
-func Sum(host, path, team string, body []byte) Content {
-	h := sha256.New()
-	for _, part := range []string{host, path, team} {
-		var n [8]byte
-		binary.LittleEndian.PutUint64(n[:], uint64(len(part))) // keeps "a"+"bc" apart from "ab"+"c"
-		h.Write(n[:])
-		h.Write([]byte(part))
-	}
-	h.Write(body)
-	return Content(h.Sum(nil)[:len(Content{})])
+// Sum returns the content of a request. It is built as that of a stage run is; a host holds no slash and a path begins with
+// one, so they need no mark between them.
+func Sum(host, path, team string, body []byte) poison.Fingerprint {
+	return poison.Sum(team, host+path, body)
 }
 
 // Start identifies one start of an upstream by its id and the time of the start.
@@ -77,10 +63,10 @@
 
 // Record is what is known of one content, as nodes tell each other.
 type Record struct {
-	Content Content  `cbor:"1,keyasint"`
-	Crashes []uint64 `cbor:"2,keyasint,omitempty"` // starts of upstreams that broke while they ran it, sorted
-	Cleared []uint64 `cbor:"3,keyasint,omitempty"` // those after which the content was answered, sorted
-	Age     int64    `cbor:"4,keyasint,omitempty"` // milliseconds since the last note
+	Content poison.Fingerprint `cbor:"1,keyasint"`
+	Crashes []uint64           `cbor:"2,keyasint,omitempty"` // starts of upstreams that broke while they ran it, sorted
+	Cleared []uint64           `cbor:"3,keyasint,omitempty"` // those after which the content was answered, sorted
+	Age     int64              `cbor:"4,keyasint,omitempty"` // milliseconds since the last note
 }
 
 type record struct {
@@ -104,11 +90,11 @@
 type Board struct {
 	mu      sync.Mutex
 	version uint64
-	records map[Content]*record
+	records map[poison.Fingerprint]*record
 }
 
 // New returns an empty board.
-func New() *Board { return &Board{records: map[Content]*record{}} }
+func New() *Board { return &Board{records: map[poison.Fingerprint]*record{}} }
 
 // Len returns the number of contents. While it is 0, none need be computed.
 func (b *Board) Len() int {
@@ -118,7 +104,7 @@
 }
 
 // Crashed notes that a start of an upstream broke while it ran a content, and returns the number of starts that count.
-func (b *Board) Crashed(now time.Time, c Content, start uint64) int {
+func (b *Board) Crashed(now time.Time, c poison.Fingerprint, start uint64) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(now)
@@ -136,7 +122,7 @@
 }
 
 // Worked notes that a content was answered by an upstream, and reports whether that cleared it of anything.
-func (b *Board) Worked(now time.Time, c Content) bool {
+func (b *Board) Worked(now time.Time, c poison.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[c]
@@ -160,7 +146,7 @@
 }
 
 // Open returns the number of starts that count against a content.
-func (b *Board) Open(c Content) int {
+func (b *Board) Open(c poison.Fingerprint) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.records[c]; r != nil {
@@ -170,7 +156,7 @@
 }
 
 // Blocked reports whether a content must not be sent, and for how long.
-func (b *Board) Blocked(now time.Time, c Content) (time.Duration, bool) {
+func (b *Board) Blocked(now time.Time, c poison.Fingerprint) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[c]
@@ -182,11 +168,11 @@
 }
 
 // Merge takes what another process told and returns the contents that are blocked from now on.
-func (b *Board) Merge(now time.Time, list []Record) []Content {
+func (b *Board) Merge(now time.Time, list []Record) []poison.Fingerprint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(now)
-	var blocked []Content
+	var blocked []poison.Fingerprint
 	for _, in := range list {
 		noted := now.Add(-time.Duration(in.Age) * time.Millisecond)
 		if now.Sub(noted) >= ForgetAfter {
@@ -261,7 +247,7 @@
 		slices.Sort(one.Cleared)
 		out = append(out, one)
 	}
-	slices.SortFunc(out, func(a, b Record) int { return slices.Compare(a.Content[:], b.Content[:]) })
+	slices.SortFunc(out, func(a, b Record) int { return a.Content.Compare(b.Content) })
 	return out, b.version
 }
 
@@ -276,11 +262,11 @@
 		return
 	}
 	over := len(b.records) - maxRecords*3/4 // so that the search is not repeated with each note
-	oldest := make([]Content, 0, len(b.records))
+	oldest := make([]poison.Fingerprint, 0, len(b.records))
 	for c := range b.records {
 		oldest = append(oldest, c)
 	}
-	slices.SortFunc(oldest, func(x, y Content) int { return cmp.Compare(b.records[x].version, b.records[y].version) })
+	slices.SortFunc(oldest, func(x, y poison.Fingerprint) int { return cmp.Compare(b.records[x].version, b.records[y].version) })
 	for _, c := range oldest[:over] {
 		delete(b.records, c)
 	}
--- a/internal/gate/blame/blame_test.go
+++ b/internal/gate/blame/blame_test.go
@@ -9,11 +9,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/berylledge/berylledge/internal/gate/blame"
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
 var t0 = time.Unix(1000, 0)
 
-func content(i int) blame.Content { return blame.Sum("h", "/p", "t", []byte{byte(i)}) }
+func content(i int) poison.Fingerprint { return blame.Sum("h", "/p", "t", []byte{byte(i)}) }
 
 func blocked(b *blame.Board, now time.Time, i int) bool {
 	_, yes := b.Blocked(now, content(i))
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/event"
-	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
@@ -42,11 +42,11 @@
 	maybeRan  bool // some upstream may have run it
 	started   bool // a part of the answer was passed on
 	upstream  string
-	staged    time.Duration   // until the stages were done
-	first     time.Duration   // until the first event or the answer was passed on
-	failed    map[string]bool // upstreams that failed this request
-	content   *blame.Content  // nil until it was needed
-	informed  bool            // news of the content were waited for since its last crash
+	staged    time.Duration       // until the stages were done
+	first     time.Duration       // until the first event or the answer was passed on
+	failed    map[string]bool     // upstreams that failed this request
+	content   *poison.Fingerprint // nil until it was needed
+	informed  bool                // news of the content were waited for since its last crash
 }
 
 // refusal is an answer of this node.
--- a/internal/gate/front/suspects.go
+++ b/internal/gate/front/suspects.go
@@ -11,10 +11,11 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/poison"
 )
 
 // contentOf returns what identifies the request when it comes again.
-func (x *exchange) contentOf() blame.Content {
+func (x *exchange) contentOf() poison.Fingerprint {
 	if x.content == nil {
 		c := blame.Sum(x.r.Host, x.r.RequestURI, x.teamName(), x.body)
 		x.content = &c
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -22,6 +22,7 @@
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
@@ -363,7 +364,7 @@
 	assert.Equal(t, runs.Load(), before)
 }
 
-func (f *fleet) badContent() blame.Content {
+func (f *fleet) badContent() poison.Fingerprint {
 	return blame.Sum("api.example", "/x/bad", "", []byte("null"))
 }
 
--- a/internal/state/poison/poison.go
+++ b/internal/state/poison/poison.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Fingerprint identifies the content of a stage run, whoever sent it.
+// Fingerprint identifies the content of a stage run, or of a forwarded request, whoever sent it.
 type Fingerprint [16]byte
 
 // String returns the fingerprint in hexadecimal.
