Derive the start of an entry node once; log upstreams in one function

Cause: feed kept its start twice, as a time and as a number, and desk and feed each wrote the lines of an upstream's state.

Change: the number is derived when it is told; feed.LogUpstream serves both, so control nodes log a silent upstream by the same rule.

--- a/internal/gate/desk/http.go
+++ b/internal/gate/desk/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
@@ -106,7 +107,7 @@
 	changed := d.board.Beat(d.o.Clock.Now(), u)
 	d.mu.Unlock()
 	if changed {
-		d.noteUpstream(u)
+		feed.LogUpstream(d.o.Events, u)
 	}
 	// A repeated word that it leaves may not have reached the others the first time.
 	leaves := u.State == roster.Draining && (changed || known && before.State == roster.Draining)
@@ -125,14 +126,6 @@
 	jsonBody(w, reply)
 }
 
-func (d *Desk) noteUpstream(u roster.Upstream) {
-	if u.State == roster.Ready {
-		d.o.Events.Emit(event.UpstreamAnnounced, event.F("upstream", u.ID), event.F("kind", u.Service), event.F("address", u.Address))
-		return
-	}
-	d.o.Events.Emit(event.UpstreamLeaving, event.F("upstream", u.ID))
-}
-
 // leave takes the word of an upstream that it has left or leaves at once.
 func (d *Desk) leave(w http.ResponseWriter, r *http.Request) {
 	id := pathvar.Vars(r)["id"]
@@ -147,7 +140,7 @@
 		}
 	}
 	d.mu.Unlock()
-	d.noteUpstream(u)
+	feed.LogUpstream(d.o.Events, u)
 	if !d.tellMost(roster.Batch{Upstreams: []roster.Upstream{u}}) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -98,8 +98,7 @@
 
 	mu        sync.Mutex
 	report    int64
-	started   int64     // as other nodes are told: Unix nanoseconds
-	begun     time.Time // the same for the own use; steps of the clock do not change the time since then
+	started   time.Time
 	table     *conf.Table
 	version   uint64
 	upstreams map[string]*known
@@ -141,9 +140,9 @@
 // New starts a feed.
 func New(o Options) *Feed {
 	f := &Feed{
-		o: o, started: o.Clock.Now().UnixNano(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
+		o: o, started: o.Clock.Now(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
-		news: make(chan struct{}), begun: o.Clock.Now(),
+		news: make(chan struct{}),
 	}
 	f.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -280,7 +279,7 @@
 	f.mu.Lock()
 	f.report++
 	q := Ask{Entry: f.o.Self, Epoch: s.epoch, Seen: s.seen, Version: f.version}
-	q.Entry.Started, q.Entry.Report, q.Entry.Ready = f.started, f.report, f.ready.Load()
+	q.Entry.Started, q.Entry.Report, q.Entry.Ready = f.started.UnixNano(), f.report, f.ready.Load()
 	q.SuspectsSeen = s.blame
 	told := s.crashes
 	f.mu.Unlock()
@@ -363,7 +362,7 @@
 // trusts reports whether the first configuration may come from a control node. One that knows no leader may lack what the
 // group acknowledged before both restarted; its configuration is used if no other comes soon.
 func (f *Feed) trusts(now time.Time, tell Tell) bool {
-	return f.table != nil || tell.Sure || now.Sub(f.begun) >= unsureAfter
+	return f.table != nil || tell.Sure || now.Sub(f.started) >= unsureAfter
 }
 
 // takeDocument puts a configuration in force. It was checked before the group took it.
@@ -459,15 +458,15 @@
 
 func seenAs(u roster.Upstream) standing { return standing{u.Born, u.State, u.Silent} }
 
-// logUpstream writes a line when this node begins to see an upstream in another way.
-func (f *Feed) logUpstream(u roster.Upstream) {
+// LogUpstream writes a line when a node begins to see an upstream in another way.
+func LogUpstream(log *event.Log, u roster.Upstream) {
 	switch {
 	case u.State != roster.Ready:
-		f.o.Events.Emit(event.UpstreamLeaving, event.F("upstream", u.ID))
+		log.Emit(event.UpstreamLeaving, event.F("upstream", u.ID))
 	case u.Silent:
-		f.o.Events.Emit(event.UpstreamExpired, event.F("upstream", u.ID))
+		log.Emit(event.UpstreamExpired, event.F("upstream", u.ID))
 	default:
-		f.o.Events.Emit(event.UpstreamAnnounced, event.F("upstream", u.ID), event.F("kind", u.Service), event.F("address", u.Address))
+		log.Emit(event.UpstreamAnnounced, event.F("upstream", u.ID), event.F("kind", u.Service), event.F("address", u.Address))
 	}
 }
 
@@ -478,7 +477,7 @@
 		out.Silent = f.silent(now, u)
 		if now := seenAs(out); now != u.logged {
 			u.logged = now
-			f.logUpstream(out)
+			LogUpstream(f.o.Events, out)
 		}
 		if u.State != roster.Gone {
 			v.Services[u.Service] = append(v.Services[u.Service], out)
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -110,7 +110,7 @@
 // well, and against one that serves nothing while the group has no leader.
 func TestFirstConfigurationComesFromASureControlNode(t *testing.T) {
 	f := newFeed()
-	f.begun = t0
+	f.started = t0
 	old := Tell{Document: &vdoc.Document{Version: 5, Body: []byte(`{"version":5}`)}}
 	f.tell(t0.Add(time.Second), "a", old)
 	assert.Assert(t, f.View().Table == nil)
@@ -118,7 +118,7 @@
 	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
 
 	f = newFeed()
-	f.begun = t0
+	f.started = t0
 	f.tell(t0.Add(unsureAfter), "a", old)
 	assert.Equal(t, f.View().Table.Config.Version, uint64(5))
 }
