Pause in process tests through the clock package

Cause: soak and procs called time.Sleep, which does not end with the test.

These pauses shape load and faults; verdicts come from polls, time stamps and bounds.

--- a/internal/test/procs/crash_test.go
+++ b/internal/test/procs/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/test/fake"
 	"github.com/berylledge/berylledge/pkg/caller"
 )
@@ -45,7 +47,7 @@
 	r.wg.Go(func() {
 		<-u.exited
 		r.crashes.Add(1)
-		time.Sleep(300 * time.Millisecond) // a process does not come back at once
+		_ = clock.Sleep(context.Background(), clock.Real(), 300*time.Millisecond) // a process does not come back at once
 		r.start(id)
 	})
 }
--- a/internal/test/soak/proxy_test.go
+++ b/internal/test/soak/proxy_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
 )
 
 // proxy passes connections to an address on and harms them.
@@ -12,6 +15,8 @@
 	listener net.Listener
 	target   string
 	wg       sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu      sync.Mutex
 	delay   time.Duration    // of each piece of data, both ways
@@ -32,11 +37,13 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.accept)
 	return p, nil
 }
 
 func (p *proxy) close() {
+	p.cancel()
 	p.heal()
 	p.mu.Lock()
 	p.stopped = true
@@ -134,7 +141,7 @@
 			continue
 		}
 		if delay > 0 {
-			time.Sleep(delay)
+			_ = clock.Sleep(p.ctx, clock.Real(), delay) // ends early with the proxy
 		}
 		return
 	}
--- a/internal/test/soak/soak_test.go
+++ b/internal/test/soak/soak_test.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		s.draw()
-		time.Sleep(time.Duration(50+s.rng.IntN(450)) * time.Millisecond)
+		w.pause(s.between(50, 500))
 	}
 	s.wg.Wait()
 	if !s.settled() {
@@ -139,12 +139,12 @@
 	last := s.between(100, 2500)
 	switch s.rng.IntN(12) {
 	case 0:
-		s.run("kill", func() { s.stopped(p, func() { p.kill(); time.Sleep(last) }) })
+		s.run("kill", func() { s.stopped(p, func() { p.kill(); s.w.pause(last) }) })
 	case 1:
 		s.run("freeze", func() {
 			if p.take() {
 				p.signal(syscall.SIGSTOP)
-				time.Sleep(last)
+				s.w.pause(last)
 				p.signal(syscall.SIGCONT)
 				p.release()
 			}
@@ -152,17 +152,17 @@
 	case 2:
 		s.run("stop", func() { s.stopped(p, func() { s.stop(p) }) })
 	case 3:
-		s.run("delay", func() { x.slow(last / 20); time.Sleep(last); x.slow(0) })
+		s.run("delay", func() { x.slow(last / 20); s.w.pause(last); x.slow(0) })
 	case 4:
 		s.run("reset", x.resetAll)
 	case 5:
 		way := s.rng.IntN(2)
-		s.run("cut one way", func() { x.hold(way); time.Sleep(last); x.heal() })
+		s.run("cut one way", func() { x.hold(way); s.w.pause(last); x.heal() })
 	case 6:
-		s.run("silence", func() { x.hold(toTarget, fromTarget); time.Sleep(last); x.heal() })
+		s.run("silence", func() { x.hold(toTarget, fromTarget); s.w.pause(last); x.heal() })
 	case 7, 8:
 		m := mode(1 + s.rng.IntN(int(modes)-1))
-		s.run(fmt.Sprint("upstream mode ", int(m)), func() { u.set(m); time.Sleep(last); u.set(works) })
+		s.run(fmt.Sprint("upstream mode ", int(m)), func() { u.set(m); s.w.pause(last); u.set(works) })
 	case 9:
 		s.run("upstream restart", func() { u.before.resetAll(); u.restart() })
 	case 10:
@@ -248,18 +248,18 @@
 // of a request that is cut off.
 func (s *schedule) plannedOnly() {
 	s.wg.Wait()
-	time.Sleep(calmAfter + 200*time.Millisecond)
+	s.w.pause(calmAfter + 200*time.Millisecond)
 	for range 2 {
 		p := s.f.nodes[firstEntry+s.rng.IntN(entryNodes)]
 		s.note("planned stop alone")
 		s.stopped(p, func() { s.stop(p) })
-		time.Sleep(time.Second)
+		s.w.pause(time.Second)
 	}
 }
 
 // settled waits until all nodes serve.
 func (s *schedule) settled() bool {
-	for end := time.Now().Add(settleWithin); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(settleWithin); time.Now().Before(end); s.w.pause(100 * time.Millisecond) {
 		if s.whole() && s.serving() {
 			return true
 		}
--- a/internal/test/soak/world_test.go
+++ b/internal/test/soak/world_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 )
@@ -80,11 +81,9 @@
 	}
 }
 
+// pause shapes the load and the faults; no verdict depends on it.
 func (w *world) pause(d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-w.ctx.Done():
-	}
+	_ = clock.Sleep(w.ctx, clock.Real(), d) // ends early with the test
 }
 
 func (w *world) count(what string) {
