--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -112,16 +112,8 @@
 }
 
 func (n *Node) open() error {
-	made, err := store.Exists(n.o.Data)
-	if err != nil {
-		return err
-	}
-	if !made {
-		if _, err := store.Create(n.o.Data, n.o.Name, n.o.Address, rand.Reader); err != nil {
-			return err
-		}
-	}
-	if n.store, err = store.Open(n.o.Data, store.Options{}); err != nil {
+	var err error
+	if n.store, err = store.OpenOrCreate(n.o.Data, n.o.Name, n.o.Address, rand.Reader, store.Options{}); err != nil {
 		return err
 	}
 	n.keepIdentity()
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -123,16 +123,7 @@
 }
 
 func (m *Member) openFolder() error {
-	made, err := store.Exists(m.folder())
-	if err != nil {
-		return err
-	}
-	if !made {
-		if _, err := store.Create(m.folder(), m.o.Address, m.o.Address, rand.Reader); err != nil {
-			return err
-		}
-	}
-	s, err := store.Open(m.folder(), store.Options{})
+	s, err := store.OpenOrCreate(m.folder(), m.o.Address, m.o.Address, rand.Reader, store.Options{})
 	if err != nil {
 		return err
 	}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -140,6 +140,20 @@
 	return err == nil, errors.Wrap(err, "look for the data file")
 }
 
+// OpenOrCreate opens a folder, after making it unless it holds a member. The making of one that was interrupted is repeated.
+func OpenOrCreate(dir, name, address string, random io.Reader, o Options) (*Store, error) {
+	made, err := Exists(dir)
+	if err != nil {
+		return nil, err
+	}
+	if !made {
+		if _, err := Create(dir, name, address, random); err != nil {
+			return nil, err
+		}
+	}
+	return Open(dir, o)
+}
+
 func create(dir string, id Identity, p *raft.Persist) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return errors.Wrap(err, "create the data folder")
