--- a/examples/bluemahoe/main.go
+++ b/examples/bluemahoe/main.go
@@ -10,10 +10,9 @@
 package main
 
 import (
-	"fmt"
-	"os"
 	"time"
 
+	"github.com/berylledge/berylledge/examples/show"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
 
@@ -31,19 +30,7 @@
 	cutting   = "cutting-table"
 )
 
-func main() {
-	c := config()
-	if problems := c.Check(); len(problems) > 0 {
-		for _, p := range problems {
-			fmt.Fprintln(os.Stderr, p)
-		}
-		os.Exit(1)
-	}
-	if _, err := os.Stdout.Write(c.Print()); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { show.Config(config()) }
 
 func config() *fleet.Config {
 	c := fleet.New()
--- a/internal/flow/crash/sim_test.go
+++ b/internal/flow/crash/sim_test.go
@@ -1,7 +1,6 @@
 package crash_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -13,37 +12,16 @@
 	"github.com/berylledge/berylledge/internal/flow/crash"
 	"github.com/berylledge/berylledge/internal/flow/route"
 	"github.com/berylledge/berylledge/internal/state/poison"
+	"github.com/berylledge/berylledge/internal/test/agenda"
 	"github.com/berylledge/berylledge/pkg/upapi"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-type timed struct {
-	at  time.Time
-	seq int
-	f   func()
-}
-
-type queue []timed
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(timed)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // world runs entry nodes, upstreams and the control group's part under one clock.
 type world struct {
 	now     time.Time
-	seq     int
-	queue   queue
+	agenda  agenda.Agenda
 	rng     *rand.Rand
 	nodes   []*node
 	ups     []*upstream
@@ -89,8 +67,7 @@
 }
 
 func (w *world) after(d time.Duration, f func()) {
-	w.seq++
-	heap.Push(&w.queue, timed{w.now.Add(d), w.seq, f})
+	w.agenda.Add(w.now.Add(d), f)
 }
 
 func (w *world) delay() time.Duration {
@@ -123,10 +100,9 @@
 
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		x := heap.Pop(&w.queue).(timed)
-		w.now = x.at
-		x.f()
+	for e, ok := w.agenda.Next(end); ok; e, ok = w.agenda.Next(end) {
+		w.now = e.At
+		e.Run()
 	}
 }
 
--- a/internal/test/bench/world.go
+++ b/internal/test/bench/world.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/berylledge/berylledge/internal/flow/admit"
 	"github.com/berylledge/berylledge/internal/flow/budget"
+	"github.com/berylledge/berylledge/internal/test/agenda"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
 
@@ -84,37 +84,12 @@
 	factor  float64
 }
 
-type event struct {
-	at  time.Time
-	seq uint64
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].seq < e[j].seq
-}
-
 type world struct {
 	scenario Scenario
 	variant  Variant
 	cfg      *fleet.Config
 	now      time.Time
-	seq      uint64
-	events   events
+	agenda   agenda.Agenda
 	nodes    []*node
 	pools    map[string]*pool
 	calls    map[string]*call
@@ -152,10 +127,9 @@
 	}
 	w.startSlow(s.Slow)
 	w.every(reportEvery, w.report)
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for e, ok := w.agenda.Next(time.Time{}); ok; e, ok = w.agenda.Next(time.Time{}) {
+		w.now = e.At
+		e.Run()
 	}
 	return w.result(seed)
 }
@@ -183,10 +157,7 @@
 	return results
 }
 
-func (w *world) at(t time.Time, run func()) {
-	w.seq++
-	heap.Push(&w.events, event{t, w.seq, run})
-}
+func (w *world) at(t time.Time, run func()) { w.agenda.Add(t, run) }
 
 func (w *world) every(d time.Duration, run func()) {
 	run()
--- a/internal/test/rtsim/rtsim.go
+++ b/internal/test/rtsim/rtsim.go
@@ -11,7 +11,6 @@
 package rtsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -19,6 +18,7 @@
 
 	"github.com/berylledge/berylledge/internal/fleet/upview"
 	"github.com/berylledge/berylledge/internal/flow/retry"
+	"github.com/berylledge/berylledge/internal/test/agenda"
 	"github.com/berylledge/berylledge/pkg/upapi"
 )
 
@@ -86,33 +86,12 @@
 
 const tokensPerBlock = upapi.PrefixBlock / 4
 
-type timed struct {
-	at  time.Time
-	seq int
-	f   func()
-}
-
-type queue []timed
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(timed)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // world is the state of one run.
 type world struct {
 	Config
 	start     time.Time
 	now       time.Time
-	seq       int
-	queue     queue
+	agenda    agenda.Agenda
 	rng       *rand.Rand
 	nodes     []*node
 	ups       []*upstream
@@ -164,18 +143,17 @@
 	w.build()
 	w.arrive()
 	w.sample()
-	for len(w.queue) > 0 && w.queue[0].at.Sub(start) < c.Duration+2*max(deadline, 8*c.Timeout) {
-		x := heap.Pop(&w.queue).(timed)
-		w.now = x.at
-		x.f()
+	end := start.Add(c.Duration + 2*max(deadline, 8*c.Timeout) - 1)
+	for e, ok := w.agenda.Next(end); ok; e, ok = w.agenda.Next(end) {
+		w.now = e.At
+		e.Run()
 	}
 	w.summarize()
 	return w.report
 }
 
 func (w *world) after(d time.Duration, f func()) {
-	w.seq++
-	heap.Push(&w.queue, timed{w.now.Add(d), w.seq, f})
+	w.agenda.Add(w.now.Add(d), f)
 }
 
 func (w *world) active() bool { return w.now.Sub(w.start) < w.Duration }
