Split the time of staged requests and log the state of queues

Nothing told which node keeps a queue, how full its calls are and how much memory its account holds.

Change: each reply of a queue says how long the piece waited and how long its call took; stage.Critical follows the chain of stages that ended last. forward_finished and forward_refused carry the parts and the forecast. queue_opened, placer_opened and, once a second while a queue works, queue_state; the same as counters on the metrics address. No decision changes.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -87,6 +87,9 @@
 	ContentCleared  Code = 8007
 	PieceFailed     Code = 8101
 	CallFailed      Code = 8102
+	QueueOpened     Code = 8103
+	QueueState      Code = 8104
+	PlacerOpened    Code = 8105
 )
 
 var catalogue = []Kind{
@@ -148,8 +151,8 @@
 
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
-	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it.", []string{"request", "route", "team", "status", "upstream", "attempts", "stage_ms", "first_ms", "elapsed_ms", "ran", "reason"}, "See docs/OPERATIONS.md."},
-	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream.", []string{"request", "host", "path", "route", "team", "status", "reason", "retry_after_ms", "version"}, "See docs/OPERATIONS.md."},
+	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it. Times from its arrival: its place at an engine (seat_ms), its stages' end (stage_ms), the last send (sent_ms), the first event (first_ms). Along the chain of stages that ended last: until it was asked for (before_ms; hold_ms of it was waiting for the later stages), in queues (queued_ms), in calls (called_ms), between entry nodes (handed_ms). unread and ahead are prompt tokens that the engine had to read for this request and for those before it when its place was given.", []string{"request", "route", "team", "status", "upstream", "attempts", "target_ms", "seat_ms", "hold_ms", "before_ms", "queued_ms", "called_ms", "handed_ms", "stage_ms", "sent_ms", "first_ms", "elapsed_ms", "unread", "ahead", "ran", "reason"}, "See docs/OPERATIONS.md."},
+	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream; forecast_ms and wait_ms are what its stages were expected to take and to wait, queued_ms what they waited.", []string{"request", "host", "path", "route", "team", "status", "reason", "retry_after_ms", "rank", "elapsed_ms", "forecast_ms", "wait_ms", "queued_ms", "version"}, "See docs/OPERATIONS.md."},
 	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
 	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
 	{ContentCrashed, "content_crashed", hclog.Info, "The connection to an upstream broke while it ran a forwarded request; crashes counts the starts of upstreams that broke so since the content was last answered.", []string{"request", "content", "upstream", "born_ms", "crashes"}, ""},
@@ -157,6 +160,9 @@
 	{ContentCleared, "content_cleared", hclog.Info, "A content that had been running on upstreams that broke was answered, so it is not their cause.", []string{"request", "content"}, ""},
 	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made. It says how many pieces waited in the queue of the service in that region, how many were made a second lately (0: not known), how long this one waited, and how much longer its result would have been of use.", []string{"request", "stage", "piece", "service", "region", "upstream", "reason", "queued", "per_second", "waited_ms", "left_ms"}, ""},
 	{CallFailed, "call_failed", hclog.Info, "A call of a stage upstream failed as a whole.", []string{"upstream", "pieces", "outcome", "reason"}, ""},
+	{QueueOpened, "queue_opened", hclog.Info, "This node keeps the queue of a stage service in a region from now on, with the configuration of this version. It has no account of the pieces and results of the node before it.", []string{"service", "region", "upstreams", "version"}, ""},
+	{QueueState, "queue_state", hclog.Info, "The queue of a stage service in a region, once a second while it works: pieces that wait by rank from 0, pieces made a second lately (0: not known), upstreams that take work, calls under way, results and their memory; and since the line before: calls, the pieces in them, how the pieces ended, and results that no one wanted any more.", []string{"service", "region", "waiting", "oldest_ms", "per_second", "upstreams", "busy", "calls", "pieces", "made", "no_room", "late", "refused", "unwanted", "results", "used_kb", "limit_kb"}, ""},
+	{PlacerOpened, "placer_opened", hclog.Info, "This node places requests on the model engines of a service in a region from now on. It has no account of the requests and parts of prompts that the engines have.", []string{"service", "region", "engines"}, ""},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -238,6 +238,21 @@
 	return 1
 }
 
+// Waiting returns the prompt tokens that the engine of a ticket has to read for it, and for the requests of its rank or a more
+// urgent one that have places there too.
+func (p *Placer) Waiting(id uint64) (unread, ahead int) {
+	t := p.tickets[id]
+	if t == nil {
+		return 0, 0
+	}
+	for other, x := range p.targets[t.target].tickets {
+		if other != id && x.rank <= t.rank {
+			ahead += x.unread
+		}
+	}
+	return t.unread, ahead
+}
+
 // remember notes the parts that the engine will have read, and drops those used least lately when it has no room.
 func (t *target) remember(r Request, chains []string) {
 	for i, x := range r.Parts {
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
@@ -42,7 +43,11 @@
 	maybeRan  bool // some upstream may have run it
 	started   bool // a part of the answer was passed on
 	upstream  string
+	seated    time.Duration       // until a place at an engine was given
+	held      time.Duration       // for which the stages were held back
+	split     stage.Split         // of the stages' time
 	staged    time.Duration       // until the stages were done
+	lastSent  time.Duration       // until the last send to an upstream
 	first     time.Duration       // until the first event or the answer was passed on
 	failed    map[string]bool     // upstreams that failed this request
 	content   *poison.Fingerprint // nil until it was needed
@@ -171,6 +176,7 @@
 func (x *exchange) forward() {
 	if x.usesEngines() {
 		x.seat = x.seatFor()
+		x.seated = x.f.o.Clock.Now().Sub(x.began)
 		defer func() { x.f.noteEnd(x.seat, engine.Left) }() // a ticket that has ended already is not known any more
 	}
 	if len(x.route.Stages) > 0 {
@@ -182,6 +188,9 @@
 			}
 		}()
 		x.staged = x.f.o.Clock.Now().Sub(x.began)
+		if x.plan != nil {
+			x.split = x.plan.split()
+		}
 		if refused != nil {
 			x.refuse(*refused)
 			return
@@ -271,8 +280,27 @@
 	if x.table != nil {
 		version = x.table.Config.Version
 	}
+	forecast := x.forecast()
 	x.f.o.Events.Emit(event.ForwardRefused, event.F("request", x.id), event.F("host", x.r.Host), event.F("path", shortened(x.r.URL.EscapedPath())),
-		event.F("route", x.name()), event.F("team", x.teamName()), event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()), event.F("version", version))
+		event.F("route", x.name()), event.F("team", x.teamName()), event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()),
+		event.F("rank", x.rankOrNone()), event.F("elapsed_ms", x.f.o.Clock.Now().Sub(x.began).Milliseconds()), event.F("forecast_ms", forecast.Total.Milliseconds()),
+		event.F("wait_ms", forecast.Wait.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()), event.F("version", version))
+}
+
+// forecast is what was expected of the request's stages and engine when it got its place; zero without a place.
+func (x *exchange) forecast() engine.Forecast {
+	if x.seat == nil {
+		return engine.Forecast{}
+	}
+	return x.seat.forecast
+}
+
+// rankOrNone is the urgency for a log line; -1 before the route is known.
+func (x *exchange) rankOrNone() int {
+	if x.route == nil {
+		return -1
+	}
+	return x.rank()
 }
 
 // pathLogged bounds the part of a path that is logged.
@@ -289,9 +317,18 @@
 func (x *exchange) log(status int, reason string) {
 	elapsed := x.f.o.Clock.Now().Sub(x.began)
 	x.f.counters.finish(status, elapsed)
+	forecast := x.forecast()
+	var target time.Duration
+	if x.route != nil {
+		target = x.route.Target.Duration()
+	}
 	x.f.o.Events.Emit(event.ForwardFinished, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
 		event.F("status", status), event.F("upstream", x.upstream), event.F("attempts", x.sent+x.refusals),
-		event.F("stage_ms", x.staged.Milliseconds()), event.F("first_ms", x.first.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()),
+		event.F("target_ms", target.Milliseconds()), event.F("seat_ms", x.seated.Milliseconds()), event.F("hold_ms", x.held.Milliseconds()),
+		event.F("before_ms", x.split.Before.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()),
+		event.F("called_ms", x.split.Called.Milliseconds()), event.F("handed_ms", x.split.Handed.Milliseconds()),
+		event.F("stage_ms", x.staged.Milliseconds()), event.F("sent_ms", x.lastSent.Milliseconds()), event.F("first_ms", x.first.Milliseconds()),
+		event.F("elapsed_ms", elapsed.Milliseconds()), event.F("unread", forecast.Unread), event.F("ahead", forecast.Ahead),
 		event.F("ran", x.ranText()), event.F("reason", reason))
 }
 
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -145,6 +146,7 @@
 	if !ok {
 		return placeTell{}
 	}
+	forecast.Unread, forecast.Ahead = p.Waiting(ticket)
 	return placeTell{ticket, id, forecast}
 }
 
@@ -154,6 +156,8 @@
 	if p == nil {
 		p = engine.New()
 		f.placers[k] = p
+		f.o.Events.Emit(event.PlacerOpened, event.F("service", k.service), event.F("region", k.area),
+			event.F("engines", len(f.engines(f.o.View(), k))))
 	}
 	p.SetTargets(f.engines(f.o.View(), k))
 	p.SetPools(f.pools(k.area))
--- a/internal/gate/front/send.go
+++ b/internal/gate/front/send.go
@@ -65,6 +65,7 @@
 		x.f.counters.repeat()
 	}
 	began := x.f.o.Clock.Now()
+	x.lastSent = began.Sub(x.began)
 	resp, err := x.f.o.Pool.Send(x.ctx, upcon.Request{
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.upstreamHeader(u, extra),
 		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: x.f.connections(x.table.Service(x.service)),
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -21,12 +21,15 @@
 	owners  []string // nodes that were given pieces
 	reason  stage.Reason
 	home    string // data centre of the engine that will probably run the request
+	legs    []stage.Leg
 }
 
 // stageResult is the end of the pieces of one stage that were asked for together.
 type stageResult struct {
 	items []stage.Item
 	made  []maker.Made
+	asked time.Time
+	ended time.Time
 }
 
 // pieceCounts reads how many pieces each stage has.
@@ -89,6 +92,7 @@
 	if x.seat == nil || x.seat.forecast.Hold <= 0 {
 		return
 	}
+	x.held += x.seat.forecast.Hold
 	timer := x.f.o.Clock.NewTimer(x.seat.forecast.Hold)
 	defer timer.Stop()
 	x.seat.forecast.Hold = 0
@@ -128,6 +132,7 @@
 		}
 		jobs := s.jobs(group)
 		s.pending++
+		asked := x.f.o.Clock.Now()
 		x.f.wg.Go(func() {
 			made, err := x.f.o.Maker.Make(x.ctx, service, area, jobs)
 			if err != nil { // the request has ended
@@ -136,7 +141,7 @@
 					made[i].Reason = stage.ReasonLost
 				}
 			}
-			s.results <- stageResult{group, made}
+			s.results <- stageResult{group, made, asked, x.f.o.Clock.Now()}
 		})
 	}
 }
@@ -161,6 +166,12 @@
 	return jobs
 }
 
+// split says where the time of the stages went.
+func (s *staging) split() stage.Split {
+	after := func(number int) []int { return s.x.route.Stages[number].After }
+	return stage.Critical(after, s.x.began, s.legs)
+}
+
 // place chooses the region in which a stage runs: the nearest one to the model engine with an upstream that takes work.
 func (s *staging) place(service string) string {
 	f := s.x.f
@@ -179,6 +190,13 @@
 // take records results; false means that the request cannot go on.
 func (s *staging) take(r stageResult) bool {
 	var freed []stage.Freed
+	leg := stage.Leg{Stage: r.items[0].Stage, Asked: r.asked, Ended: r.ended}
+	for _, m := range r.made {
+		if m.Spent.Queued+m.Spent.Called > leg.Spent.Queued+leg.Spent.Called {
+			leg.Spent = m.Spent
+		}
+	}
+	s.legs = append(s.legs, leg)
 	for i, item := range r.items {
 		m := r.made[i]
 		if m.Handle != "" {
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -51,15 +51,17 @@
 // Made is the result of one job.
 type Made struct {
 	stage.Outcome
-	Upstream string `cbor:"3,keyasint,omitempty"`
-	Source   string `cbor:"4,keyasint,omitempty"` // peer address of the node that keeps account of the result
+	Upstream string      `cbor:"3,keyasint,omitempty"`
+	Source   string      `cbor:"4,keyasint,omitempty"` // peer address of the node that keeps account of the result
+	Spent    stage.Spent `cbor:"5,keyasint,omitempty"`
 }
 
 // Times of a Maker.
 const (
-	pumpEvery = 20 * time.Millisecond // while jobs wait for a pause or for room
-	avoidFor  = 2 * time.Second       // a node that did not answer is not given pieces
-	maxHand   = 2                     // nodes that one group of jobs is handed to
+	pumpEvery  = 20 * time.Millisecond // while jobs wait for a pause or for room
+	avoidFor   = 2 * time.Second       // a node that did not answer is not given pieces
+	stateEvery = time.Second           // between two lines about a queue
+	maxHand    = 2                     // nodes that one group of jobs is handed to
 )
 
 // Maker is a running maker.
@@ -81,7 +83,8 @@
 type queue struct {
 	place
 	*stage.Queue
-	timed bool // a pump is planned
+	timed  bool        // a pump is planned
+	logged stage.Tally // at the last line about the queue
 }
 
 // ask is a message between entry nodes. Free and Cancel come without an answer.
@@ -113,6 +116,11 @@
 func New(o Options) *Maker {
 	m := &Maker{o: o, queues: map[place]*queue{}, waiting: map[uint64]func(stage.Reply){}, avoid: map[string]time.Time{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.wg.Go(func() {
+		for clock.Sleep(m.ctx, o.Clock, stateEvery) == nil {
+			m.logQueues()
+		}
+	})
 	return m
 }
 
@@ -218,7 +226,7 @@
 		m.nextTag++
 		j.Tag, tags[i] = m.nextTag, m.nextTag
 		m.waiting[j.Tag] = func(r stage.Reply) { // called with the lock held
-			made[i] = Made{Outcome: r.Outcome, Upstream: r.Upstream, Source: m.o.Peer}
+			made[i] = Made{Outcome: r.Outcome, Upstream: r.Upstream, Source: m.o.Peer, Spent: r.Spent}
 			if left--; left == 0 {
 				close(done)
 			}
@@ -262,6 +270,8 @@
 	if q == nil {
 		q = &queue{place: p, Queue: stage.NewQueue(*service.Pool)}
 		m.queues[p] = q
+		m.o.Events.Emit(event.QueueOpened, event.F("service", p.service), event.F("region", p.area),
+			event.F("upstreams", len(view.Services[p.service])), event.F("version", view.Table.Config.Version))
 	}
 	q.SetPool(*service.Pool)
 	q.SetTargets(m.targets(view, p))
--- /dev/null
+++ b/internal/gate/maker/state.go
@@ -0,0 +1,68 @@
+package maker
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/stage"
+)
+
+// logQueues writes a line for each queue that has done something since its last one.
+func (m *Maker) logQueues() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.o.Clock.Now()
+	for _, q := range m.queues {
+		s := q.Snapshot(now)
+		if s.Tally == q.logged && q.Len() == 0 {
+			continue
+		}
+		last := q.logged
+		q.logged = s.Tally
+		m.o.Events.Emit(event.QueueState, event.F("service", q.service), event.F("region", q.area), event.F("waiting", byRank(s.Waiting)),
+			event.F("oldest_ms", s.Oldest.Milliseconds()), event.F("per_second", int(q.Rate())), event.F("upstreams", s.Upstreams),
+			event.F("busy", s.Busy), event.F("calls", s.Tally.Calls-last.Calls), event.F("pieces", s.Tally.Pieces-last.Pieces),
+			event.F("made", s.Tally.Made-last.Made), event.F("no_room", s.Tally.NoRoom-last.NoRoom), event.F("late", s.Tally.Late-last.Late),
+			event.F("refused", s.Tally.Refused-last.Refused), event.F("unwanted", s.Tally.Unwanted-last.Unwanted),
+			event.F("results", s.Results), event.F("used_kb", s.Used/1000), event.F("limit_kb", s.Limit/1000))
+	}
+}
+
+func byRank(waiting []int) string {
+	text := make([]string, len(waiting))
+	for i, n := range waiting {
+		text[i] = fmt.Sprint(n)
+	}
+	return strings.Join(text, "/")
+}
+
+// WriteMetrics passes each counter of the queues on as name, labels and value.
+func (m *Maker) WriteMetrics(line func(name, labels string, value any)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.o.Clock.Now()
+	for p, q := range m.queues {
+		s := q.Snapshot(now)
+		put := func(name string, value any) {
+			line(name, fmt.Sprintf(`{service=%q,region=%q}`, p.service, p.area), value)
+		}
+		put("stage_waiting", q.Len())
+		put("stage_oldest_ms", s.Oldest.Milliseconds())
+		put("stage_calls", s.Tally.Calls)
+		put("stage_pieces", s.Tally.Pieces)
+		put("stage_room_bytes", s.Used)
+		put("stage_room_limit_bytes", s.Limit)
+		writeEnds(put, s.Tally)
+	}
+}
+
+// writeEnds writes how pieces ended.
+func writeEnds(put func(name string, value any), t stage.Tally) {
+	put("stage_made", t.Made)
+	put("stage_no_room", t.NoRoom)
+	put("stage_late", t.Late)
+	put("stage_refused", t.Refused)
+	put("stage_failed", t.NotMade)
+	put("stage_unwanted", t.Unwanted)
+}
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -84,7 +84,7 @@
 		if at <= keep || q.begun[j.Request] > 0 || !q.hopeless(j, begins) {
 			return false
 		}
-		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
+		out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonRefused}, ""))
 		return true
 	})
 	return out
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -36,6 +36,7 @@
 	Job
 	Outcome
 	Upstream string
+	Spent    Spent
 }
 
 // Waited returns how long a job has been in the queue.
@@ -108,6 +109,8 @@
 	begun   map[string]int // results and pieces under way here, by request
 	nextID  uint64
 
+	tally Tally
+
 	rate  float64   // pieces a second, made lately while others waited; 0: not known
 	made  int       // since then
 	since time.Time // zero: nothing waited
@@ -203,7 +206,7 @@
 		return nil, replies
 	}
 	if !slices.ContainsFunc(q.sorted(), func(t *target) bool { return t.present && !t.Avoid }) {
-		return nil, append(replies, q.refuseAll()...)
+		return nil, append(replies, q.refuseAll(now)...)
 	}
 	var calls []Call
 	for _, t := range q.sorted() {
@@ -253,25 +256,31 @@
 	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
 		late := end.After(j.Deadline) || len(j.Inputs) > 0 && most > 0 && now.Sub(j.added) > most
 		if late {
-			out = append(out, q.reply(j, Outcome{Reason: ReasonLate}, ""))
+			out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonLate}, ""))
 		}
 		return late
 	})
 	return out
 }
 
-func (q *Queue) refuseAll() []Reply {
+func (q *Queue) refuseAll(now time.Time) []Reply {
 	var out []Reply
 	for _, j := range q.jobs {
-		out = append(out, q.reply(j, Outcome{Reason: ReasonRefused}, ""))
+		out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonRefused}, ""))
 	}
 	q.jobs = nil
 	return out
 }
 
-func (q *Queue) reply(j Job, o Outcome, upstream string) Reply {
+// reply ends a job. began is when its last call was sent; zero: it was part of none.
+func (q *Queue) reply(now, began time.Time, j Job, o Outcome, upstream string) Reply {
+	spent := Spent{Queued: now.Sub(j.added), Calls: q.tries[keyOf(j)]}
+	if !began.IsZero() {
+		spent.Queued, spent.Called = began.Sub(j.added), now.Sub(began)
+	}
 	delete(q.tries, keyOf(j))
-	return Reply{j, o, upstream}
+	q.tally.count(o)
+	return Reply{j, o, upstream, spent}
 }
 
 func (q *Queue) begin(t *target, jobs []Job, now time.Time) Call {
@@ -282,6 +291,8 @@
 		q.tries[keyOf(j)]++
 	}
 	q.open[q.nextID] = open{t.ID, jobs, now}
+	q.tally.Calls++
+	q.tally.Pieces += len(jobs)
 	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*patienceX/2 + patienceMore
 	return Call{ID: q.nextID, Upstream: t.ID, Address: t.Address, Jobs: jobs, Patience: patience}
 }
@@ -320,6 +331,7 @@
 			q.leave(j.Request)
 		}
 		if out.Reason == ReasonNoRoom {
+			q.tally.NoRoom++
 			t.limit = max(float64(t.used), leastRoom*q.pool.RoomMB*bytesPerMB)
 			t.blocked = now.Add(roomPause)
 		}
@@ -328,6 +340,7 @@
 			delete(q.tries, keyOf(j))
 			if out.Handle != "" {
 				unwanted = append(unwanted, out.Handle)
+				q.tally.Unwanted++
 			}
 			continue
 		}
@@ -335,7 +348,7 @@
 			q.jobs = append(q.jobs, j)
 			continue
 		}
-		replies = append(replies, q.reply(j, out, o.target))
+		replies = append(replies, q.reply(now, o.began, j, out, o.target))
 	}
 	if !t.present && t.calls == 0 {
 		q.forget(t)
--- /dev/null
+++ b/internal/gate/stage/tally.go
@@ -0,0 +1,112 @@
+package stage
+
+import "time"
+
+// Tally counts what a queue has done since it was made.
+type Tally struct {
+	Calls    int // sent to upstreams
+	Pieces   int // that these calls held
+	Made     int // pieces with a result
+	NoRoom   int // times that an upstream had no memory for a piece's result
+	Late     int // pieces given up because their time had passed
+	Refused  int // pieces given up because no upstream would take them in time
+	NotMade  int // pieces that failed for another reason
+	Unwanted int // results that no one wanted any more when they came
+}
+
+func (t *Tally) count(o Outcome) {
+	switch {
+	case o.Handle != "":
+		t.Made++
+	case o.Reason == ReasonLate:
+		t.Late++
+	case o.Reason == ReasonRefused:
+		t.Refused++
+	default:
+		t.NotMade++
+	}
+}
+
+// Snapshot is the state of a queue at a moment.
+type Snapshot struct {
+	Tally     Tally
+	Waiting   []int         // jobs by rank; ranks above the last position share it
+	Oldest    time.Duration // longest time that a job has waited
+	Upstreams int           // that take work
+	Busy      int           // calls under way
+	Results   int           // that the queue keeps account of
+	Used      int64         // bytes of these and of results being made
+	Limit     int64         // bytes that the upstreams seem to have room for
+}
+
+// ranksShown is the number of ranks that a snapshot tells apart.
+const ranksShown = 4
+
+// Snapshot describes the queue for logs and metrics.
+func (q *Queue) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{Tally: q.tally, Waiting: make([]int, ranksShown)}
+	for _, j := range q.jobs {
+		s.Waiting[min(max(j.Rank, 0), ranksShown-1)]++
+		s.Oldest = max(s.Oldest, now.Sub(j.added))
+	}
+	for _, t := range q.targets {
+		s.Busy += t.calls
+		s.Results += len(t.room)
+		s.Used += t.used
+		if t.present && !t.Avoid {
+			s.Upstreams++
+			s.Limit += int64(t.limit)
+		}
+	}
+	return s
+}
+
+// Leg is one group of pieces of a stage, as the entry node of their request saw it.
+type Leg struct {
+	Stage int
+	Asked time.Time
+	Ended time.Time
+	Spent Spent // of the piece that took longest
+}
+
+// Split says where the time of a request's stages went, along the chain of stages that ended last. Its parts add up to the
+// time from the request's arrival to the end of its stages, less what failed and was asked for again.
+type Split struct {
+	Before time.Duration // until the first stage of the chain was asked for
+	Queued time.Duration // in queues
+	Called time.Duration // in calls of upstreams
+	Handed time.Duration // between entry nodes, and in the calls' way
+}
+
+// Critical returns the split of the chain of legs that ended last.
+func Critical(after func(stage int) []int, began time.Time, legs []Leg) Split {
+	var out Split
+	leg := lastOf(legs, nil)
+	for leg != nil {
+		out.Queued += leg.Spent.Queued
+		out.Called += leg.Spent.Called
+		out.Handed += leg.Ended.Sub(leg.Asked) - leg.Spent.Queued - leg.Spent.Called
+		out.Before = leg.Asked.Sub(began)
+		before := after(leg.Stage)
+		if len(before) == 0 {
+			break
+		}
+		leg = lastOf(legs, before)
+	}
+	return out
+}
+
+// lastOf returns the leg that ended last, of the stages given; nil for stages means all of them.
+func lastOf(legs []Leg, stages []int) *Leg {
+	var out *Leg
+	for i := range legs {
+		wanted := stages == nil
+		for _, s := range stages {
+			wanted = wanted || legs[i].Stage == s
+		}
+		if wanted && (out == nil || legs[i].Ended.After(out.Ended)) {
+			out = &legs[i]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gate/stage/tally_test.go
@@ -0,0 +1,47 @@
+package stage
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// at returns a moment some milliseconds after the arrival of a request.
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against a late request whose log line cannot say whether its stages waited, were called or were handed over: the
+// parts must follow the chain that ended last, and add up to the time until it ended.
+func TestSplitFollowsTheChainThatEndedLast(t *testing.T) {
+	p := newPlan(t, 1, 1, 2, 1)
+	legs := []Leg{
+		{Stage: 1, Asked: at(5), Ended: at(205), Spent: Spent{Queued: 20 * time.Millisecond, Called: 170 * time.Millisecond}},
+		{Stage: 2, Asked: at(205), Ended: at(505), Spent: Spent{Queued: 90 * time.Millisecond, Called: 200 * time.Millisecond}},
+		{Stage: 0, Asked: at(505), Ended: at(700), Spent: Spent{Queued: 1 * time.Millisecond, Called: 180 * time.Millisecond}},
+		{Stage: 3, Asked: at(505), Ended: at(905), Spent: Spent{Queued: 150 * time.Millisecond, Called: 240 * time.Millisecond}},
+	}
+	after := func(stage int) []int { return p.stages[stage].After }
+	split := Critical(after, t0, legs)
+	assert.DeepEqual(t, split, Split{
+		Before: 5 * time.Millisecond, Queued: 260 * time.Millisecond, Called: 610 * time.Millisecond, Handed: 30 * time.Millisecond,
+	})
+	assert.DeepEqual(t, Critical(after, t0, nil), Split{})
+}
+
+// Guards against replies that lack the time a piece waited, and against a snapshot that forgets results or ranks.
+func TestQueueTellsWhatItDid(t *testing.T) {
+	q := queue()
+	urgent, other := job("a", time.Second, 400), job("b", time.Second, 900)
+	other.Rank = 2
+	q.Add(t0, urgent)
+	q.Add(t0, other)
+	calls, _ := q.Next(at(30))
+	replies, _ := q.Done(at(230), calls[0].ID, Answered, []Outcome{{Handle: "h"}})
+	assert.DeepEqual(t, replies[0].Spent, Spent{Queued: 30 * time.Millisecond, Called: 200 * time.Millisecond, Calls: 1})
+	s := q.Snapshot(at(230))
+	assert.DeepEqual(t, s.Waiting, []int{0, 0, 1, 0})
+	assert.Equal(t, s.Oldest, 230*time.Millisecond)
+	assert.Equal(t, s.Results, 1)
+	assert.Equal(t, s.Used, int64(400))
+	assert.Equal(t, s.Tally, Tally{Calls: 1, Pieces: 1, Made: 1})
+}
--- a/internal/node/gated/metrics.go
+++ b/internal/node/gated/metrics.go
@@ -27,6 +27,7 @@
 	if p.front != nil {
 		line("suspect_contents", `{role="entry"}`, p.board.Len())
 		p.front.WriteMetrics(line)
+		p.maker.WriteMetrics(line)
 		line("dialed", "", p.pool.Dialed())
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
