--- a/internal/gate/front/foresee.go
+++ b/internal/gate/front/foresee.go
@@ -12,14 +12,8 @@
 
 // Parameters of the look ahead.
 const (
-	// queuedCalls is the number of full calls' time that a request must be expected to wait before it is refused because it
-	// will be late. Less may be an error of the forecast.
-	queuedCalls = 2
 	// farRatio is how much sooner the stages must end in another region.
 	farRatio = 2
-	// leastRetry and mostRetry bound the time after which a refused caller is told to return.
-	leastRetry = 300 * time.Millisecond
-	mostRetry  = 3 * time.Second
 )
 
 // foresee moves a request that the queues of its stages will make late to a region whose queues are empty, or refuses it: it
@@ -29,17 +23,13 @@
 		return nil
 	}
 	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
-	if x.seat.forecast.Total <= slack {
+	if x.seat.forecast.OnTime(slack) || x.moveAway(slack) {
 		return nil
 	}
-	if x.moveAway(slack) {
+	ok, after := x.seat.forecast.Admit(slack, x.left())
+	if ok {
 		return nil
 	}
-	here := x.seat.forecast
-	if here.Wait < queuedCalls*here.Full && here.Total < x.left() {
-		return nil
-	}
-	after := min(max(here.Wait, leastRetry), mostRetry, x.left()/4)
 	return &refusal{http.StatusServiceUnavailable, "the queues of the stages are too long", after}
 }
 
--- a/internal/gate/front/staging.go
+++ b/internal/gate/front/staging.go
@@ -153,8 +153,7 @@
 	st := x.route.Stages[number]
 	after := time.Duration(0)
 	if service := x.table.Service(st.Service); service != nil && service.Pool != nil {
-		one := service.Pool.CallTime.Duration() + time.Duration(service.Pool.Batch)*service.Pool.ItemTime.Duration()/2
-		after = time.Duration(s.plan.Depth(number)-1) * one
+		after = s.plan.Rest(number, *service.Pool)
 	}
 	due := x.began.Add(x.route.Target.Duration() - after)
 	jobs := make([]stage.Job, len(group))
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
 )
@@ -87,6 +88,12 @@
 	return depth + 1
 }
 
+// Rest is the time to leave for the stages after a stage: a call of middling size for each, as in the stage's own pool.
+func (p *Plan) Rest(stage int, pool conf.Pool) time.Duration {
+	one := pool.CallTime.Duration() + time.Duration(pool.Batch)*pool.ItemTime.Duration()/2
+	return time.Duration(p.Depth(stage)-1) * one
+}
+
 // left returns the number of stages that must still run one after the other.
 func (p *Plan) left() int {
 	left := 0
--- /dev/null
+++ b/internal/test/chain/request.go
@@ -0,0 +1,257 @@
+package chain
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/stage"
+)
+
+// request is one attempt of a caller at its entry node.
+type request struct {
+	w        *world
+	id       string
+	kind     *Kind
+	first    time.Time // of the caller's first attempt
+	began    time.Time // of this one
+	returned bool
+	want     engine.Request
+	counts   []int
+
+	ticket   uint64
+	engineID string
+	forecast engine.Forecast
+	plan     *stage.Plan
+	waiting  map[stage.Key]stage.Job // pieces that a queue has
+	staged   time.Time
+}
+
+func (w *world) arrive(k *Kind) {
+	c := w.result.Kinds[k.Name]
+	c.Sent++
+	c.Owed += k.Worth
+	r := &request{w: w, kind: k, first: w.now, counts: make([]int, len(k.Stages))}
+	r.draw()
+	r.begin()
+}
+
+// draw chooses the sizes of a request; they stay when it returns.
+func (r *request) draw() {
+	w, k := r.w, r.kind
+	for i, s := range k.Stages {
+		n := 1
+		if s.Pieces > 0 {
+			n = max(int(math.Round(w.spread(s.Pieces, pieceSigma))), 1)
+		}
+		if s.Share > 0 && w.rng.Float64() >= s.Share {
+			n = 0
+		}
+		r.counts[i] = n
+	}
+	thing := w.rng.IntN(max(k.Things, 1))
+	shared := max(int(float64(k.Shared)*(thingLeast+float64(thing%thingSizes)/thingSizes)), 1)
+	own := int(w.spread(float64(k.Own), ownSigma))
+	r.want = engine.Request{Prompt: shared + own, Output: 120, Rank: k.Rank}
+	r.want.Parts = []engine.Part{{ID: fmt.Sprint(k.Name, "-", thing), Tokens: shared}, {ID: fmt.Sprint("own-", w.rng.Uint64()), Tokens: own}}
+}
+
+// Spread of the sizes that are drawn.
+const (
+	pieceSigma = 0.4
+	ownSigma   = 0.8
+	thingLeast = 0.55 // the smallest document against the mean
+	thingSizes = 10   // different sizes of documents
+)
+
+func (r *request) begin() {
+	w := r.w
+	r.id = fmt.Sprintf("r%d", w.rng.Uint64())
+	r.began = w.now
+	r.waiting = map[stage.Key]stage.Job{}
+	w.requests[r.id] = r
+	stages := make([]conf.Stage, len(r.kind.Stages))
+	r.want.Needs = nil
+	for i, s := range r.kind.Stages {
+		stages[i] = s.Stage
+		r.want.Needs = append(r.want.Needs, engine.Need{Service: s.Service, After: s.After, Pieces: r.counts[i]})
+	}
+	r.want.Due = r.kind.Target
+	r.forecast = w.placer.Forecast(w.now, r.want)
+	r.ticket, r.engineID, _ = w.placer.Place(w.now, r.want)
+	if ok, after := r.forecast.Admit(r.slack(), r.left()); !ok {
+		r.refuse(after)
+		return
+	}
+	plan, err := stage.NewPlan(r.id, "key", stages, r.counts)
+	if err != nil { // the counts are drawn for these stages
+		panic(err)
+	}
+	r.plan = plan
+	w.live[r] = true
+	w.after(hop+max(r.forecast.Hold, 0), r.start)
+	w.after(r.left(), r.expire)
+}
+
+func (r *request) slack() time.Duration { return r.began.Add(r.kind.Target).Sub(r.w.now) }
+func (r *request) left() time.Duration  { return r.first.Add(r.kind.Deadline).Sub(r.w.now) }
+
+// refuse sends the caller away; it returns once.
+func (r *request) refuse(after time.Duration) {
+	w := r.w
+	w.result.Kinds[r.kind.Name].Refused++
+	r.end(engine.Left)
+	if r.returned || after > r.left()/3 {
+		return
+	}
+	again := &request{w: w, kind: r.kind, first: r.first, returned: true, want: r.want, counts: r.counts}
+	w.after(after+hop, again.begin)
+}
+
+// end gives up all that the request has.
+func (r *request) end(result engine.Result) {
+	w := r.w
+	delete(w.live, r)
+	delete(w.requests, r.id)
+	w.placer.End(w.now, r.ticket, result)
+	if r.plan == nil {
+		return
+	}
+	r.freeAll(r.plan.All())
+	for _, q := range w.queues {
+		q.Cancel(r.id)
+	}
+}
+
+func (r *request) expire() {
+	if r.w.live[r] {
+		r.end(engine.Left)
+	}
+}
+
+func (r *request) start() {
+	w := r.w
+	if !w.live[r] {
+		return
+	}
+	if r.plan.Finished() {
+		r.send()
+		return
+	}
+	for _, item := range r.plan.Ready() {
+		s := r.kind.Stages[item.Stage]
+		after := r.plan.Rest(item.Stage, w.pools[s.Service])
+		j := stage.Job{
+			Item: item, Rank: r.kind.Rank, Home: "dc", Bytes: s.Bytes,
+			Due: r.began.Add(r.kind.Target - after), Deadline: r.first.Add(r.kind.Deadline - after),
+		}
+		r.give(j)
+	}
+}
+
+func keyOf(item stage.Item) stage.Key {
+	return stage.Key{Request: item.Request, Stage: item.Stage, Piece: item.Piece}
+}
+
+// give hands a piece to the present owner of its queue.
+func (r *request) give(j stage.Job) {
+	w := r.w
+	r.waiting[keyOf(j.Item)] = j
+	w.after(hop, func() {
+		q := w.queues[r.kind.Stages[j.Stage].Service]
+		if w.live[r] {
+			q.Add(w.now, j)
+			w.pump(q)
+		}
+	})
+}
+
+// handAgain gives pieces to the new owners, in the order of their stages.
+func (r *request) handAgain() {
+	var list []stage.Job
+	for _, j := range r.waiting {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b stage.Job) int { return (a.Stage-b.Stage)*1000 + a.Piece - b.Piece })
+	for _, j := range list {
+		r.give(j)
+	}
+}
+
+// took takes the end of a piece.
+func (r *request) took(reply stage.Reply) {
+	w := r.w
+	service := r.kind.Stages[max(reply.Stage, 0)].Service
+	if !w.live[r] {
+		if reply.Handle != "" {
+			w.free(service, []string{reply.Handle}, reply.Upstream)
+		}
+		return
+	}
+	delete(r.waiting, keyOf(reply.Item))
+	if reply.Handle == "" {
+		if !r.plan.Failed(reply.Stage, reply.Piece, reply.Reason) {
+			r.refuse(leastRetry)
+			return
+		}
+		r.start()
+		return
+	}
+	r.freeAll(r.plan.Made(reply.Stage, reply.Piece, reply.Handle, "owner", reply.Upstream))
+	if r.stageDone(reply.Stage) {
+		w.placer.Staged(r.ticket, reply.Stage)
+	}
+	r.start()
+}
+
+// leastRetry is what a caller is told when a piece of its request was not made.
+const leastRetry = 300 * time.Millisecond
+
+func (r *request) stageDone(number int) bool {
+	for k := range r.waiting {
+		if k.Stage == number {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *request) freeAll(list []stage.Freed) {
+	for _, f := range list {
+		r.w.free(f.Service, []string{f.Handle}, f.Upstream)
+	}
+}
+
+// send passes the request to its engine.
+func (r *request) send() {
+	w := r.w
+	if !r.staged.IsZero() {
+		return
+	}
+	r.staged = w.now
+	e := w.engines[r.engineID]
+	w.after(hop, func() { e.take(r) })
+}
+
+// answered takes the first event.
+func (r *request) answered() {
+	w := r.w
+	if !w.live[r] {
+		return
+	}
+	c := w.result.Kinds[r.kind.Name]
+	c.Stages = append(c.Stages, r.staged.Sub(r.began))
+	c.Engine = append(c.Engine, w.now.Sub(r.staged))
+	if w.now.Sub(r.first) <= r.kind.Target {
+		c.OnTime++
+		c.Earned += r.kind.Worth
+	} else {
+		c.Late++
+		c.Earned += r.kind.Late
+	}
+	w.placer.First(r.ticket)
+	r.end(engine.Served)
+}
