Order requests by the priority of their team and then of their route

Cause: a team's priority stood in place of the route's. Every team of the users' configurations has priority 1, so all kinds of its requests had the same rank: in the queues of the stages, at the placer, at the model engines. The least urgent kind delayed the most urgent one as its own kind would. Class of fault: an order by two keys of which one was dropped.

Change: conf.Table.Rank gives each pair of priorities its place in one order, the team's first, without gaps since engines tell ten ranks apart. TestKindsOfOneTeamKeepTheirOrder failed with the rule of before.

--- a/internal/gate/conf/conf_test.go
+++ b/internal/gate/conf/conf_test.go
@@ -85,3 +85,27 @@
 	_, ok = table.Team("k2")
 	assert.Assert(t, !ok)
 }
+
+// Guards against the priority of a team that makes all kinds of its requests equally urgent: a burst of the least urgent kind
+// then delays the most urgent one as its own kind would (incident SHORT).
+func TestKindsOfOneTeamKeepTheirOrder(t *testing.T) {
+	one, three := 1, 3
+	c := &Config{
+		Routes: []Route{{Name: "review", Priority: 0}, {Name: "hint", Priority: 1}, {Name: "check", Priority: 2}},
+		Teams:  []Team{{Name: "office", Priority: &one}, {Name: "desk", Priority: &one}, {Name: "press", Priority: &three}, {Name: "plain"}},
+	}
+	table := NewTable(c)
+	rank := func(route int, team int) int {
+		if team < 0 {
+			return table.Rank(&c.Routes[route], nil)
+		}
+		return table.Rank(&c.Routes[route], &c.Teams[team])
+	}
+	assert.Assert(t, rank(0, 0) < rank(1, 0) && rank(1, 0) < rank(2, 0), "the kinds of one team")
+	assert.Assert(t, rank(0, 0) < rank(2, 1), "the kinds of teams with the same priority")
+	assert.Assert(t, rank(2, 0) < rank(0, 2), "the team's priority goes before the route's")
+	assert.Equal(t, rank(0, 3), rank(0, -1), "a team without a priority")
+	assert.Assert(t, rank(0, -1) < rank(0, 0) && rank(2, 0) < rank(2, -1), "a route's own priority counts without a team's")
+	assert.Equal(t, rank(0, -1), 0)
+	assert.Equal(t, rank(2, 2), 7, "eight urgencies, without gaps")
+}
--- a/internal/gate/conf/table.go
+++ b/internal/gate/conf/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -13,11 +14,16 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
 	teams    map[KeyHash]*Team
+	ranks    map[urgency]int
 }
 
+// urgency orders requests: by the priority of their team, or of their route without one, and then by that of their route. The
+// second one keeps the kinds of requests of one team apart.
+type urgency struct{ first, route int }
+
 // NewTable indexes a configuration, which must not be changed afterwards.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, teams: map[KeyHash]*Team{}}
+	t := &Table{Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, teams: map[KeyHash]*Team{}, ranks: map[urgency]int{}}
 	for i := range c.Routes {
 		host := strings.ToLower(c.Routes[i].Host)
 		t.byHost[host] = append(t.byHost[host], &c.Routes[i])
@@ -33,9 +39,44 @@
 			t.teams[k] = &c.Teams[i]
 		}
 	}
+	t.number()
 	return t
 }
 
+// number gives each urgency that requests can have its rank, from 0 without gaps: upstreams tell few ranks apart.
+func (t *Table) number() {
+	routes := map[int]bool{}
+	for i := range t.Config.Routes {
+		p := t.Config.Routes[i].Priority
+		routes[p] = true
+		t.ranks[urgency{p, p}] = 0
+	}
+	for _, team := range t.Config.Teams {
+		if team.Priority == nil {
+			continue
+		}
+		for p := range routes {
+			t.ranks[urgency{*team.Priority, p}] = 0
+		}
+	}
+	sorted := slices.SortedFunc(maps.Keys(t.ranks), func(a, b urgency) int {
+		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.route, b.route))
+	})
+	for rank, u := range sorted {
+		t.ranks[u] = rank
+	}
+}
+
+// Rank returns the urgency of a route's requests for a team, which may be nil; 0 is the most urgent. The priority of a team
+// takes precedence over the route's, which orders the requests of teams with equal priorities.
+func (t *Table) Rank(r *Route, team *Team) int {
+	u := urgency{r.Priority, r.Priority}
+	if team != nil && team.Priority != nil {
+		u.first = *team.Priority
+	}
+	return t.ranks[u]
+}
+
 // Match returns the route of a request, or nil. The host may carry a port.
 func (t *Table) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/internal/gate/engine/learn.go
@@ -0,0 +1,64 @@
+package engine
+
+import "time"
+
+// line follows a quantity that grows with another one: exponentially weighted least squares.
+type line struct {
+	n, x, y, xx, xy float64 // weighted sums
+}
+
+// forget is the weight that older samples keep with each new one.
+const forget = 0.98
+
+// add takes a sample.
+func (l *line) add(x, y float64) {
+	l.n = l.n*forget + 1
+	l.x = l.x*forget + x
+	l.y = l.y*forget + y
+	l.xx = l.xx*forget + x*x
+	l.xy = l.xy*forget + x*y
+}
+
+// at returns the value that is expected at x; false before enough samples came. A slope below 0 counts as 0.
+func (l *line) at(x float64) (float64, bool) {
+	if l.n < leastSamples {
+		return 0, false
+	}
+	meanX, meanY := l.x/l.n, l.y/l.n
+	spread := l.xx/l.n - meanX*meanX
+	slope := 0.0
+	if spread > 0 {
+		slope = max((l.xy/l.n-meanX*meanY)/spread, 0)
+	}
+	return max(meanY+slope*(x-meanX), 0), true
+}
+
+// leastSamples is the weight of samples from which on a line is used.
+const leastSamples = 8
+
+// engineTimes expects, for each rank, how long an engine takes from the end of a request's stages to its first event.
+type engineTimes struct {
+	byRank map[int]*line // milliseconds over prompt tokens to read
+}
+
+func (e *engineTimes) add(rank, unread int, took time.Duration) {
+	if e.byRank == nil {
+		e.byRank = map[int]*line{}
+	}
+	l := e.byRank[rank]
+	if l == nil {
+		l = &line{}
+		e.byRank[rank] = l
+	}
+	l.add(float64(unread), float64(took.Milliseconds()))
+}
+
+// expect returns 0 for a rank without samples.
+func (e *engineTimes) expect(rank, unread int) time.Duration {
+	l := e.byRank[rank]
+	if l == nil {
+		return 0
+	}
+	ms, _ := l.at(float64(unread))
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -256,12 +256,7 @@
 }
 
 // rank is the urgency of the request, 0 for the most urgent.
-func (x *exchange) rank() int {
-	if x.team != nil && x.team.Priority != nil {
-		return *x.team.Priority
-	}
-	return x.route.Priority
-}
+func (x *exchange) rank() int { return x.table.Rank(x.route, x.team) }
 
 // home returns the data centre of the engine that will run the request. Stages run there, so that their results do not
 // cross data centres.
--- a/internal/gate/stage/tally.go
+++ b/internal/gate/stage/tally.go
@@ -40,7 +40,7 @@
 }
 
 // ranksShown is the number of ranks that a snapshot tells apart.
-const ranksShown = 4
+const ranksShown = 6
 
 // Snapshot describes the queue for logs and metrics.
 func (q *Queue) Snapshot(now time.Time) Snapshot {
--- a/internal/gate/stage/tally_test.go
+++ b/internal/gate/stage/tally_test.go
@@ -39,7 +39,7 @@
 	replies, _ := q.Done(at(230), calls[0].ID, Answered, []Outcome{{Handle: "h"}})
 	assert.DeepEqual(t, replies[0].Spent, Spent{Queued: 30 * time.Millisecond, Called: 200 * time.Millisecond, Calls: 1})
 	s := q.Snapshot(at(230))
-	assert.DeepEqual(t, s.Waiting, []int{0, 0, 1, 0})
+	assert.DeepEqual(t, s.Waiting, []int{0, 0, 1, 0, 0, 0})
 	assert.Equal(t, s.Oldest, 230*time.Millisecond)
 	assert.Equal(t, s.Results, 1)
 	assert.Equal(t, s.Used, int64(400))
