Count the engine's part in the forecast of a request

Cause: a request was taken while its stages were expected to end before its target; the engine's part, 0.3 s and more for a document that must be read, was left out, there and in the times by which pieces are due. So the queues grew until each request was late by about the engine's part. Class of fault: admission by a bound that is not the promise.

Change: the placer learns, by rank, how long an engine takes for the prompt tokens that it has to read, and what its forecasts of the stages turned out to be (exponentially weighted least squares, engine/learn.go). Place returns the forecast; pieces are due before the engine's part.

--- a/internal/gate/engine/admit.go
+++ b/internal/gate/engine/admit.go
@@ -13,7 +13,7 @@
 const queuedCalls = 2
 
 // OnTime reports whether a request with this much time until it is late is expected to be answered by then.
-func (f Forecast) OnTime(slack time.Duration) bool { return f.Total <= slack }
+func (f Forecast) OnTime(slack time.Duration) bool { return f.Likely+f.Engine <= slack }
 
 // Admit decides on a request that this region would answer too late: slack is its time until it is late, left its time until
 // its end. A refused one would keep its places from others that can still be on time; its caller can return after the time
--- a/internal/gate/engine/bench_test.go
+++ b/internal/gate/engine/bench_test.go
@@ -16,8 +16,8 @@
 				r := review(fmt.Sprint("doc", next%100), 1000)
 				r.Parts[1].ID = fmt.Sprint("own", next)
 				next++
-				id, _, _ := p.Place(t0, r)
-				open = append(open, id)
+				seat, _ := p.Place(t0, r)
+				open = append(open, seat.Ticket)
 			}
 			for range 20 * engines {
 				place()
@@ -25,7 +25,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				place()
-				p.First(open[0])
+				p.First(t0, open[0])
 				p.End(t0, open[0], Served)
 				open = open[1:]
 			}
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -6,10 +6,10 @@
 //
 //	p := engine.New()
 //	p.SetTargets(list)
-//	ticket, id, ok := p.Place(now, engine.Request{Parts: parts, Prompt: 17020, Output: 120})
-//	p.Staged(ticket, 0)           // the pieces of stage 0 are made
-//	p.First(ticket)               // the first event came, so the prompt has been read
-//	p.End(now, ticket, engine.Served)
+//	seat, ok := p.Place(now, engine.Request{Parts: parts, Prompt: 17020, Output: 120})
+//	p.Staged(now, seat.Ticket, 0) // the pieces of stage 0 are made
+//	p.First(now, seat.Ticket)     // the first event came, so the prompt has been read
+//	p.End(now, seat.Ticket, engine.Served)
 //
 // Since all requests of the region pass here before their stages begin, a Placer also knows the pieces that the region's
 // stage services still have to make, and forecasts how long a request would take (Forecast). The queues themselves show a
@@ -87,7 +87,10 @@
 	tokens int
 	at     time.Time
 	due    time.Time
-	needs  []Need // pieces that are still to be made
+	needs  []Need        // pieces that are still to be made
+	own    int           // prompt tokens that had to be read when the place was given
+	total  time.Duration // that its stages were expected to take
+	ready  time.Time     // when its last stage was done; zero: not yet
 }
 
 type target struct {
@@ -112,6 +115,15 @@
 	tickets map[uint64]*ticket
 	next    uint64
 	pools   map[string]Pool
+	engine  times // from the end of a request's stages to its first event, by prompt tokens to read
+	stages  times // of a request's stages, by the time that they were expected to take
+}
+
+// Seat is a place at an engine.
+type Seat struct {
+	Ticket   uint64
+	ID       string // of the engine
+	Forecast Forecast
 }
 
 // New returns a Placer without engines.
@@ -139,8 +151,10 @@
 	}
 }
 
-// Place chooses an engine and counts the request there; false if there is none.
-func (p *Placer) Place(now time.Time, r Request) (uint64, string, bool) {
+// Place chooses an engine and counts the request there; false if there is none. The forecast is that of the moment before the
+// request was counted.
+func (p *Placer) Place(now time.Time, r Request) (Seat, bool) {
+	forecast := p.Forecast(now, r)
 	p.expire(now)
 	chains := r.chains()
 	best := p.best(now, r, chains, false)
@@ -148,15 +162,20 @@
 		best = p.best(now, r, chains, true)
 	}
 	if best == nil {
-		return 0, "", false
+		return Seat{}, false
 	}
 	p.next++
 	t := &ticket{target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: now.Add(r.Due)}
 	t.needs = slices.Clone(r.Needs)
+	t.own, t.total = t.unread, forecast.Total
+	if !t.staging() {
+		t.ready = now
+	}
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
 	best.remember(r, chains)
-	return p.next, best.ID, true
+	p.complete(&forecast, p.next)
+	return Seat{p.next, best.ID, forecast}, true
 }
 
 // best returns the engine with the least cost. Engines that are paused or full count only with any.
@@ -230,27 +249,33 @@
 // weight is the part of a request's unread prompt that stands before another one: a request whose stages still run reaches its
 // engine later, and the engine reads other prompts until then.
 func (t *ticket) weight() float64 {
-	for _, n := range t.needs {
-		if n.Pieces > 0 {
-			return stagedWeight
-		}
+	if t.staging() {
+		return stagedWeight
 	}
 	return 1
 }
 
-// Waiting returns the prompt tokens that the engine of a ticket has to read for it, and for the requests of its rank or a more
-// urgent one that have places there too.
-func (p *Placer) Waiting(id uint64) (unread, ahead int) {
+// staging reports whether the request still has stages to pass.
+func (t *ticket) staging() bool {
+	return slices.ContainsFunc(t.needs, func(n Need) bool { return n.Pieces > 0 })
+}
+
+// complete adds to a forecast what is known once a request has its place.
+func (p *Placer) complete(f *Forecast, id uint64) {
 	t := p.tickets[id]
-	if t == nil {
-		return 0, 0
-	}
+	f.Unread = t.unread
 	for other, x := range p.targets[t.target].tickets {
 		if other != id && x.rank <= t.rank {
-			ahead += x.unread
+			f.Ahead += x.unread
+		}
+	}
+	f.Engine, _ = p.engine.expect(t.rank, float64(t.unread))
+	f.Likely = f.Total
+	if f.Total > 0 {
+		if likely, ok := p.stages.expect(t.rank, float64(f.Total.Milliseconds())); ok {
+			f.Likely = likely
 		}
 	}
-	return t.unread, ahead
 }
 
 // remember notes the parts that the engine will have read, and drops those used least lately when it has no room.
@@ -287,10 +312,15 @@
 }
 
 // First notes that the prompt of a request has been read.
-func (p *Placer) First(id uint64) {
-	if t := p.tickets[id]; t != nil {
-		t.unread = 0
+func (p *Placer) First(now time.Time, id uint64) {
+	t := p.tickets[id]
+	if t == nil {
+		return
+	}
+	if !t.ready.IsZero() {
+		p.engine.add(t.rank, float64(t.own), now.Sub(t.ready))
 	}
+	t.unread = 0
 }
 
 // End takes the result of a request.
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -26,9 +26,9 @@
 
 func place(t *testing.T, p *Placer, r Request) (uint64, string) {
 	t.Helper()
-	ticket, id, ok := p.Place(t0, r)
+	seat, ok := p.Place(t0, r)
 	assert.Assert(t, ok)
-	return ticket, id
+	return seat.Ticket, seat.ID
 }
 
 // Load pattern: requests about a few long documents, one after the other. Guards against a document that each engine reads.
@@ -43,7 +43,7 @@
 				home[doc] = id
 			}
 			assert.Equal(t, id, home[doc])
-			p.First(ticket)
+			p.First(t0, ticket)
 			p.End(t0, ticket, Served)
 		}
 	}
@@ -71,7 +71,7 @@
 		_, id := place(t, p, Request{Prompt: 1000, Parts: []Part{{"y", 1000}}})
 		assert.Assert(t, id != long)
 	}
-	p.First(ticket)
+	p.First(t0, ticket)
 	_, id := place(t, p, Request{Prompt: 1000, Parts: []Part{{"z", 1000}}})
 	assert.Equal(t, id, long, "it has read the prompt")
 }
@@ -89,7 +89,7 @@
 	}
 	other := review("doc", 10)
 	other.Exclude = []string{"e0", "e1"}
-	_, _, ok := p.Place(t0, other)
+	_, ok := p.Place(t0, other)
 	assert.Assert(t, !ok)
 	other.Exclude = []string{"e0"}
 	_, id := place(t, p, other)
@@ -100,7 +100,7 @@
 func TestTicketsExpire(t *testing.T) {
 	p := placer(1)
 	place(t, p, review("doc", 10))
-	_, _, ok := p.Place(t0.Add(time.Minute), review("doc", 10))
+	_, ok := p.Place(t0.Add(time.Minute), review("doc", 10))
 	assert.Assert(t, ok)
 	assert.Equal(t, len(p.tickets), 1)
 }
@@ -110,7 +110,7 @@
 	p := placer(1)
 	for i := range 20 {
 		ticket, _ := place(t, p, review(fmt.Sprint("doc", i), 10))
-		p.First(ticket)
+		p.First(t0, ticket)
 		p.End(t0, ticket, Served)
 	}
 	e := p.targets["e0"]
@@ -141,9 +141,9 @@
 	hasty := r
 	hasty.Due = -time.Second
 	assert.Equal(t, p.Forecast(t0, hasty).Wait, time.Duration(0), "pieces that are due later yield")
-	p.Staged(tickets[0], 0)
-	p.Staged(tickets[0], 1)
-	p.Staged(tickets[0], 1)
+	p.Staged(t0, tickets[0], 0)
+	p.Staged(t0, tickets[0], 1)
+	p.Staged(t0, tickets[0], 1)
 	p.End(t0, tickets[0], Served)
 	p.End(t0, tickets[1], Left)
 	assert.Equal(t, p.wait(t0, "rerank", 1, t0), 400*time.Millisecond)
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -38,6 +38,9 @@
 	// a more urgent one that were placed there before.
 	Unread int `cbor:"5,keyasint,omitempty"`
 	Ahead  int `cbor:"6,keyasint,omitempty"`
+	// Likely is Total as such forecasts have turned out lately, and Engine what the engine will take after the stages.
+	Likely time.Duration `cbor:"7,keyasint,omitempty"`
+	Engine time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // noPoolWait stands for a service without upstreams.
@@ -47,9 +50,15 @@
 func (p *Placer) SetPools(pools map[string]Pool) { p.pools = pools }
 
 // Staged notes that the pieces of one stage of a request have been made.
-func (p *Placer) Staged(id uint64, stage int) {
-	if t := p.tickets[id]; t != nil && stage >= 0 && stage < len(t.needs) {
-		t.needs[stage].Pieces = 0
+func (p *Placer) Staged(now time.Time, id uint64, stage int) {
+	t := p.tickets[id]
+	if t == nil || stage < 0 || stage >= len(t.needs) || !t.staging() {
+		return
+	}
+	t.needs[stage].Pieces = 0
+	if !t.staging() {
+		t.ready = now
+		p.stages.add(t.rank, float64(t.total.Milliseconds()), now.Sub(t.at))
 	}
 }
 
--- a/internal/gate/engine/learn.go
+++ b/internal/gate/engine/learn.go
@@ -36,12 +36,12 @@
 // leastSamples is the weight of samples from which on a line is used.
 const leastSamples = 8
 
-// engineTimes expects, for each rank, how long an engine takes from the end of a request's stages to its first event.
-type engineTimes struct {
-	byRank map[int]*line // milliseconds over prompt tokens to read
+// times expects durations for each rank.
+type times struct {
+	byRank map[int]*line // milliseconds
 }
 
-func (e *engineTimes) add(rank, unread int, took time.Duration) {
+func (e *times) add(rank int, x float64, took time.Duration) {
 	if e.byRank == nil {
 		e.byRank = map[int]*line{}
 	}
@@ -50,15 +50,15 @@
 		l = &line{}
 		e.byRank[rank] = l
 	}
-	l.add(float64(unread), float64(took.Milliseconds()))
+	l.add(x, float64(took.Milliseconds()))
 }
 
-// expect returns 0 for a rank without samples.
-func (e *engineTimes) expect(rank, unread int) time.Duration {
+// expect returns false for a rank without samples.
+func (e *times) expect(rank int, x float64) (time.Duration, bool) {
 	l := e.byRank[rank]
 	if l == nil {
-		return 0
+		return 0, false
 	}
-	ms, _ := l.at(float64(unread))
-	return time.Duration(ms * float64(time.Millisecond))
+	ms, ok := l.at(x)
+	return time.Duration(ms * float64(time.Millisecond)), ok
 }
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -141,13 +141,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.placer(placeKey{q.Service, q.Area})
-	forecast := p.Forecast(now, *q.Request)
-	ticket, id, ok := p.Place(now, *q.Request)
+	seat, ok := p.Place(now, *q.Request)
 	if !ok {
 		return placeTell{}
 	}
-	forecast.Unread, forecast.Ahead = p.Waiting(ticket)
-	return placeTell{ticket, id, forecast}
+	return placeTell{seat.Ticket, seat.ID, seat.Forecast}
 }
 
 // placer returns the placer of a service with its present engines. The lock is held.
@@ -222,10 +220,10 @@
 		return // this node was started after the place was given
 	}
 	if q.Read {
-		p.First(q.Ticket)
+		p.First(now, q.Ticket)
 	}
 	if q.Staged > 0 {
-		p.Staged(q.Ticket, q.Staged-1)
+		p.Staged(now, q.Ticket, q.Staged-1)
 	}
 	if q.Ended != 0 {
 		p.End(now, q.Ticket, q.Ended)
--- a/internal/test/chain/request.go
+++ b/internal/test/chain/request.go
@@ -80,8 +80,8 @@
 		r.want.Needs = append(r.want.Needs, engine.Need{Service: s.Service, After: s.After, Pieces: r.counts[i]})
 	}
 	r.want.Due = r.kind.Target
-	r.forecast = w.placer.Forecast(w.now, r.want)
-	r.ticket, r.engineID, _ = w.placer.Place(w.now, r.want)
+	seat, _ := w.placer.Place(w.now, r.want) // no engine fails
+	r.ticket, r.engineID, r.forecast = seat.Ticket, seat.ID, seat.Forecast
 	if ok, after := r.forecast.Admit(r.slack(), r.left()); !ok {
 		r.refuse(after)
 		return
@@ -146,7 +146,7 @@
 		after := r.plan.Rest(item.Stage, w.pools[s.Service])
 		j := stage.Job{
 			Item: item, Rank: r.kind.Rank, Home: "dc", Bytes: s.Bytes,
-			Due: r.began.Add(r.kind.Target - after), Deadline: r.first.Add(r.kind.Deadline - after),
+			Due: r.began.Add(r.kind.Target - after - r.forecast.Engine), Deadline: r.first.Add(r.kind.Deadline - after),
 		}
 		r.give(j)
 	}
@@ -202,7 +202,7 @@
 	}
 	r.freeAll(r.plan.Made(reply.Stage, reply.Piece, reply.Handle, "owner", reply.Upstream))
 	if r.stageDone(reply.Stage) {
-		w.placer.Staged(r.ticket, reply.Stage)
+		w.placer.Staged(w.now, r.ticket, reply.Stage)
 	}
 	r.start()
 }
@@ -252,6 +252,6 @@
 		c.Late++
 		c.Earned += r.kind.Late
 	}
-	w.placer.First(r.ticket)
+	w.placer.First(w.now, r.ticket)
 	r.end(engine.Served)
 }
