Let late requests yield, in the queues and in the forecast alike

Cause: a request that could not be on time kept its place when it had inputs, and the forecast counted late requests as if they were on time.

Change: stage.Class is the one rule for both. A request that cannot be on time is forecast as one that yields, and is taken while little waits before it.

--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/stage"
+)
 
 // Need is a stage that a request has to pass before it reaches its engine.
 type Need struct {
@@ -41,6 +45,8 @@
 	// Likely is Total as such forecasts have turned out lately, and Engine what the engine will take after the stages.
 	Likely time.Duration `cbor:"7,keyasint,omitempty"`
 	Engine time.Duration `cbor:"8,keyasint,omitempty"`
+	// Late says that the request cannot be on time, so that it yields to those that can.
+	Late bool `cbor:"9,keyasint,omitempty"`
 }
 
 // noPoolWait stands for a service without upstreams.
@@ -56,22 +62,26 @@
 		return
 	}
 	t.needs[stage].Pieces = 0
-	if !t.staging() {
-		t.ready = now
+	if t.staging() {
+		return
+	}
+	t.ready = now
+	if !t.late {
 		p.stages.add(t.rank, float64(t.total.Milliseconds()), now.Sub(t.at))
 	}
 }
 
-// wait returns how long pieces wait for those that the queue of their service puts before them: of a more urgent rank, or of
+// wait returns how long pieces wait for those that the queue of their service puts before them: of a more urgent class, or of
 // the same one and due earlier.
-func (p *Placer) wait(now time.Time, service string, rank int, due time.Time) time.Duration {
+func (p *Placer) wait(now time.Time, service string, class int, due time.Time) time.Duration {
 	pool := p.pools[service]
 	if pool.Upstreams == 0 || pool.Batch == 0 {
 		return noPoolWait
 	}
 	ahead := 0
 	for _, t := range p.tickets {
-		if t.rank > rank || t.rank == rank && t.due.After(due) || now.Sub(t.due) > overdue {
+		other := stage.Class(t.rank, t.late || now.After(t.due))
+		if other > class || other == class && t.due.After(due) || now.Sub(t.due) > overdue {
 			continue
 		}
 		for _, n := range t.needs {
@@ -83,9 +93,11 @@
 	return time.Duration(float64(ahead) / pool.rate() * float64(time.Second))
 }
 
-// Forecast adds up waits and calls along the longest chain of a request's stages.
-func (p *Placer) Forecast(now time.Time, r Request) Forecast {
+// Forecast adds up waits and calls along the longest chain of a request's stages, which stands among others as one that will
+// be on time or as one that will be late.
+func (p *Placer) Forecast(now time.Time, r Request, late bool) Forecast {
 	due := now.Add(r.Due)
+	class := stage.Class(r.Rank, late)
 	ends := make([]Forecast, len(r.Needs))
 	var out Forecast
 	for i, n := range r.Needs {
@@ -99,7 +111,7 @@
 		if n.Pieces > 0 {
 			// While the earlier stages run, the service works on what is before it.
 			pool := p.pools[n.Service]
-			wait := max(p.wait(now, n.Service, r.Rank, due)-begin.Total, 0)
+			wait := max(p.wait(now, n.Service, class, due)-begin.Total, 0)
 			if len(n.After) > 0 {
 				out.Hold = max(out.Hold, wait-heldCalls*pool.callTime(pool.Batch))
 			}
@@ -112,6 +124,7 @@
 			out = ends[i]
 		}
 	}
+	out.Late = late
 	return out
 }
 
--- a/internal/gate/front/foresee.go
+++ b/internal/gate/front/foresee.go
@@ -23,10 +23,10 @@
 		return nil
 	}
 	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
-	if x.seat.forecast.OnTime(slack) || x.moveAway(slack) {
+	if !x.seat.forecast.Late || x.moveAway(slack) {
 		return nil
 	}
-	ok, after := x.seat.forecast.Admit(slack, x.left())
+	ok, after := x.seat.forecast.Admit(x.left())
 	if ok {
 		return nil
 	}
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -25,17 +25,21 @@
 func (q *Queue) late(j Job, now time.Time) bool { return now.Add(q.callTime(1)).After(j.Due) }
 
 // class orders jobs before their times do. Requests that hold memory here come first, because it is free again only when
-// they are done. A request that will be late is worth little, so it yields to some that can still be on time; without this,
-// one burst beyond capacity makes each request after it late as well. Pieces with inputs do not yield: their request has been
-// worked on, and the inputs would be forgotten.
+// they are done.
 func (q *Queue) class(j Job, now time.Time) int {
-	switch {
-	case q.begun[j.Request] > 0:
+	if q.begun[j.Request] > 0 {
 		return -1
-	case len(j.Inputs) == 0 && q.late(j, now):
-		return j.Rank + lateRanks
 	}
-	return j.Rank
+	return Class(j.Rank, q.late(j, now))
+}
+
+// Class orders work before its times do: work of a request that will be late is worth little, so it yields to some that can
+// still be on time. Without this, one burst beyond capacity makes each request after it late as well.
+func Class(rank int, late bool) int {
+	if late {
+		return rank + lateRanks
+	}
+	return rank
 }
 
 // order sorts the jobs for an upstream in a data centre. Of equal ones, those whose result is needed there come first.
--- a/internal/test/chain/chain.go
+++ b/internal/test/chain/chain.go
@@ -133,6 +133,7 @@
 	placer   *engine.Placer
 	engines  map[string]*modelEngine
 	handles  int
+	attempts int
 	live     map[*request]bool
 	requests map[string]*request
 	read     map[string]bool // shared parts that some engine has read
