Infer from a caller's deadline how long ago it first asked (trial)

Cause: requests that were refused return late for sure and took the places of fresh ones.

Change: where most requests of a route give the same deadline, a shorter one tells how much time has passed.

--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -30,6 +30,8 @@
 	team    *conf.Team
 	body    []byte
 	end     time.Time // when the final answer must be given
+	// asked is when the caller sent its first attempt, as far as that is known. Its target counts from then.
+	asked time.Time
 
 	ctx    context.Context // ends with the caller, or at end
 	cancel context.CancelFunc
@@ -150,9 +152,12 @@
 
 // limitTime sets when the request ends: at the caller's deadline or the route's timeout, whichever is first.
 func (x *exchange) limitTime() {
+	x.asked = x.began
 	left := x.route.Timeout.Duration()
 	if ms, err := strconv.ParseFloat(x.r.Header.Get(x.f.o.Dialect.Headers.Deadline), 64); err == nil && ms > 0 {
-		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+		wait := time.Duration(ms * float64(time.Millisecond))
+		x.asked = x.began.Add(-x.f.deadlines.passed(x.route.Name, wait))
+		left = min(left, wait)
 	}
 	x.end = x.began.Add(left)
 	var cancel context.CancelFunc
@@ -164,6 +169,11 @@
 	}
 }
 
+// slack is the time until the request is late.
+func (x *exchange) slack() time.Duration {
+	return x.asked.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+}
+
 func (x *exchange) left() time.Duration { return x.end.Sub(x.f.o.Clock.Now()) }
 
 // gone reports whether the caller has left.
@@ -283,7 +293,7 @@
 	forecast := x.forecast()
 	x.f.o.Events.Emit(event.ForwardRefused, event.F("request", x.id), event.F("host", x.r.Host), event.F("path", shortened(x.r.URL.EscapedPath())),
 		event.F("route", x.name()), event.F("team", x.teamName()), event.F("status", f.status), event.F("reason", f.reason), event.F("retry_after_ms", f.retryAfter.Milliseconds()),
-		event.F("rank", x.rankOrNone()), event.F("elapsed_ms", x.f.o.Clock.Now().Sub(x.began).Milliseconds()), event.F("forecast_ms", forecast.Total.Milliseconds()),
+		event.F("rank", x.rankOrNone()), event.F("age_ms", x.age().Milliseconds()), event.F("elapsed_ms", x.f.o.Clock.Now().Sub(x.began).Milliseconds()), event.F("forecast_ms", forecast.Total.Milliseconds()),
 		event.F("wait_ms", forecast.Wait.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()), event.F("version", version))
 }
 
@@ -295,6 +305,14 @@
 	return x.seat.forecast
 }
 
+// age is the time between the caller's first attempt, as far as that is known, and this one.
+func (x *exchange) age() time.Duration {
+	if x.asked.IsZero() {
+		return 0
+	}
+	return x.began.Sub(x.asked)
+}
+
 // rankOrNone is the urgency for a log line; -1 before the route is known.
 func (x *exchange) rankOrNone() int {
 	if x.route == nil {
@@ -324,7 +342,7 @@
 	}
 	x.f.o.Events.Emit(event.ForwardFinished, event.F("request", x.id), event.F("route", x.name()), event.F("team", x.teamName()),
 		event.F("status", status), event.F("upstream", x.upstream), event.F("attempts", x.sent+x.refusals),
-		event.F("target_ms", target.Milliseconds()), event.F("seat_ms", x.seated.Milliseconds()), event.F("hold_ms", x.held.Milliseconds()),
+		event.F("target_ms", target.Milliseconds()), event.F("age_ms", x.age().Milliseconds()), event.F("seat_ms", x.seated.Milliseconds()), event.F("hold_ms", x.held.Milliseconds()),
 		event.F("before_ms", x.split.Before.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()),
 		event.F("called_ms", x.split.Called.Milliseconds()), event.F("handed_ms", x.split.Handed.Milliseconds()),
 		event.F("stage_ms", x.staged.Milliseconds()), event.F("sent_ms", x.lastSent.Milliseconds()), event.F("first_ms", x.first.Milliseconds()),
--- a/internal/gate/front/foresee.go
+++ b/internal/gate/front/foresee.go
@@ -22,7 +22,7 @@
 	if x.seat == nil {
 		return nil
 	}
-	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+	slack := x.slack()
 	if !x.seat.forecast.Late || x.moveAway(slack) {
 		return nil
 	}
@@ -67,7 +67,7 @@
 		return false
 	}
 	x.movedAway = true
-	slack := x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+	slack := x.slack()
 	x.seat.forecast.Total = max(x.seat.forecast.Total, x.left())
 	return x.moveAway(slack)
 }
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -75,7 +75,9 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	counters counters
-	regions  []string // sorted
+	// deadlines tell callers that return from those that ask for the first time.
+	deadlines deadlines
+	regions   []string // sorted
 
 	mu      sync.Mutex
 	chooser *pick.Chooser
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -95,7 +95,7 @@
 func (x *exchange) engineRequest() engine.Request {
 	names := x.f.o.Dialect.Headers
 	r := engine.Request{Model: x.r.Header.Get(names.Model), Rank: x.rank()}
-	r.Due = x.began.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+	r.Due = x.slack()
 	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
 	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
