--- a/internal/test/chain/chain_test.go
+++ b/internal/test/chain/chain_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// shallow is half of another large deployment: the urgent kind has one stage, and the least urgent kind has long chains and is
+// most of the traffic.
+func shallow() Options {
+	pool := func(batch int, item conf.MS, room float64) conf.Pool {
+		return conf.Pool{Slots: 1, Queue: 2, Batch: batch, CallTime: 150, ItemTime: item, RoomMB: room, HandleFor: 4000}
+	}
+	board := conf.Stage{Service: "board", Bytes: 8000}
+	big := conf.Stage{Service: "board", Bytes: 3_000_000}
+	yard := func(after int) Stage {
+		return Stage{Stage: conf.Stage{Service: "yard", After: []int{after}, Bytes: 60_000}, Pieces: 8}
+	}
+	portal := func(after int) Stage {
+		return Stage{Stage: conf.Stage{Service: "portal", After: []int{after}, Bytes: 6000}, Pieces: 16}
+	}
+	return Options{
+		Services: []Service{{"board", 8, pool(10, 13, 52)}, {"yard", 7, pool(48, 2.7, 8.5)}, {"portal", 9, pool(80, 1.6, 1.4)}},
+		Kinds: []Kind{
+			{
+				Name: "review", Rank: 0, PerSecond: 38, Worth: 5.3, Late: 0.32, Target: time.Second, Deadline: 10 * time.Second,
+				Things: 784, Shared: 13300, Own: 3720, Stages: []Stage{{Stage: big, Share: 0.7, Pieces: 2.5}},
+			},
+			{
+				Name: "check", Rank: 1, PerSecond: 30, Worth: 1, Late: 0.15, Target: 2500 * time.Millisecond, Deadline: 8 * time.Second,
+				Things: 414, Shared: 6300, Own: 2890, Stages: []Stage{{Stage: board, Work: 0.3}, yard(0), portal(1)},
+			},
+			{
+				Name: "hint", Rank: 2, PerSecond: 65, Worth: 0.09, Late: 0.02, Target: 5 * time.Second, Deadline: 12 * time.Second,
+				Things: 2012, Shared: 350, Own: 1110,
+				Stages: []Stage{{Stage: big, Share: 0.4, Pieces: 1.5}, {Stage: board, Work: 0.3}, yard(1), portal(2)},
+			},
+		},
+		Engines: 45, Length: 20 * time.Second,
+	}
+}
+
 func percentile(list []time.Duration, p float64) time.Duration {
 	if len(list) == 0 {
 		return 0
@@ -82,7 +117,10 @@
 	both.Bursts = []Burst{{"review", 4 * time.Second, 6 * time.Second, 2.96}, {"check", 2 * time.Second, 6 * time.Second, 2.2}}
 	owners := both
 	owners.NewOwners = []time.Duration{7 * time.Second}
-	return map[string]Options{"1calm": calm, "2own": own, "3least": least, "4both": both, "5owners": owners}
+	hboth, hmid := shallow(), shallow()
+	hboth.Bursts = []Burst{{"review", 4 * time.Second, 6 * time.Second, 3.1}, {"hint", 3 * time.Second, 6 * time.Second, 2.1}}
+	hmid.Bursts = []Burst{{"check", 4 * time.Second, 6 * time.Second, 3.1}}
+	return map[string]Options{"6hboth": hboth, "7hmid": hmid, "1calm": calm, "2own": own, "3least": least, "4both": both, "5owners": owners}
 }
 
 func TestShow(t *testing.T) {
--- a/internal/test/chain/exp_test.go
+++ b/internal/test/chain/exp_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestExp(t *testing.T) {
-	names := []string{"1calm", "2own", "3least", "4both", "5owners"}
+	names := []string{"1calm", "2own", "3least", "4both", "5owners", "6hboth", "7hmid"}
 	p := patterns()
 	const seeds = 3
 	res := make([][]Result, len(names))
