Hand a stage's inputs over once, not with each piece

Cause: each piece carried all its inputs. A stage of 16 pieces with 8 inputs was a message of 4,625 bytes; the node that keeps its queue has a link of 10 Mbit/s for the whole region. Class of fault: messages that grow with the product of two numbers of a request.

Change: a message holds a list of inputs, pieces name them by position; the answer names its upstreams once, and no source.

--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -51,9 +51,9 @@
 // Made is the result of one job.
 type Made struct {
 	stage.Outcome
-	Upstream string      `cbor:"3,keyasint,omitempty"`
-	Source   string      `cbor:"4,keyasint,omitempty"` // peer address of the node that keeps account of the result
-	Spent    stage.Spent `cbor:"5,keyasint,omitempty"`
+	Upstream string
+	Source   string // peer address of the node that keeps account of the result
+	Spent    stage.Spent
 }
 
 // Times of a Maker.
@@ -87,31 +87,12 @@
 	logged stage.Tally // at the last line about the queue
 }
 
-// ask is a message between entry nodes. Free and Cancel come without an answer.
-type ask struct {
-	Service string    `cbor:"1,keyasint,omitempty"`
-	Area    string    `cbor:"2,keyasint,omitempty"`
-	Jobs    []wireJob `cbor:"3,keyasint,omitempty"`
-	Free    []Result  `cbor:"4,keyasint,omitempty"`
-	Cancel  string    `cbor:"5,keyasint,omitempty"`
-}
-
 // Result names a result at the upstream that made it.
 type Result struct {
 	Handle   string `cbor:"1,keyasint"`
 	Upstream string `cbor:"2,keyasint"`
 }
 
-// wireJob carries times as durations, because the clocks of two VMs differ.
-type wireJob struct {
-	Item  stage.Item    `cbor:"1,keyasint"`
-	Bytes int64         `cbor:"2,keyasint"`
-	Due   time.Duration `cbor:"3,keyasint"`
-	Left  time.Duration `cbor:"4,keyasint"`
-	Rank  int           `cbor:"5,keyasint,omitempty"`
-	Home  string        `cbor:"6,keyasint,omitempty"`
-}
-
 // New starts a maker.
 func New(o Options) *Maker {
 	m := &Maker{o: o, queues: map[place]*queue{}, waiting: map[uint64]func(stage.Reply){}, avoid: map[string]time.Time{}}
@@ -181,11 +162,8 @@
 
 // hand brings jobs to another entry node.
 func (m *Maker) hand(ctx context.Context, owner, service, area string, jobs []stage.Job) ([]Made, error) {
-	now := m.o.Clock.Now()
 	q := ask{Service: service, Area: area}
-	for _, j := range jobs {
-		q.Jobs = append(q.Jobs, wireJob{j.Item, j.Bytes, j.Due.Sub(now), j.Deadline.Sub(now), j.Rank, j.Home})
-	}
+	q.pack(jobs, m.o.Clock.Now())
 	body, err := cbor.Marshal(q)
 	if err != nil { // jobs hold plain values only
 		panic(err)
@@ -194,8 +172,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var made []Made
-	if err := cbor.Unmarshal(reply, &made); err != nil {
+	made, err := decodeMade(reply, owner)
+	if err != nil {
 		return nil, err
 	}
 	if len(made) != len(jobs) {
--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -200,18 +200,13 @@
 		}
 		return nil, nil
 	}
-	now := m.o.Clock.Now()
-	jobs := make([]stage.Job, len(q.Jobs))
-	var last time.Duration
-	for i, j := range q.Jobs {
-		jobs[i] = stage.Job{
-			Item: j.Item, Rank: j.Rank, Home: j.Home, Bytes: j.Bytes, Due: now.Add(j.Due), Deadline: now.Add(j.Left),
-		}
-		last = max(last, j.Left)
+	jobs, last, err := q.unpack(m.o.Clock.Now())
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := m.o.Clock.AfterFunc(last, cancel)
 	defer timer.Stop()
-	return cbor.Marshal(m.makeHere(ctx, place{q.Service, q.Area}, jobs))
+	return encodeMade(m.makeHere(ctx, place{q.Service, q.Area}, jobs))
 }
--- /dev/null
+++ b/internal/gate/maker/wire_test.go
@@ -0,0 +1,81 @@
+package maker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/stage"
+)
+
+// wide is a stage with 16 pieces that each need the 8 results of the stage before.
+func wide() []stage.Job {
+	var inputs []string
+	for i := range 8 {
+		inputs = append(inputs, fmt.Sprintf("10.1.64.7:8080/91bd3f06e4%02d", i))
+	}
+	now := time.Unix(1000, 0)
+	var out []stage.Job
+	for i := range 16 {
+		out = append(out, stage.Job{
+			Item: stage.Item{Request: "e5b2907c14da6f38", Stage: 3, Piece: i, Inputs: inputs}, Rank: 1, Home: "mona", Bytes: 6000,
+			Due: now.Add(time.Second), Deadline: now.Add(9 * time.Second),
+		})
+	}
+	return out
+}
+
+// Load pattern: a burst of requests whose last stage has many pieces with many inputs, on entry nodes with narrow links. Guards
+// against messages that repeat the inputs for each piece and fill the link of the node that keeps the queue (incident SHORT).
+func TestAHandedStageFitsOnePacket(t *testing.T) {
+	const packet = 1400 // bytes
+	now := time.Unix(1000, 0)
+	q := ask{Service: "portal", Area: "north"}
+	q.pack(wide(), now)
+	body, err := cbor.Marshal(q)
+	assert.NilError(t, err)
+	assert.Assert(t, len(body) <= packet, "%d bytes", len(body))
+	var back ask
+	assert.NilError(t, cbor.Unmarshal(body, &back))
+	jobs, last, err := back.unpack(now)
+	assert.NilError(t, err)
+	assert.Equal(t, last, 9*time.Second)
+	for i, j := range wide() {
+		assert.DeepEqual(t, jobs[i].Item, j.Item)
+	}
+
+	var made []Made
+	for i := range 16 {
+		made = append(made, Made{
+			Outcome: stage.Outcome{Handle: fmt.Sprintf("10.1.64.7:8080/91bd3f06e4%02d", i)}, Upstream: "i-7f3a91c200", Source: "10.1.0.41:7740",
+			Spent: stage.Spent{Queued: 20 * time.Millisecond, Called: 200 * time.Millisecond, Calls: 1},
+		})
+	}
+	body, err = encodeMade(made)
+	assert.NilError(t, err)
+	assert.Assert(t, len(body) <= packet, "%d bytes", len(body))
+	got, err := decodeMade(body, "10.1.0.41:7740")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, made)
+}
+
+// Guards against pieces with other inputs than their own, and against a message that ends the process.
+func TestInputsStayWithTheirPieces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b, c := wide()[0], wide()[1], wide()[2]
+	b.Inputs, c.Inputs = []string{"x", "y"}, nil
+	var q ask
+	q.pack([]stage.Job{a, b, c, a}, now)
+	jobs, _, err := q.unpack(now)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, jobs[0].Inputs, a.Inputs)
+	assert.DeepEqual(t, jobs[1].Inputs, []string{"x", "y"})
+	assert.Equal(t, len(jobs[2].Inputs), 0)
+	assert.DeepEqual(t, jobs[3].Inputs, a.Inputs)
+	q.Jobs[1].Inputs = 7
+	_, _, err = q.unpack(now)
+	assert.ErrorContains(t, err, "inputs 7 of 2")
+}
