Turn to one stand-in when the node that places requests is silent

What callers saw: queues far beyond the limit of admission in the worst seconds of a burst.

Class of fault: a fallback that lifts the limit under overload.

Change: the next node in the order of rendezvous hashing is asked, the same for all.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -90,6 +90,7 @@
 	QueueOpened     Code = 8103
 	QueueState      Code = 8104
 	PlacerOpened    Code = 8105
+	PlacerSilent    Code = 8106
 )
 
 var catalogue = []Kind{
@@ -163,6 +164,7 @@
 	{QueueOpened, "queue_opened", hclog.Info, "This node keeps the queue of a stage service in a region from now on, with the configuration of this version. It has no account of the pieces and results of the node before it.", []string{"service", "region", "upstreams", "version"}, ""},
 	{QueueState, "queue_state", hclog.Info, "The queue of a stage service in a region, once a second while it works: pieces that wait by rank from 0, pieces made a second lately (0: not known), upstreams that take work, calls under way, results and their memory; and since the line before: calls, the pieces in them, how the pieces ended, and results that no one wanted any more.", []string{"service", "region", "waiting", "oldest_ms", "per_second", "upstreams", "busy", "calls", "pieces", "made", "no_room", "late", "refused", "unwanted", "results", "used_kb", "limit_kb"}, ""},
 	{PlacerOpened, "placer_opened", hclog.Info, "This node places requests on the model engines of a service in a region from now on. It has no account of the requests and parts of prompts that the engines have.", []string{"service", "region", "engines"}, ""},
+	{PlacerSilent, "placer_silent", hclog.Warn, "The node that places requests did not answer in time; this one asks another node for a while.", []string{"peer", "service", "region", "reason"}, "See whether that node is overloaded: its link, its processor time, how many queues it keeps (queue_opened)."},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -15,7 +15,10 @@
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
 
-// placeTimeout is how long an entry node waits for a place before it chooses by itself. It is well above a round trip in a
+// maxPlacers is the number of nodes that are asked for one place.
+const maxPlacers = 2
+
+// placeTimeout is how long an entry node waits for a place before it asks another node. It is well above a round trip in a
 // region and well below the time until a first token.
 const placeTimeout = 150 * time.Millisecond
 
@@ -60,24 +63,9 @@
 func (x *exchange) seatIn(area string) *seat {
 	f := x.f
 	s := &seat{service: x.service, area: area}
-	s.owner = f.o.Maker.Owner(x.service, s.area)
 	r := x.engineRequest()
-	q := placeAsk{Service: s.service, Area: s.area, Request: &r}
 	var tell placeTell
-	if s.owner == f.o.Maker.Self() {
-		tell = f.place(q)
-	} else {
-		ctx, cancel := context.WithCancel(x.ctx)
-		timer := f.o.Clock.AfterFunc(placeTimeout, cancel)
-		reply, err := f.o.Hub.Call(ctx, s.owner, peer.KindPlace, encodePlace(q))
-		timer.Stop()
-		cancel()
-		if err != nil || cbor.Unmarshal(reply, &tell) != nil {
-			f.o.Maker.Avoid(s.owner)
-			s.owner = f.o.Maker.Self()
-			tell = f.place(q)
-		}
-	}
+	s.owner, tell = f.askPlace(x.ctx, placeAsk{Service: s.service, Area: s.area, Request: &r})
 	for _, u := range f.o.View().Services[x.service] {
 		if u.ID == tell.ID {
 			s.ticket, s.upstream, s.forecast = tell.Ticket, u, tell.Forecast
@@ -91,6 +79,38 @@
 	return nil
 }
 
+// askPlace asks the node that places requests for a place, and the one that stands in for it if it does not answer in time. All
+// nodes turn to the same one, so it soon knows all requests: a node that chose by itself would know its own only, and its
+// forecasts would let in every one of them.
+func (f *Front) askPlace(ctx context.Context, q placeAsk) (string, placeTell) {
+	for range maxPlacers {
+		owner := f.o.Maker.Owner(q.Service, q.Area)
+		if owner == f.o.Maker.Self() {
+			break
+		}
+		var tell placeTell
+		err := f.callPlacer(ctx, owner, q, &tell)
+		if err == nil {
+			return owner, tell
+		}
+		f.o.Events.Emit(event.PlacerSilent, event.F("peer", owner), event.F("service", q.Service), event.F("region", q.Area), event.F("reason", err))
+		f.o.Maker.Avoid(owner)
+	}
+	return f.o.Maker.Self(), f.place(q)
+}
+
+func (f *Front) callPlacer(ctx context.Context, owner string, q placeAsk, tell *placeTell) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := f.o.Clock.AfterFunc(placeTimeout, cancel)
+	defer timer.Stop()
+	reply, err := f.o.Hub.Call(ctx, owner, peer.KindPlace, encodePlace(q))
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(reply, tell)
+}
+
 // engineRequest reads what a placer must know from the headers. What cannot be read is left out.
 func (x *exchange) engineRequest() engine.Request {
 	names := x.f.o.Dialect.Headers
