Know returning callers by their own part of the prompt

A caller that returns gets the target of its first attempt. The inference from deadlines is taken out. TestTheTargetOfAReturningCallerCountsFromItsFirstAttempt.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -82,7 +82,8 @@
 
 type ticket struct {
 	target string
-	unread int // prompt tokens that must still be read
+	part   string // the request's own part of its prompt
+	unread int    // prompt tokens that must still be read
 	rank   int
 	tokens int
 	at     time.Time
@@ -118,6 +119,7 @@
 	pools   map[string]Pool
 	engine  times // from the end of a request's stages to its first event, by prompt tokens to read
 	stages  times // of a request's stages, by the time that they were expected to take
+	unmet   unmet
 }
 
 // Seat is a place at an engine.
@@ -125,6 +127,7 @@
 	Ticket   uint64
 	ID       string // of the engine
 	Forecast Forecast
+	Due      time.Time // from when on the answer is late
 }
 
 // New returns a Placer without engines.
@@ -164,8 +167,11 @@
 	if best == nil {
 		return Seat{}, false
 	}
+	own := ownPart(chains)
+	due := p.unmet.due(own, now.Add(r.Due))
+	r.Due = due.Sub(now)
 	p.next++
-	t := &ticket{target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: now.Add(r.Due)}
+	t := &ticket{part: own, target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: due}
 	t.needs = slices.Clone(r.Needs)
 	if !t.staging() {
 		t.ready = now
@@ -175,7 +181,7 @@
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
 	best.remember(r, chains)
-	return Seat{p.next, best.ID, forecast}, true
+	return Seat{p.next, best.ID, forecast, due}, true
 }
 
 // best returns the engine with the least cost. Engines that are paused or full count only with any.
@@ -334,6 +340,11 @@
 		return
 	}
 	p.drop(id)
+	if r == Served {
+		p.unmet.forget(t.part)
+	} else {
+		p.unmet.add(now, t.part, t.due)
+	}
 	at := p.targets[t.target]
 	if at == nil {
 		return
@@ -362,6 +373,7 @@
 
 // expire drops tickets of nodes that have not ended them.
 func (p *Placer) expire(now time.Time) {
+	p.unmet.expire(now)
 	for id, t := range p.tickets {
 		if now.Sub(t.at) > ticketFor {
 			p.drop(id)
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -170,3 +170,26 @@
 	f := p.Forecast(t0, r, false)
 	assert.Assert(t, f.Hold > 1500*time.Millisecond && f.Hold < 2*time.Second, "%v", f.Hold)
 }
+
+// Load pattern: callers that were refused return in a burst. Guards against requests whose target has passed before they return,
+// and which take the place of fresh ones that can still be on time (incident SHORT).
+func TestTheTargetOfAReturningCallerCountsFromItsFirstAttempt(t *testing.T) {
+	p := placer(1)
+	r := review("doc", 10)
+	r.Due = 1500 * time.Millisecond
+	seat, _ := p.Place(t0, r)
+	p.End(t0, seat.Ticket, Left)
+	again, _ := p.Place(t0.Add(time.Second), r)
+	assert.Equal(t, again.Due, t0.Add(1500*time.Millisecond))
+	p.End(t0.Add(time.Second), again.Ticket, Full)
+	late, _ := p.Place(t0.Add(2*time.Second), r)
+	assert.Equal(t, late.Due, t0.Add(1500*time.Millisecond))
+	assert.Assert(t, late.Forecast.Late)
+	other := review("doc", 11)
+	other.Parts[1].ID, other.Due = "another", r.Due
+	fresh, _ := p.Place(t0.Add(2*time.Second), other)
+	assert.Equal(t, fresh.Due, t0.Add(3500*time.Millisecond), "the shared part does not name a request")
+	p.End(t0.Add(2*time.Second), late.Ticket, Served)
+	much, _ := p.Place(t0.Add(2*time.Second+returnFor), r)
+	assert.Equal(t, much.Due, t0.Add(2*time.Second+returnFor+r.Due), "it is forgotten in the end")
+}
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -30,8 +30,8 @@
 	team    *conf.Team
 	body    []byte
 	end     time.Time // when the final answer must be given
-	// asked is when the caller sent its first attempt, as far as that is known. Its target counts from then.
-	asked time.Time
+	// due is from when on the answer is late. The target counts from the caller's first attempt, as far as that is known.
+	due time.Time
 
 	ctx    context.Context // ends with the caller, or at end
 	cancel context.CancelFunc
@@ -152,12 +152,10 @@
 
 // limitTime sets when the request ends: at the caller's deadline or the route's timeout, whichever is first.
 func (x *exchange) limitTime() {
-	x.asked = x.began
+	x.due = x.began.Add(x.route.Target.Duration())
 	left := x.route.Timeout.Duration()
 	if ms, err := strconv.ParseFloat(x.r.Header.Get(x.f.o.Dialect.Headers.Deadline), 64); err == nil && ms > 0 {
-		wait := time.Duration(ms * float64(time.Millisecond))
-		x.asked = x.began.Add(-x.f.deadlines.passed(x.route.Name, wait))
-		left = min(left, wait)
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
 	}
 	x.end = x.began.Add(left)
 	var cancel context.CancelFunc
@@ -171,7 +169,7 @@
 
 // slack is the time until the request is late.
 func (x *exchange) slack() time.Duration {
-	return x.asked.Add(x.route.Target.Duration()).Sub(x.f.o.Clock.Now())
+	return x.due.Sub(x.f.o.Clock.Now())
 }
 
 func (x *exchange) left() time.Duration { return x.end.Sub(x.f.o.Clock.Now()) }
@@ -307,10 +305,10 @@
 
 // age is the time between the caller's first attempt, as far as that is known, and this one.
 func (x *exchange) age() time.Duration {
-	if x.asked.IsZero() {
+	if x.due.IsZero() {
 		return 0
 	}
-	return x.began.Sub(x.asked)
+	return x.began.Add(x.route.Target.Duration()).Sub(x.due)
 }
 
 // rankOrNone is the urgency for a log line; -1 before the route is known.
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -75,9 +75,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	counters counters
-	// deadlines tell callers that return from those that ask for the first time.
-	deadlines deadlines
-	regions   []string // sorted
+	regions  []string // sorted
 
 	mu      sync.Mutex
 	chooser *pick.Chooser
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -38,6 +38,8 @@
 	ID     string `cbor:"2,keyasint"` // empty: there is no engine
 	// Forecast is that of the moment before the request was counted.
 	Forecast engine.Forecast `cbor:"3,keyasint"`
+	// Due is the time until the request is late. It is shorter than what was asked for if its caller has returned.
+	Due time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // seat is a request's place at an engine.
@@ -65,7 +67,11 @@
 	s := &seat{service: x.service, area: area}
 	r := x.engineRequest()
 	var tell placeTell
+	asked := f.o.Clock.Now()
 	s.owner, tell = f.askPlace(x.ctx, placeAsk{Service: s.service, Area: s.area, Request: &r})
+	if due := asked.Add(tell.Due); tell.ID != "" && due.Before(x.due) {
+		x.due = due
+	}
 	for _, u := range f.o.View().Services[x.service] {
 		if u.ID == tell.ID {
 			s.ticket, s.upstream, s.forecast = tell.Ticket, u, tell.Forecast
@@ -165,7 +171,7 @@
 	if !ok {
 		return placeTell{}
 	}
-	return placeTell{seat.Ticket, seat.ID, seat.Forecast}
+	return placeTell{seat.Ticket, seat.ID, seat.Forecast, seat.Due.Sub(now)}
 }
 
 // placer returns the placer of a service with its present engines. The lock is held.
--- a/internal/test/chain/request.go
+++ b/internal/test/chain/request.go
@@ -23,6 +23,7 @@
 	counts   []int
 
 	ticket   uint64
+	due      time.Time
 	engineID string
 	forecast engine.Forecast
 	plan     *stage.Plan
@@ -82,7 +83,7 @@
 	}
 	r.want.Due = r.slack()
 	seat, _ := w.placer.Place(w.now, r.want) // no engine fails
-	r.ticket, r.engineID, r.forecast = seat.Ticket, seat.ID, seat.Forecast
+	r.ticket, r.engineID, r.forecast, r.due = seat.Ticket, seat.ID, seat.Forecast, seat.Due
 	if ok, after := r.forecast.Admit(r.left()); !ok {
 		r.refuse(after)
 		return
@@ -97,7 +98,7 @@
 	w.after(r.left(), r.expire)
 }
 
-func (r *request) slack() time.Duration { return r.first.Add(r.kind.Target).Sub(r.w.now) }
+func (r *request) slack() time.Duration { return r.began.Add(r.kind.Target).Sub(r.w.now) }
 func (r *request) left() time.Duration  { return r.first.Add(r.kind.Deadline).Sub(r.w.now) }
 
 // refuse sends the caller away; it returns once.
@@ -147,7 +148,7 @@
 		after := r.plan.Rest(item.Stage, w.pools[s.Service])
 		j := stage.Job{
 			Item: item, Rank: r.kind.Rank, Home: "dc", Bytes: s.Bytes,
-			Due: r.first.Add(r.kind.Target - after - r.forecast.Engine), Deadline: r.first.Add(r.kind.Deadline - after),
+			Due: r.due.Add(-after - r.forecast.Engine), Deadline: r.first.Add(r.kind.Deadline - after),
 		}
 		r.give(j)
 	}
