Let the pieces of a request stand in the queue as one

Cause: each look at the queue sorted all pieces, and gave them up one by one; with 1,300 pieces at 300 looks a second that is more than the fifth of a core that the node has. The more work waited, the fewer calls were sent. queue_state, once a second, came every two seconds from that node. Class of fault: a cost of decisions that grows with the backlog.

Change: stage.group holds the pieces of one stage of a request; they are ordered, refused and given up together. Expired results are looked for every 20 ms at most. The order of calls is the same.

Evidence: TestCostFollowsRequestsNotPieces failed before (110 us for 300 requests with one piece, 2,226 us with 32 each) and passes now.

--- /dev/null
+++ b/internal/gate/stage/cost_test.go
@@ -0,0 +1,45 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+// backlog is a queue whose upstreams are busy and for which many requests wait, each with some pieces.
+func backlog(requests, pieces int) *Queue {
+	q := NewQueue(conf.Pool{Slots: 1, Queue: 2, Batch: 4, CallTime: 150, ItemTime: 3, RoomMB: 8, HandleFor: 4000})
+	q.SetTargets([]Target{{ID: "u1"}, {ID: "u2"}})
+	for i := range requests {
+		for k := range pieces {
+			j := job(fmt.Sprint("r", (i*7919)%requests), time.Hour, 10)
+			j.Piece, j.Rank, j.Due = k, i%3, t0.Add(time.Hour+time.Duration(i)*time.Millisecond)
+			q.Add(t0, j)
+		}
+	}
+	q.Next(t0)
+	return q
+}
+
+// cost is the shortest time of some looks at a queue: what else the machine does makes single ones longer.
+func cost(q *Queue) time.Duration {
+	least := time.Hour
+	for i := range 50 {
+		now := t0.Add(time.Duration(i) * time.Microsecond)
+		began := time.Now()
+		q.Next(now)
+		least = min(least, time.Since(began))
+	}
+	return least
+}
+
+// Load pattern: a burst whose requests have dozens of pieces each, at a node with a fifth of a core. Guards against a look at the
+// queue whose cost grows with the pieces that wait: the node then sends fewer calls the more work there is (incident SHORT).
+func TestCostFollowsRequestsNotPieces(t *testing.T) {
+	few, many := cost(backlog(300, 1)), cost(backlog(300, 32))
+	assert.Assert(t, many < 4*few, "300 requests: %v with one piece each, %v with 32", few, many)
+}
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -24,13 +24,17 @@
 // late reports whether a job that starts now makes its request late.
 func (q *Queue) late(j Job, now time.Time) bool { return now.Add(q.callTime(1)).After(j.Due) }
 
-// class orders jobs before their times do. Requests that hold memory here come first, because it is free again only when
-// they are done.
-func (q *Queue) class(j Job, now time.Time) int {
-	if q.begun[j.Request] > 0 {
-		return -1
+// classify sets the keys by which groups are ordered. Requests that hold memory here come first, because it is free again only
+// when they are done.
+func (q *Queue) classify(now time.Time) {
+	for _, g := range q.groups {
+		j := g.first()
+		g.late = q.late(*j, now)
+		g.class = Class(j.Rank, g.late)
+		if q.begun[j.Request] > 0 {
+			g.class = -1
+		}
 	}
-	return Class(j.Rank, q.late(j, now))
 }
 
 // Class orders work before its times do: work of a request that will be late is worth little, so it yields to some that can
@@ -42,23 +46,23 @@
 	return rank
 }
 
-// order sorts the jobs for an upstream in a data centre. Of equal ones, those whose result is needed there come first.
-func (q *Queue) order(now time.Time, dataCentre string) {
-	slices.SortStableFunc(q.jobs, func(a, b Job) int {
-		classA, classB := q.class(a, now), q.class(b, now)
-		if classA != classB {
-			return cmp.Compare(classA, classB)
+// order sorts the groups for an upstream in a data centre. Of equal ones, those whose result is needed there come first.
+func (q *Queue) order(dataCentre string) {
+	slices.SortStableFunc(q.groups, func(a, b *group) int {
+		if a.class != b.class {
+			return cmp.Compare(a.class, b.class)
 		}
-		if (a.Home == dataCentre) != (b.Home == dataCentre) {
-			if a.Home == dataCentre {
+		x, y := a.first(), b.first()
+		if (x.Home == dataCentre) != (y.Home == dataCentre) {
+			if x.Home == dataCentre {
 				return -1
 			}
 			return 1
 		}
-		if q.late(a, now) {
-			return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.Request, b.Request))
+		if a.late {
+			return cmp.Or(x.Deadline.Compare(y.Deadline), cmp.Compare(x.Request, y.Request))
 		}
-		return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Request, b.Request))
+		return cmp.Or(x.Due.Compare(y.Due), cmp.Compare(x.Request, y.Request))
 	})
 }
 
@@ -71,35 +75,36 @@
 			ready++
 		}
 	}
-	keep := ready * q.pool.Batch * roundsHeld
-	if len(q.jobs) <= keep {
+	most := ready * q.pool.Batch * roundsHeld
+	if q.waiting <= most {
 		return nil
 	}
-	q.order(now, "")
+	q.classify(now)
+	q.order("")
 	rate := float64(ready*q.pool.Batch) / q.callTime(q.pool.Batch).Seconds()
 	if q.rate > 0 {
 		rate = min(rate, q.rate)
 	}
 	var out []Reply
 	at := 0
-	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
-		at++
+	q.keep(func(g *group) bool {
+		at += len(g.jobs)
 		begins := now.Add(time.Duration(float64(at) / rate * float64(time.Second)))
-		if at <= keep || q.begun[j.Request] > 0 || !q.hopeless(j, begins) {
-			return false
+		if at <= most || q.begun[g.first().Request] > 0 || !q.hopeless(g, begins) {
+			return true
 		}
-		out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonRefused}, ""))
-		return true
+		out = append(out, q.giveUp(now, g, ReasonRefused)...)
+		return false
 	})
 	return out
 }
 
-// hopeless reports whether a job that begins then is of no use: its inputs are forgotten, or, without inputs, it is late.
-func (q *Queue) hopeless(j Job, begins time.Time) bool {
-	if len(j.Inputs) > 0 {
-		return begins.Sub(j.added) > q.inputsLife()
+// hopeless reports whether a group that begins then is of no use: its inputs are forgotten, or, without inputs, it is late.
+func (q *Queue) hopeless(g *group, begins time.Time) bool {
+	if len(g.first().Inputs) > 0 {
+		return begins.Sub(g.added) > q.inputsLife()
 	}
-	return q.late(j, begins)
+	return q.late(*g.first(), begins)
 }
 
 // inputsLife is how long inputs may wait in the queue before they count as lost.
@@ -110,7 +115,7 @@
 // measure keeps the rate at which pieces are made while others wait. Memory for results, slow upstreams and calls of other
 // nodes lower it.
 func (q *Queue) measure(now time.Time, made int) {
-	if len(q.jobs) == 0 {
+	if q.waiting == 0 {
 		q.since, q.made = time.Time{}, 0
 		return
 	}
@@ -139,40 +144,81 @@
 func (q *Queue) fill(t *target, now time.Time) []Job {
 	limit := min(t.limit, q.pool.RoomMB*bytesPerMB)
 	free := int64(limit) - t.used
-	needs := map[string]int64{}
 	waiting := map[string]int{}
-	for _, j := range q.jobs {
-		needs[j.Request] += j.Bytes
-		waiting[j.Home]++
+	for _, g := range q.groups {
+		waiting[g.first().Home] += len(g.jobs)
 	}
-	last := -1
-	if len(q.jobs) > q.pool.Batch && q.pool.Batch > 2 {
-		last = q.starved(now)
+	var reserved *group
+	if q.waiting > q.pool.Batch && q.pool.Batch > 2 {
+		reserved = q.starved()
 	}
+	blocked := now.Before(t.blocked)
 	var out []Job
-	at := -1
-	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
-		at++
-		places := q.pool.Batch
-		if last > at {
+	for _, g := range q.groups {
+		places := q.pool.Batch - len(out)
+		if reserved == g {
+			reserved = nil
+		}
+		if reserved != nil {
 			places--
 		}
-		need := j.Bytes
-		if q.begun[j.Request] == 0 && float64(needs[j.Request]) <= limit {
-			need = needs[j.Request]
+		if len(out) == q.pool.Batch {
+			break
 		}
-		if len(out) >= places || need > free || j.Bytes > 0 && now.Before(t.blocked) || q.leaveTo(j, t, waiting, now) {
-			return false
+		j := g.first()
+		if places <= 0 || j.Bytes > 0 && blocked || q.leaveTo(*j, t, waiting, now) {
+			continue
 		}
-		needs[j.Request] -= j.Bytes
-		q.begun[j.Request]++
-		free -= j.Bytes
-		out = append(out, j)
-		return true
-	})
+		n := min(len(g.jobs), places)
+		if all := q.needs(j.Request); q.begun[j.Request] == 0 && float64(all) <= limit && all > free {
+			continue
+		}
+		if j.Bytes > 0 {
+			n = min(n, int(max(free, 0)/j.Bytes))
+		}
+		if n == 0 {
+			continue
+		}
+		free -= int64(n) * j.Bytes
+		q.begun[j.Request] += n
+		for _, rest := range q.byRequest[j.Request] {
+			rest.class = -1 // what is left of the request comes first from now on
+		}
+		out = append(out, q.take(g, n)...)
+	}
+	q.dropEmpty(out)
 	return out
 }
 
+// dropEmpty removes the groups from which all jobs were taken.
+func (q *Queue) dropEmpty(taken []Job) {
+	kept := q.groups[:0]
+	for _, g := range q.groups {
+		if len(g.jobs) > 0 {
+			kept = append(kept, g)
+		}
+	}
+	clear(q.groups[len(kept):])
+	q.groups = kept
+	for _, j := range taken {
+		list := slices.DeleteFunc(q.byRequest[j.Request], func(g *group) bool { return len(g.jobs) == 0 })
+		if len(list) == 0 {
+			delete(q.byRequest, j.Request)
+			continue
+		}
+		q.byRequest[j.Request] = list
+	}
+}
+
+// needs returns the memory that all pieces of a request that wait here need.
+func (q *Queue) needs(request string) int64 {
+	all := int64(0)
+	for _, g := range q.byRequest[request] {
+		all += g.bytes
+	}
+	return all
+}
+
 // leaveTo reports whether a job should wait for an upstream in the data centre that needs its result: one there takes it with
 // its next calls, and the job is in no hurry. Large results that cross data centres are dear.
 func (q *Queue) leaveTo(j Job, t *target, waiting map[string]int, now time.Time) bool {
@@ -188,15 +234,15 @@
 	return waiting[j.Home] <= places
 }
 
-// starved returns the position of the job of a less urgent rank that has waited longest and can be on time; -1 for none.
-func (q *Queue) starved(now time.Time) int {
-	best := -1
-	for i, j := range q.jobs {
-		if j.Rank <= q.jobs[0].Rank || q.late(j, now) {
+// starved returns the group of a less urgent rank that can be on time and is due first; nil for none.
+func (q *Queue) starved() *group {
+	var best *group
+	for _, g := range q.groups {
+		if g.late || g.first().Rank <= q.groups[0].first().Rank {
 			continue
 		}
-		if best < 0 || j.Due.Before(q.jobs[best].Due) {
-			best = i
+		if best == nil || g.first().Due.Before(best.first().Due) {
+			best = g
 		}
 	}
 	return best
@@ -214,7 +260,7 @@
 			places += q.pool.Batch * q.pool.Slots
 		}
 	}
-	return float64(len(q.jobs)) <= float64(places)*(t.pace-1)
+	return float64(q.waiting) <= float64(places)*(t.pace-1)
 }
 
 // notePace compares the time of a call with what it should take. Calls in which results found no room end early and say
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -67,7 +67,8 @@
 	roomPause    = 100 * time.Millisecond // the same, without room for a result, unless one is freed earlier
 	brokenPause  = 500 * time.Millisecond
 	mostPause    = 8 * time.Second
-	patienceX    = 6 // times the time that a call should take
+	sweepEvery   = 20 * time.Millisecond // for expired results; short against the time that they are kept
+	patienceX    = 6                     // times the time that a call should take
 	patienceMore = 500 * time.Millisecond
 	maxTries     = 3 // calls that one job is part of
 )
@@ -102,12 +103,16 @@
 type Queue struct {
 	pool    conf.Pool
 	targets map[string]*target
-	jobs    []Job
-	tries   map[Key]int
-	open    map[uint64]open
-	dropped map[Key]bool   // cancelled while part of a call
-	begun   map[string]int // results and pieces under way here, by request
-	nextID  uint64
+	groups  []*group
+	// byRequest finds the groups of a request.
+	byRequest map[string][]*group
+	waiting   int // jobs in groups
+	tries     map[Key]int
+	open      map[uint64]open
+	dropped   map[Key]bool   // cancelled while part of a call
+	begun     map[string]int // results and pieces under way here, by request
+	nextID    uint64
+	swept     time.Time // when results were last looked through for expired ones
 
 	tally Tally
 
@@ -131,7 +136,7 @@
 func NewQueue(pool conf.Pool) *Queue {
 	return &Queue{
 		pool: pool, targets: map[string]*target{}, tries: map[Key]int{}, open: map[uint64]open{}, dropped: map[Key]bool{},
-		begun: map[string]int{},
+		begun: map[string]int{}, byRequest: map[string][]*group{},
 	}
 }
 
@@ -177,17 +182,19 @@
 func (q *Queue) Rate() float64 { return q.rate }
 
 // Len returns the number of jobs that wait.
-func (q *Queue) Len() int { return len(q.jobs) }
+func (q *Queue) Len() int { return q.waiting }
 
 // Add takes a job.
 func (q *Queue) Add(now time.Time, j Job) {
 	j.added = now
-	q.jobs = append(q.jobs, j)
+	q.push(j)
 }
 
 // Cancel drops the jobs of a request. Results of calls under way are freed when they come.
 func (q *Queue) Cancel(request string) {
-	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool { return j.Request == request })
+	if len(q.byRequest[request]) > 0 {
+		q.keep(func(g *group) bool { return g.first().Request != request })
+	}
 	for _, o := range q.open {
 		for _, j := range o.jobs {
 			if j.Request == request {
@@ -201,17 +208,18 @@
 func (q *Queue) Next(now time.Time) ([]Call, []Reply) {
 	q.expire(now)
 	replies := q.dropLate(now)
-	if len(q.jobs) == 0 {
+	if q.waiting == 0 {
 		q.rate, q.since = 0, time.Time{} // nothing waits, so the rate says nothing about the capacity
 		return nil, replies
 	}
 	if !slices.ContainsFunc(q.sorted(), func(t *target) bool { return t.present && !t.Avoid }) {
 		return nil, append(replies, q.refuseAll(now)...)
 	}
+	q.classify(now)
 	var calls []Call
 	for _, t := range q.sorted() {
 		for q.mayCall(t, now) {
-			q.order(now, t.DataCentre)
+			q.order(t.DataCentre)
 			jobs := q.fill(t, now)
 			if len(jobs) == 0 {
 				break
@@ -223,7 +231,7 @@
 }
 
 func (q *Queue) mayCall(t *target, now time.Time) bool {
-	return q.usable(t, now) && t.calls < q.pool.Slots && len(q.jobs) > 0 && !q.othersAreSooner(t, now)
+	return q.usable(t, now) && t.calls < q.pool.Slots && q.waiting > 0 && !q.othersAreSooner(t, now)
 }
 
 func (q *Queue) usable(t *target, now time.Time) bool {
@@ -253,22 +261,32 @@
 	var out []Reply
 	end := now.Add(q.callTime(1))
 	most := q.inputsLife()
-	q.jobs = slices.DeleteFunc(q.jobs, func(j Job) bool {
-		late := end.After(j.Deadline) || len(j.Inputs) > 0 && most > 0 && now.Sub(j.added) > most
-		if late {
-			out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonLate}, ""))
+	q.keep(func(g *group) bool {
+		j := g.first()
+		if !end.After(j.Deadline) && (len(j.Inputs) == 0 || most <= 0 || now.Sub(g.added) <= most) {
+			return true
 		}
-		return late
+		out = append(out, q.giveUp(now, g, ReasonLate)...)
+		return false
 	})
 	return out
 }
 
 func (q *Queue) refuseAll(now time.Time) []Reply {
 	var out []Reply
-	for _, j := range q.jobs {
-		out = append(out, q.reply(now, time.Time{}, j, Outcome{Reason: ReasonRefused}, ""))
+	q.keep(func(g *group) bool {
+		out = append(out, q.giveUp(now, g, ReasonRefused)...)
+		return false
+	})
+	return out
+}
+
+// giveUp ends all jobs of a group.
+func (q *Queue) giveUp(now time.Time, g *group, reason Reason) []Reply {
+	out := make([]Reply, len(g.jobs))
+	for i, j := range g.jobs {
+		out[i] = q.reply(now, time.Time{}, j, Outcome{Reason: reason}, "")
 	}
-	q.jobs = nil
 	return out
 }
 
@@ -345,7 +363,7 @@
 			continue
 		}
 		if q.again(j, result, out) {
-			q.jobs = append(q.jobs, j)
+			q.push(j)
 			continue
 		}
 		replies = append(replies, q.reply(now, o.began, j, out, o.target))
@@ -392,6 +410,10 @@
 
 // expire forgets results that their upstreams have forgotten.
 func (q *Queue) expire(now time.Time) {
+	if now.Sub(q.swept) < sweepEvery {
+		return
+	}
+	q.swept = now
 	for _, t := range q.targets {
 		for h, r := range t.room {
 			if now.After(r.until) {
--- a/internal/gate/stage/tally.go
+++ b/internal/gate/stage/tally.go
@@ -45,9 +45,9 @@
 // Snapshot describes the queue for logs and metrics.
 func (q *Queue) Snapshot(now time.Time) Snapshot {
 	s := Snapshot{Tally: q.tally, Waiting: make([]int, ranksShown)}
-	for _, j := range q.jobs {
-		s.Waiting[min(max(j.Rank, 0), ranksShown-1)]++
-		s.Oldest = max(s.Oldest, now.Sub(j.added))
+	for _, g := range q.groups {
+		s.Waiting[min(max(g.first().Rank, 0), ranksShown-1)] += len(g.jobs)
+		s.Oldest = max(s.Oldest, now.Sub(g.added))
 	}
 	for _, t := range q.targets {
 		s.Busy += t.calls
