Look through the requests once for a forecast

Change: one pass counts the pieces before a request for all services; forgotten tickets are looked for every 200 ms.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -77,7 +77,8 @@
 	mostPause    = 8 * time.Second // after several
 	fullPause    = 200 * time.Millisecond
 	ticketFor    = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
-	cacheMargin  = 0.8              // part of an engine's memory that is taken to hold parts of prompts
+	sweepEvery   = 200 * time.Millisecond
+	cacheMargin  = 0.8 // part of an engine's memory that is taken to hold parts of prompts
 )
 
 type ticket struct {
@@ -120,6 +121,7 @@
 	engine  times // from the end of a request's stages to its first event, by prompt tokens to read
 	stages  times // of a request's stages, by the time that they were expected to take
 	unmet   unmet
+	swept   time.Time // when tickets were last looked through for forgotten ones
 }
 
 // Seat is a place at an engine.
@@ -373,6 +375,10 @@
 
 // expire drops tickets of nodes that have not ended them.
 func (p *Placer) expire(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
 	p.unmet.expire(now)
 	for id, t := range p.tickets {
 		if now.Sub(t.at) > ticketFor {
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -146,7 +146,7 @@
 	p.Staged(t0, tickets[0], 1)
 	p.End(t0, tickets[0], Served)
 	p.End(t0, tickets[1], Left)
-	assert.Equal(t, p.wait(t0, "rerank", 1, t0.Add(time.Hour)), 400*time.Millisecond)
+	assert.Equal(t, p.wait("rerank", p.ahead(t0, 1, t0.Add(time.Hour))["rerank"]), 400*time.Millisecond)
 	for _, ticket := range tickets {
 		p.End(t0, ticket, Left)
 	}
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -71,33 +71,39 @@
 	}
 }
 
-// wait returns how long pieces wait for those that the queue of their service puts before them: of a more urgent class, or of
-// the same one and due earlier.
-func (p *Placer) wait(now time.Time, service string, class int, due time.Time) time.Duration {
-	pool := p.pools[service]
-	if pool.Upstreams == 0 || pool.Batch == 0 {
-		return noPoolWait
-	}
-	ahead := 0
+// ahead counts the pieces, by service, that the queues put before those of a request: of a more urgent class, or of the same one
+// and due earlier.
+func (p *Placer) ahead(now time.Time, class int, due time.Time) map[string]int {
+	out := map[string]int{}
 	for _, t := range p.tickets {
+		if !t.staging() || now.Sub(t.due) > overdue {
+			continue
+		}
 		other := stage.Class(t.rank, t.late || now.After(t.due))
-		if other > class || other == class && t.due.After(due) || now.Sub(t.due) > overdue {
+		if other > class || other == class && t.due.After(due) {
 			continue
 		}
 		for _, n := range t.needs {
-			if n.Service == service {
-				ahead += n.Pieces
-			}
+			out[n.Service] += n.Pieces
 		}
 	}
-	return time.Duration(float64(ahead) / pool.rate() * float64(time.Second))
+	return out
+}
+
+// wait returns how long a service works on some pieces.
+func (p *Placer) wait(service string, pieces int) time.Duration {
+	pool := p.pools[service]
+	if pool.Upstreams == 0 || pool.Batch == 0 {
+		return noPoolWait
+	}
+	return time.Duration(float64(pieces) / pool.rate() * float64(time.Second))
 }
 
 // Forecast adds up waits and calls along the longest chain of a request's stages, which stands among others as one that will
 // be on time or as one that will be late.
 func (p *Placer) Forecast(now time.Time, r Request, late bool) Forecast {
 	due := now.Add(r.Due)
-	class := stage.Class(r.Rank, late)
+	ahead := p.ahead(now, stage.Class(r.Rank, late), due)
 	ends := make([]Forecast, len(r.Needs))
 	var out Forecast
 	for i, n := range r.Needs {
@@ -111,7 +117,7 @@
 		if n.Pieces > 0 {
 			// While the earlier stages run, the service works on what is before it.
 			pool := p.pools[n.Service]
-			wait := max(p.wait(now, n.Service, class, due)-begin.Total, 0)
+			wait := max(p.wait(n.Service, ahead[n.Service])-begin.Total, 0)
 			if len(n.After) > 0 {
 				out.Hold = max(out.Hold, wait-heldCalls*pool.callTime(pool.Batch))
 			}
