Tell the next owner of a queue of results in use, and free those of the dead

Cause: the account of an upstream's memory was lost with the node that kept the queue, and the results of requests whose node had died were freed by no one until they expired after 4 s. Class of fault: state that lives in one node only and is not rebuilt from those who know it.

Change: an entry node remembers the results that its requests use and tells the next owner with the next pieces; results that change owners are dropped from the earlier accounts when they are freed. A node that keeps a queue asks a user whose connection ended what it still uses, and frees the rest; all of it if there is no answer. results_adopted and results_dropped.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -91,6 +91,8 @@
 	QueueState      Code = 8104
 	PlacerOpened    Code = 8105
 	PlacerSilent    Code = 8106
+	ResultsAdopted  Code = 8107
+	ResultsDropped  Code = 8108
 )
 
 var catalogue = []Kind{
@@ -161,7 +163,9 @@
 	{ContentCleared, "content_cleared", hclog.Info, "A content that had been running on upstreams that broke was answered, so it is not their cause.", []string{"request", "content"}, ""},
 	{PieceFailed, "piece_failed", hclog.Info, "A piece of a stage was not made. It says how many pieces waited in the queue of the service in that region, how many were made a second lately (0: not known), how long this one waited, and how much longer its result would have been of use.", []string{"request", "stage", "piece", "service", "region", "upstream", "reason", "queued", "per_second", "waited_ms", "left_ms"}, ""},
 	{CallFailed, "call_failed", hclog.Info, "A call of a stage upstream failed as a whole.", []string{"upstream", "pieces", "outcome", "reason"}, ""},
-	{QueueOpened, "queue_opened", hclog.Info, "This node keeps the queue of a stage service in a region from now on, with the configuration of this version. It has no account of the pieces and results of the node before it.", []string{"service", "region", "upstreams", "version"}, ""},
+	{ResultsAdopted, "results_adopted", hclog.Info, "A node that uses results has told this one, which keeps the queue of their service now.", []string{"service", "region", "results"}, ""},
+	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
+	{QueueOpened, "queue_opened", hclog.Info, "This node keeps the queue of a stage service in a region from now on, with the configuration of this version. Nodes that use results tell it of them with their next pieces.", []string{"service", "region", "upstreams", "version"}, ""},
 	{QueueState, "queue_state", hclog.Info, "The queue of a stage service in a region, once a second while it works: pieces that wait by rank from 0, pieces made a second lately (0: not known), upstreams that take work, calls under way, results and their memory; and since the line before: calls, the pieces in them, how the pieces ended, and results that no one wanted any more.", []string{"service", "region", "waiting", "oldest_ms", "per_second", "upstreams", "busy", "calls", "pieces", "made", "no_room", "late", "refused", "unwanted", "results", "used_kb", "limit_kb"}, ""},
 	{PlacerOpened, "placer_opened", hclog.Info, "This node places requests on the model engines of a service in a region from now on. It has no account of the requests and parts of prompts that the engines have.", []string{"service", "region", "engines"}, ""},
 	{PlacerSilent, "placer_silent", hclog.Warn, "The node that places requests did not answer in time; this one asks another node for a while.", []string{"peer", "service", "region", "reason"}, "See whether that node is overloaded: its link, its processor time, how many queues it keeps (queue_opened)."},
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -76,6 +76,8 @@
 	waiting map[uint64]func(stage.Reply)
 	nextTag uint64
 	avoid   map[string]time.Time // by peer address
+	holder  holder
+	users   users
 }
 
 type place struct{ service, area string } // area is a region
@@ -107,19 +109,23 @@
 
 // Close ends the maker. Calls under way are given up.
 func (m *Maker) Close() {
+	m.mu.Lock()
 	m.cancel()
+	m.mu.Unlock()
 	m.wg.Wait()
 }
 
 // Make has jobs of one service made in a region and waits for all of them. The error says that no node took them.
 func (m *Maker) Make(ctx context.Context, service, area string, jobs []stage.Job) ([]Made, error) {
+	p := place{service, area}
 	for range maxHand {
-		owner := m.owner(place{service, area})
+		owner := m.owner(p)
 		if owner == m.o.Peer {
-			return m.makeHere(ctx, place{service, area}, jobs), nil
+			break
 		}
-		made, err := m.hand(ctx, owner, service, area, jobs)
+		made, err := m.hand(ctx, owner, p, jobs)
 		if err == nil {
+			m.hold(p, jobs, made)
 			return made, nil
 		}
 		if ctx.Err() != nil {
@@ -127,7 +133,43 @@
 		}
 		m.Avoid(owner)
 	}
-	return m.makeHere(ctx, place{service, area}, jobs), nil
+	held := m.heldFor(p, m.o.Peer)
+	made := m.makeHere(ctx, p, jobs, held)
+	m.mu.Lock()
+	m.holder.told(p, m.o.Peer, held)
+	m.mu.Unlock()
+	m.hold(p, jobs, made)
+	return made, nil
+}
+
+// hold notes the results that the requests of this node use from now on.
+func (m *Maker) hold(p place, jobs []stage.Job, made []Made) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	until := m.o.Clock.Now().Add(m.keptFor(p.service))
+	for i, x := range made {
+		if x.Handle != "" {
+			m.holder.add(p, x.Handle, x.Source, &holding{request: jobs[i].Request, upstream: x.Upstream, bytes: jobs[i].Bytes, until: until})
+		}
+	}
+}
+
+// heldFor returns the results of which the present owner of a queue keeps no account.
+func (m *Maker) heldFor(p place, owner string) []Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holder.turn(p, owner)
+	return m.holder.unknown(m.o.Clock.Now(), p)
+}
+
+// keptFor is how long the upstreams of a service keep a result.
+func (m *Maker) keptFor(service string) time.Duration {
+	if t := m.o.View().Table; t != nil {
+		if s := t.Service(service); s != nil && s.Pool != nil {
+			return s.Pool.HandleFor.Duration()
+		}
+	}
+	return 0
 }
 
 // Avoid leaves out a node that did not answer when owners are chosen, for a while.
@@ -161,8 +203,8 @@
 }
 
 // hand brings jobs to another entry node.
-func (m *Maker) hand(ctx context.Context, owner, service, area string, jobs []stage.Job) ([]Made, error) {
-	q := ask{Service: service, Area: area}
+func (m *Maker) hand(ctx context.Context, owner string, p place, jobs []stage.Job) ([]Made, error) {
+	q := ask{Service: p.service, Area: p.area, From: m.o.Peer, Held: m.heldFor(p, owner)}
 	q.pack(jobs, m.o.Clock.Now())
 	body, err := cbor.Marshal(q)
 	if err != nil { // jobs hold plain values only
@@ -179,11 +221,14 @@
 	if len(made) != len(jobs) {
 		return nil, errors.Newf("%d results for %d pieces", len(made), len(jobs))
 	}
+	m.mu.Lock()
+	m.holder.told(p, owner, q.Held)
+	m.mu.Unlock()
 	return made, nil
 }
 
-// makeHere puts jobs into the queue of this node and waits for all of them.
-func (m *Maker) makeHere(ctx context.Context, p place, jobs []stage.Job) []Made {
+// makeHere puts jobs into the queue of this node and waits for all of them. held are results that it may not know.
+func (m *Maker) makeHere(ctx context.Context, p place, jobs []stage.Job, held []Held) []Made {
 	made := make([]Made, len(jobs))
 	done := make(chan struct{})
 	left := len(jobs)
@@ -199,6 +244,7 @@
 		}
 		return made
 	}
+	m.adopt(q, held)
 	tags := make([]uint64, len(jobs))
 	for i, j := range jobs {
 		m.nextTag++
@@ -234,6 +280,20 @@
 	return out
 }
 
+// adopt takes results of an earlier owner into the account of a queue. The lock is held.
+func (m *Maker) adopt(q *queue, held []Held) {
+	now := m.o.Clock.Now()
+	adopted := 0
+	for _, h := range held {
+		if q.Adopt(now, h.Upstream, h.Handle, h.Request, h.Bytes, h.Left) {
+			adopted++
+		}
+	}
+	if adopted > 0 {
+		m.o.Events.Emit(event.ResultsAdopted, event.F("service", q.service), event.F("region", q.area), event.F("results", adopted))
+	}
+}
+
 // queue returns the queue of a place with its present upstreams; nil if the service does not run stages.
 func (m *Maker) queue(p place) *queue {
 	view := m.o.View()
--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -76,16 +76,63 @@
 	return h
 }
 
-// Free gives up results of a service. source is the node that keeps account of them, as Made says. If that node has gone, the
-// upstreams are told from here, since their memory would be taken until the results expire.
+// Free gives up results of a service. source is the node that keeps account of them, as Made says; if another one has taken the
+// queue over meanwhile, that one is told. If it has gone, the upstreams are told from here, since their memory would be taken
+// until the results expire.
 func (m *Maker) Free(service, source string, results []Result) {
-	if source != m.o.Peer && m.serves(source) {
-		m.tell(source, ask{Service: service, Free: results})
-		return
+	free, forget := m.split(service, source, results)
+	for node, list := range free {
+		if node != m.o.Peer && m.serves(node) {
+			m.tell(node, ask{Service: service, Free: list, Forget: forget[node]})
+			delete(forget, node)
+			continue
+		}
+		m.mu.Lock()
+		m.freeService(service, list)
+		m.mu.Unlock()
 	}
+	for node, list := range forget {
+		if node != m.o.Peer {
+			m.tell(node, ask{Service: service, Forget: list})
+			continue
+		}
+		m.mu.Lock()
+		m.forget(service, list)
+		m.mu.Unlock()
+	}
+}
+
+// split sorts results by the nodes that are to free them, and those that only drop them from their account.
+func (m *Maker) split(service, source string, results []Result) (free, forget map[string][]Result) {
+	free, forget = map[string][]Result{}, map[string][]Result{}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.freeService(service, results)
+	for _, r := range results {
+		nodes := m.holder.drop(service, r.Handle)
+		if len(nodes) == 0 {
+			nodes = []string{source}
+		}
+		last := len(nodes) - 1
+		free[nodes[last]] = append(free[nodes[last]], r)
+		for _, n := range nodes[:last] {
+			forget[n] = append(forget[n], r)
+		}
+	}
+	return free, forget
+}
+
+// forget drops results from the account of this node's queues. The lock is held.
+func (m *Maker) forget(service string, results []Result) {
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.Handle
+		m.users.unused(r.Handle)
+	}
+	for p, q := range m.queues {
+		if p.service == service {
+			q.Free(handles) // the upstreams are told by the node that keeps the queue now
+		}
+	}
 }
 
 // serves reports whether an entry node is known and takes work.
@@ -107,6 +154,7 @@
 	handles := make([]string, len(results))
 	for i, r := range results {
 		handles[i] = r.Handle
+		m.users.unused(r.Handle)
 	}
 	known := map[string]bool{}
 	for address, list := range q.Free(handles) {
@@ -191,10 +239,14 @@
 	if err := cbor.Unmarshal(body, &q); err != nil {
 		return nil, err
 	}
-	if q.Cancel != "" || len(q.Free) > 0 {
+	if len(q.Uses) > 0 {
+		return cbor.Marshal(m.stillUsed(q.Uses))
+	}
+	if q.Cancel != "" || len(q.Free) > 0 || len(q.Forget) > 0 {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.freeService(q.Service, q.Free)
+		m.forget(q.Service, q.Forget)
 		if q.Cancel != "" {
 			m.cancelHere(q.Cancel)
 		}
@@ -204,9 +256,22 @@
 	if err != nil {
 		return nil, err
 	}
+	p := place{q.Service, q.Area}
+	if q.From != "" {
+		m.watch(ctx, q.From)
+	}
+	made := m.makeFor(ctx, p, jobs, q.Held, last)
+	if q.From != "" {
+		m.uses(p, q.From, made)
+	}
+	return encodeMade(made)
+}
+
+// makeFor makes jobs of another node, for as long as one of them is of use.
+func (m *Maker) makeFor(ctx context.Context, p place, jobs []stage.Job, held []Held, last time.Duration) []Made {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := m.o.Clock.AfterFunc(last, cancel)
 	defer timer.Stop()
-	return encodeMade(m.makeHere(ctx, place{q.Service, q.Area}, jobs))
+	return m.makeHere(ctx, p, jobs, held)
 }
--- a/internal/gate/maker/state.go
+++ b/internal/gate/maker/state.go
@@ -8,11 +8,13 @@
 	"github.com/berylledge/berylledge/internal/gate/stage"
 )
 
-// logQueues writes a line for each queue that has done something since its last one.
+// logQueues writes a line for each queue that has done something since its last one, and forgets results that have expired.
 func (m *Maker) logQueues() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.o.Clock.Now()
+	m.holder.expire(now)
+	m.users.expire(now)
 	for _, q := range m.queues {
 		s := q.Snapshot(now)
 		if s.Tally == q.logged && q.Len() == 0 {
--- a/internal/gate/maker/wire.go
+++ b/internal/gate/maker/wire.go
@@ -21,6 +21,10 @@
 	Free    []Result   `cbor:"4,keyasint,omitempty"`
 	Cancel  string     `cbor:"5,keyasint,omitempty"`
 	Inputs  [][]string `cbor:"6,keyasint,omitempty"`
+	From    string     `cbor:"7,keyasint,omitempty"`  // peer address of the node that asks
+	Held    []Held     `cbor:"8,keyasint,omitempty"`  // results of which the other node keeps no account yet
+	Forget  []Result   `cbor:"9,keyasint,omitempty"`  // results of which another node keeps account by now
+	Uses    []string   `cbor:"10,keyasint,omitempty"` // handles: which of them are still used? The answer lists these
 }
 
 // wireJob carries times as durations, because the clocks of two VMs differ.
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -408,6 +408,22 @@
 	return out
 }
 
+// Adopt takes a result into account that an upstream made for the node which kept this queue before. It returns false if the
+// result is known or its upstream is not.
+func (q *Queue) Adopt(now time.Time, upstream, handle, request string, bytes int64, left time.Duration) bool {
+	t := q.targets[upstream]
+	if t == nil {
+		return false
+	}
+	if _, known := t.room[handle]; known {
+		return false
+	}
+	t.room[handle] = held{request, bytes, now.Add(left)}
+	t.used += bytes
+	q.begun[request]++
+	return true
+}
+
 // expire forgets results that their upstreams have forgotten.
 func (q *Queue) expire(now time.Time) {
 	if now.Sub(q.swept) < sweepEvery {
