--- a/internal/test/chain/chain.go
+++ b/internal/test/chain/chain.go
@@ -217,6 +217,7 @@
 		w.newOwner(s.Name)
 	}
 	for r := range w.live {
+		r.tellHeld()
 		r.handAgain()
 	}
 }
--- a/internal/test/chain/request.go
+++ b/internal/test/chain/request.go
@@ -29,6 +29,13 @@
 	plan     *stage.Plan
 	waiting  map[stage.Key]stage.Job // pieces that a queue has
 	staged   time.Time
+	held     map[string]heldResult // by handle
+}
+
+type heldResult struct {
+	service, upstream string
+	bytes             int64
+	until             time.Time
 }
 
 func (w *world) arrive(k *Kind) {
@@ -74,6 +81,7 @@
 	r.id = fmt.Sprint("r", w.attempts)
 	r.began = w.now
 	r.waiting = map[stage.Key]stage.Job{}
+	r.held = map[string]heldResult{}
 	w.requests[r.id] = r
 	stages := make([]conf.Stage, len(r.kind.Stages))
 	r.want.Needs = nil
@@ -171,6 +179,13 @@
 	})
 }
 
+// tellHeld tells the new owners which results the request uses.
+func (r *request) tellHeld() {
+	for handle, x := range r.held {
+		r.w.queues[x.service].Adopt(r.w.now, x.upstream, handle, r.id, x.bytes, x.until.Sub(r.w.now))
+	}
+}
+
 // handAgain gives pieces to the new owners, in the order of their stages.
 func (r *request) handAgain() {
 	var list []stage.Job
@@ -202,6 +217,7 @@
 		r.start()
 		return
 	}
+	r.held[reply.Handle] = heldResult{service, reply.Upstream, reply.Bytes, w.now.Add(w.pools[service].HandleFor.Duration())}
 	r.freeAll(r.plan.Made(reply.Stage, reply.Piece, reply.Handle, "owner", reply.Upstream))
 	if r.stageDone(reply.Stage) {
 		w.placer.Staged(w.now, r.ticket, reply.Stage)
@@ -223,6 +239,7 @@
 
 func (r *request) freeAll(list []stage.Freed) {
 	for _, f := range list {
+		delete(r.held, f.Handle)
 		r.w.free(f.Service, []string{f.Handle}, f.Upstream)
 	}
 }
