--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -92,6 +92,7 @@
 	due    time.Time
 	needs  []Need        // pieces that are still to be made
 	own    int           // prompt tokens that had to be read when the place was given
+	begun  bool          // a stage is done
 	late   bool          // it could not be on time from the beginning
 	total  time.Duration // that its stages were expected to take
 	ready  time.Time     // when its last stage was done; zero: not yet
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -8,17 +8,18 @@
 
 // Parameters of the order.
 const (
-	slowPace   = 1.8             // an upstream whose calls take this much longer counts as slow
-	slowRetry  = 2 * time.Second // without a call, a slow one is tried again
-	paceWeight = 0.5             // of the newest call
-	lateRanks  = 2               // a piece whose request will be late counts as this much less urgent
-	slackCalls = 4               // a job with this many full calls of time waits for an upstream near its engine
-	roundsHeld = 2               // rounds of full calls that may wait; beyond, pieces that would be late are refused
-	rateSpan   = 500 * time.Millisecond
-	rateWeight = 0.5  // of the newest span
-	inputsPart = 0.8  // part of the time that results are kept after which inputs in the queue count as lost
-	leastRoom  = 0.6  // part of an upstream's memory that is counted on, however often results found no room
-	roomGrow   = 0.03 // part of the memory that is counted on again for each result that was freed
+	slowPace       = 1.8             // an upstream whose calls take this much longer counts as slow
+	slowRetry      = 2 * time.Second // without a call, a slow one is tried again
+	paceWeight     = 0.5             // of the newest call
+	classesPerRank = 2
+	lateRanks      = 2 // a piece whose request will be late counts as this much less urgent
+	slackCalls     = 4 // a job with this many full calls of time waits for an upstream near its engine
+	roundsHeld     = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	rateSpan       = 500 * time.Millisecond
+	rateWeight     = 0.5  // of the newest span
+	inputsPart     = 0.8  // part of the time that results are kept after which inputs in the queue count as lost
+	leastRoom      = 0.6  // part of an upstream's memory that is counted on, however often results found no room
+	roomGrow       = 0.03 // part of the memory that is counted on again for each result that was freed
 )
 
 // late reports whether a job that starts now makes its request late.
@@ -30,20 +31,24 @@
 	for _, g := range q.groups {
 		j := g.first()
 		g.late = q.late(*j, now)
-		g.class = Class(j.Rank, g.late)
+		g.class = Class(j.Rank, g.late, len(j.Inputs) > 0)
 		if q.begun[j.Request] > 0 {
 			g.class = -1
 		}
 	}
 }
 
-// Class orders work before its times do: work of a request that will be late is worth little, so it yields to some that can
-// still be on time. Without this, one burst beyond capacity makes each request after it late as well.
-func Class(rank int, late bool) int {
-	if late {
-		return rank + lateRanks
+// Class orders work before its times do. Work of a request that will be late is worth little, so it yields to some that can
+// still be on time; without this, one burst beyond capacity makes each request after it late as well. A request that has begun
+// yields to its own rank only: what it has holds memory, and expires while it waits behind less urgent ones.
+func Class(rank int, late, begun bool) int {
+	switch {
+	case late && begun:
+		return classesPerRank*rank + 1
+	case late:
+		return classesPerRank * (rank + lateRanks)
 	}
-	return rank
+	return classesPerRank * rank
 }
 
 // order sorts the groups for an upstream in a data centre. Of equal ones, those whose result is needed there come first.
