Ask further nodes before a node keeps a queue or places by itself

Cause: a group of pieces was handed to two nodes; when both had been killed, the node kept a queue of its own, and so did each other one. The placer had the same limit. Class of fault: the fallback of the silent placer again.

Change: up to eight nodes in the order of rendezvous hashing, the same for all; those that are dead refuse the connection at once.

--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -16,7 +16,7 @@
 )
 
 // maxPlacers is the number of nodes that are asked for one place.
-const maxPlacers = 2
+const maxPlacers = 8
 
 // placeTimeout is how long an entry node waits for a place before it asks another node. It is well above a round trip in a
 // region and well below the time until a first token.
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -61,7 +61,7 @@
 	pumpEvery  = 20 * time.Millisecond // while jobs wait for a pause or for room
 	avoidFor   = 2 * time.Second       // a node that did not answer is not given pieces
 	stateEvery = time.Second           // between two lines about a queue
-	maxHand    = 2                     // nodes that one group of jobs is handed to
+	maxHand    = 8                     // nodes that one group of jobs is handed to
 )
 
 // Maker is a running maker.
