--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -84,8 +84,7 @@
 type ticket struct {
 	target string
 	part   string // the request's own part of its prompt
-	chains []string
-	unread int // prompt tokens that must still be read
+	unread int    // prompt tokens that must still be read
 	rank   int
 	tokens int
 	at     time.Time
@@ -111,7 +110,6 @@
 
 type part struct {
 	tokens int
-	read   bool // a request with it has got its first event
 	used   uint64
 }
 
@@ -124,7 +122,6 @@
 	engine  times // from the end of a request's stages to its first event, by prompt tokens to read
 	stages  times // of a request's stages, by the time that they were expected to take
 	unmet   unmet
-	fetch   bool      // engines can fetch parts from each other
 	swept   time.Time // when tickets were last looked through for forgotten ones
 }
 
@@ -134,7 +131,6 @@
 	ID       string // of the engine
 	Forecast Forecast
 	Due      time.Time // from when on the answer is late
-	Fetch    string    // engine that has shared parts which this one lacks; "": none
 }
 
 // New returns a Placer without engines.
@@ -162,9 +158,6 @@
 	}
 }
 
-// SetFetch says whether engines can fetch parts of prompts from each other.
-func (p *Placer) SetFetch(on bool) { p.fetch = on }
-
 // Place chooses an engine and counts the request there; false if there is none. The forecast is that of the moment before the
 // request was counted.
 func (p *Placer) Place(now time.Time, r Request) (Seat, bool) {
@@ -181,9 +174,7 @@
 	due := p.unmet.due(own, now.Add(r.Due))
 	r.Due = due.Sub(now)
 	p.next++
-	source, fetched := p.source(best, r, chains)
-	unread := best.unread(r, chains) - int((1-fetchCost)*float64(fetched))
-	t := &ticket{part: own, chains: chains, target: best.ID, unread: unread, rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: due}
+	t := &ticket{part: own, target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: due}
 	t.needs = slices.Clone(r.Needs)
 	if !t.staging() {
 		t.ready = now
@@ -193,14 +184,13 @@
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
 	best.remember(r, chains)
-	return Seat{p.next, best.ID, forecast, due, source}, true
+	return Seat{p.next, best.ID, forecast, due}, true
 }
 
 // best returns the engine with the least cost. Engines that are paused or full count only with any.
 func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
 	var out *target
 	var least float64
-	fetchable := p.fetchable(chains)
 	for _, t := range p.targets {
 		if !t.present || slices.Contains(r.Exclude, t.ID) {
 			continue
@@ -209,7 +199,7 @@
 		if !usable && !paused {
 			continue
 		}
-		cost := t.cost(r, chains, fetchable)
+		cost := t.cost(r, chains)
 		if out == nil || cost < least || cost == least && prefers(t.ID, out.ID, chains) {
 			out, least = t, cost
 		}
@@ -249,15 +239,10 @@
 	return max(unread, 0)
 }
 
-// cost is that of a request on the engine. Of its shared parts, the first fetchable ones can be fetched from another one.
-func (t *target) cost(r Request, chains []string, fetchable int) float64 {
+func (t *target) cost(r Request, chains []string) float64 {
 	cost := float64(t.unread(r, chains))
 	for i, x := range r.Parts[:max(len(r.Parts)-1, 0)] {
-		switch {
-		case t.parts[chains[i]] != nil:
-		case i < fetchable:
-			cost += (fetchCost - 1) * float64(x.Tokens)
-		default:
+		if t.parts[chains[i]] == nil {
 			cost += (sharedCost - 1) * float64(x.Tokens)
 		}
 	}
@@ -349,13 +334,6 @@
 		p.engine.add(t.rank, float64(t.own), now.Sub(t.ready))
 	}
 	t.unread = 0
-	if at := p.targets[t.target]; at != nil {
-		for _, chain := range t.chains {
-			if x := at.parts[chain]; x != nil {
-				x.read = true
-			}
-		}
-	}
 }
 
 // End takes the result of a request.
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -195,31 +195,3 @@
 	much, _ := p.Place(t0.Add(2*time.Second+returnFor), r)
 	assert.Equal(t, much.Due, t0.Add(2*time.Second+returnFor+r.Due), "it is forgotten in the end")
 }
-
-// Load pattern: requests about one long document come faster than one engine reads their own parts. Guards against a document that
-// each engine reads again although another one has it, which makes urgent requests late.
-func TestADocumentIsFetchedRatherThanReadAgain(t *testing.T) {
-	p := placer(2)
-	p.SetFetch(true)
-	first, _ := p.Place(t0, review("doc", 4000))
-	assert.Equal(t, first.Fetch, "", "no engine has it")
-	r := review("doc", 30_000)
-	r.Parts[1].ID = "second"
-	second, _ := p.Place(t0, r)
-	assert.Equal(t, second.ID, first.ID, "it is being read there, and cannot be fetched yet")
-	p.First(t0, first.Ticket)
-	r.Parts[1].ID = "third"
-	third, _ := p.Place(t0, r)
-	assert.Assert(t, third.ID != first.ID, "the engine that has it is busy")
-	assert.Equal(t, third.Fetch, first.ID)
-	assert.Equal(t, third.Forecast.Unread, 30_000+int(fetchCost*13_000))
-	p.End(t0, first.Ticket, Failed)
-	r.Parts[1].ID = "fourth"
-	for range 4 {
-		seat, _ := p.Place(t0, r)
-		assert.Equal(t, seat.Fetch, "", "an engine that failed may have been restarted")
-	}
-	p.SetFetch(false)
-	again, _ := p.Place(t0, review("other", 10))
-	assert.Equal(t, again.Fetch, "")
-}
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -303,14 +303,6 @@
 	return x.seat.forecast
 }
 
-// fetchID is the engine from which shared parts of the prompt were to be fetched, for a log line.
-func (x *exchange) fetchID() string {
-	if x.seat == nil {
-		return ""
-	}
-	return x.seat.fetch
-}
-
 // age is the time between the caller's first attempt, as far as that is known, and this one.
 func (x *exchange) age() time.Duration {
 	if x.due.IsZero() {
@@ -352,7 +344,7 @@
 		event.F("before_ms", x.split.Before.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()),
 		event.F("called_ms", x.split.Called.Milliseconds()), event.F("handed_ms", x.split.Handed.Milliseconds()),
 		event.F("stage_ms", x.staged.Milliseconds()), event.F("sent_ms", x.lastSent.Milliseconds()), event.F("first_ms", x.first.Milliseconds()),
-		event.F("elapsed_ms", elapsed.Milliseconds()), event.F("unread", forecast.Unread), event.F("ahead", forecast.Ahead), event.F("fetch", x.fetchID()),
+		event.F("elapsed_ms", elapsed.Milliseconds()), event.F("unread", forecast.Unread), event.F("ahead", forecast.Ahead),
 		event.F("ran", x.ranText()), event.F("reason", reason))
 }
 
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -40,8 +40,6 @@
 	Forecast engine.Forecast `cbor:"3,keyasint"`
 	// Due is the time until the request is late. It is shorter than what was asked for if its caller has returned.
 	Due time.Duration `cbor:"4,keyasint,omitempty"`
-	// Fetch is the engine from which shared parts of the prompt are to be fetched; "": none.
-	Fetch string `cbor:"5,keyasint,omitempty"`
 }
 
 // seat is a request's place at an engine.
@@ -50,7 +48,6 @@
 	ticket               uint64
 	upstream             roster.Upstream
 	read                 bool
-	fetch                string // engine that has shared parts of the prompt
 	forecast             engine.Forecast
 }
 
@@ -77,7 +74,7 @@
 	}
 	for _, u := range f.o.View().Services[x.service] {
 		if u.ID == tell.ID {
-			s.ticket, s.upstream, s.forecast, s.fetch = tell.Ticket, u, tell.Forecast, tell.Fetch
+			s.ticket, s.upstream, s.forecast = tell.Ticket, u, tell.Forecast
 			return s
 		}
 	}
@@ -174,7 +171,7 @@
 	if !ok {
 		return placeTell{}
 	}
-	return placeTell{seat.Ticket, seat.ID, seat.Forecast, seat.Due.Sub(now), seat.Fetch}
+	return placeTell{seat.Ticket, seat.ID, seat.Forecast, seat.Due.Sub(now)}
 }
 
 // placer returns the placer of a service with its present engines. The lock is held.
@@ -188,33 +185,9 @@
 	}
 	p.SetTargets(f.engines(f.o.View(), k))
 	p.SetPools(f.pools(k.area))
-	p.SetFetch(f.canFetch(k.service))
 	return p
 }
 
-// canFetch reports whether the engines of a service can fetch parts of prompts from each other.
-func (f *Front) canFetch(service string) bool {
-	t := f.o.View().Table
-	if t == nil {
-		return false
-	}
-	s := t.Service(service)
-	return s != nil && s.Engine != nil && s.Engine.LinkMbps > 0 && s.Engine.BytesPerToken > 0
-}
-
-// fetchAddress returns the address of the engine that has shared parts of the prompt, if it still takes work.
-func (x *exchange) fetchAddress() string {
-	if x.seat == nil || x.seat.fetch == "" {
-		return ""
-	}
-	for _, u := range x.f.o.View().Services[x.service] {
-		if u.ID == x.seat.fetch && u.State == roster.Ready && !u.Silent {
-			return u.Address
-		}
-	}
-	return ""
-}
-
 func (f *Front) engines(v *feed.View, k placeKey) []engine.Target {
 	var out []engine.Target
 	slots, tokens := 0, int64(0)
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -74,9 +74,6 @@
 		h.Set(names.LastEvent, s.last)
 	}
 	h.Set(names.Priority, strconv.Itoa(min(firstPriority+max(x.rank(), 0), lastPriority)))
-	if from := x.fetchAddress(); from != "" {
-		h.Set(names.Fetch, from)
-	}
 	if x.plan != nil {
 		if inputs := x.plan.plan.Inputs(); len(inputs) > 0 {
 			h.Set(names.Inputs, strings.Join(inputs, ","))
--- a/internal/gate/lingo/lingo.go
+++ b/internal/gate/lingo/lingo.go
@@ -54,7 +54,6 @@
 	Model      string
 	Tokens     string // prompt tokens and most output tokens, comma separated
 	Prefix     string // parts of the prompt in order, as ID:TOKENS, comma separated
-	Fetch      string // address of the engine from which shared parts of the prompt are to be fetched
 	Priority   string // urgency at a model engine, 0 to 9; 0 is first
 	KeyScheme  string // scheme of the Authorization header that carries a team's key
 	LastEvent  string // id of the last event that the receiver has
@@ -78,10 +77,10 @@
 			Team: "Berylledge-Team", Signature: "Berylledge-Signature", NotRun: "Berylledge-Not-Run",
 			Pieces: "Berylledge-Pieces", PieceKey: "Berylledge-Piece-Key", Inputs: "Berylledge-Inputs",
 			Model: "Berylledge-Model", Tokens: "Berylledge-Tokens", Prefix: "Berylledge-Prefix",
-			Fetch: "Berylledge-Fetch", Priority: "Berylledge-Priority", KeyScheme: "Bearer", LastEvent: "Last-Event-Id",
+			Priority: "Berylledge-Priority", KeyScheme: "Bearer", LastEvent: "Last-Event-Id",
 			UpstreamID: "Berylledge-Upstream",
 		},
-		Reserved: []string{"Berylledge-Upstream", "Berylledge-Team", "Berylledge-Inputs", "Berylledge-Priority", "Berylledge-Fetch", "Berylledge-Not-Run"},
+		Reserved: []string{"Berylledge-Upstream", "Berylledge-Team", "Berylledge-Inputs", "Berylledge-Priority", "Berylledge-Not-Run"},
 		Paths: Paths{
 			Config: "/v1/traffic", Upstream: "/v1/traffic/upstreams/:id", Entries: "/v1/traffic/entries", Ready: "/v1/ready",
 			Call: "/v1/pieces/make", Free: "/v1/pieces/free",
