--- /dev/null
+++ b/internal/gate/maker/hand_test.go
@@ -0,0 +1,41 @@
+package maker
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// Load pattern: half of the entry nodes are killed at once, among them several of those that would keep a queue. Guards against
+// nodes that each keep a queue of their own from then on, and fill the upstreams without knowing of each other (incident SHORT).
+func TestPiecesFindTheOneNodeThatIsLeft(t *testing.T) {
+	const dead = 4
+	a, b, _ := pair(t, reply)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := closed.Addr().String()
+	assert.NilError(t, closed.Close())
+	var owner string
+	for _, e := range a.o.View().Entries {
+		if e.Peer == b.Self() {
+			owner = e.Node
+		}
+	}
+	entries := a.o.View().Entries
+	for i := 0; len(entries) < 2+dead; i++ {
+		name := fmt.Sprint("dead", i)
+		if rendez.Weight("s", name) > rendez.Weight("s", owner) {
+			peer := fmt.Sprint("127.0.0.", 10+i%200, address[len("127.0.0.1"):])
+			entries = append(entries, roster.Entry{Node: name, Peer: peer, DataCentre: "a", Region: "n", Ready: true})
+		}
+	}
+	a.o.View().Entries = entries
+	made, err := a.Make(t.Context(), "s", "n", jobs(1))
+	assert.NilError(t, err)
+	assert.Equal(t, made[0].Source, b.Self())
+}
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -377,3 +377,21 @@
 	assert.Equal(t, len(replies), 1)
 	assert.Equal(t, replies[0].Reason, ReasonLate)
 }
+
+// Load pattern: a burst in which requests become late between two stages. Guards against results that hold memory while their
+// requests wait behind all less urgent ones, and against requests that are late and delay those of their rank that are not
+// (incident SHORT).
+func TestABegunRequestThatIsLateYieldsToItsRankOnly(t *testing.T) {
+	q := queue()
+	add := func(name string, rank int, due time.Duration, inputs ...string) {
+		j := job(name, due, 1)
+		j.Rank, j.Inputs = rank, inputs
+		q.Add(t0, j)
+	}
+	add("late", 0, -time.Second)
+	add("late begun", 0, -time.Second, "h")
+	add("less urgent", 1, 5*time.Second)
+	add("on time", 0, time.Second)
+	calls, _ := q.Next(t0)
+	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"on time", "late begun", "less urgent", "late"})
+}
