Let a restarted node keep queues at half of the oldest one's uptime (trial)

Change: a node keeps queues from half of the uptime of the oldest node on, so that owners change once in the seconds after a mass restart.

--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -58,11 +58,10 @@
 
 // Times of a Maker.
 const (
-	pumpEvery   = 20 * time.Millisecond // while jobs wait for a pause or for room
-	settleAfter = 5 * time.Second       // from its start until a node keeps queues, if others can; longer than results are kept
-	avoidFor    = 2 * time.Second       // a node that did not answer is not given pieces
-	stateEvery  = time.Second           // between two lines about a queue
-	maxHand     = 8                     // nodes that one group of jobs is handed to
+	pumpEvery  = 20 * time.Millisecond // while jobs wait for a pause or for room
+	avoidFor   = 2 * time.Second       // a node that did not answer is not given pieces
+	stateEvery = time.Second           // between two lines about a queue
+	maxHand    = 8                     // nodes that one group of jobs is handed to
 )
 
 // Maker is a running maker.
@@ -184,23 +183,26 @@
 func (m *Maker) Self() string { return m.o.Peer }
 
 // owner returns the peer address of the entry node that keeps the queue of a place: the first one in the order of rendezvous
-// hashing of those that have been up for a while. A node that is restarted would otherwise take its queues back within seconds,
-// and each change leaves two nodes that fill the same upstreams.
+// hashing of those that have been up for half as long as the oldest one. A node that is restarted would otherwise take its queues
+// back within seconds, and with each change accounts and what was learned are lost.
 func (m *Maker) owner(p place) string {
 	now := m.o.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	best, address, settled := uint64(0), "", false
-	for _, e := range m.o.View().Entries {
-		if !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer]) {
-			continue
-		}
-		old := now.Sub(e.Since) >= settleAfter
-		if settled && !old {
+	var oldest time.Duration
+	entries := slices.DeleteFunc(slices.Clone(m.o.View().Entries), func(e roster.Entry) bool {
+		return !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer])
+	})
+	for _, e := range entries {
+		oldest = max(oldest, now.Sub(e.Since))
+	}
+	best, address := uint64(0), ""
+	for _, e := range entries {
+		if now.Sub(e.Since) < oldest/2 {
 			continue
 		}
-		if score := rendez.Weight(p.service, e.Node); address == "" || old && !settled || score > best {
-			best, address, settled = score, e.Peer, old
+		if score := rendez.Weight(p.service, e.Node); address == "" || score > best {
+			best, address = score, e.Peer
 		}
 	}
 	if address == "" {
