--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -280,7 +280,6 @@
 	f.report++
 	q := Ask{Entry: f.o.Self, Epoch: s.epoch, Seen: s.seen, Version: f.version}
 	q.Entry.Started, q.Entry.Report, q.Entry.Ready = f.started.UnixNano(), f.report, f.ready.Load()
-	q.Entry.Uptime = f.o.Clock.Now().Sub(f.started).Milliseconds()
 	q.SuspectsSeen = s.blame
 	told := s.crashes
 	f.mu.Unlock()
@@ -492,9 +491,7 @@
 			delete(f.entries, id)
 			continue
 		}
-		entry := e.Entry
-		entry.Since = e.heard.Add(-time.Duration(entry.Uptime) * time.Millisecond)
-		v.Entries = append(v.Entries, entry)
+		v.Entries = append(v.Entries, e.Entry)
 	}
 	slices.SortFunc(v.Entries, func(a, b roster.Entry) int { return strings.Compare(a.Node, b.Node) })
 	f.view.Store(v)
--- a/internal/gate/maker/maker.go
+++ b/internal/gate/maker/maker.go
@@ -182,23 +182,14 @@
 // Self returns the own peer address, as Owner gives it.
 func (m *Maker) Self() string { return m.o.Peer }
 
-// owner returns the peer address of the entry node that keeps the queue of a place: the first one in the order of rendezvous
-// hashing of those that have been up for half as long as the oldest one. A node that is restarted would otherwise take its queues
-// back within seconds, and with each change accounts and what was learned are lost.
+// owner returns the peer address of the entry node that keeps the queue of a place.
 func (m *Maker) owner(p place) string {
 	now := m.o.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var oldest time.Duration
-	entries := slices.DeleteFunc(slices.Clone(m.o.View().Entries), func(e roster.Entry) bool {
-		return !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer])
-	})
-	for _, e := range entries {
-		oldest = max(oldest, now.Sub(e.Since))
-	}
 	best, address := uint64(0), ""
-	for _, e := range entries {
-		if now.Sub(e.Since) < oldest/2 {
+	for _, e := range m.o.View().Entries {
+		if !e.Ready || e.Region != p.area || now.Before(m.avoid[e.Peer]) {
 			continue
 		}
 		if score := rendez.Weight(p.service, e.Node); address == "" || score > best {
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -61,9 +61,6 @@
 	Started    int64  `cbor:"7,keyasint" json:"started"`
 	Report     int64  `cbor:"8,keyasint" json:"report"` // grows with each report of one start
 	Age        int64  `cbor:"9,keyasint,omitempty" json:"-"`
-	Uptime     int64  `cbor:"10,keyasint,omitempty" json:"-"` // milliseconds from its start to this report
-	// Since is about when it started, by the clock of the node that reads it; zero: not known.
-	Since time.Time `cbor:"-" json:"-"`
 }
 
 // Config holds the times of a Board.
