--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -11,7 +11,7 @@
 	slowPace       = 1.8             // an upstream whose calls take this much longer counts as slow
 	slowRetry      = 2 * time.Second // without a call, a slow one is tried again
 	paceWeight     = 0.5             // of the newest call
-	classesPerRank = 2
+	classesPerRank = 2               // the second one is for requests that have begun and will be late
 	lateRanks      = 2 // a piece whose request will be late counts as this much less urgent
 	slackCalls     = 4 // a job with this many full calls of time waits for an upstream near its engine
 	roundsHeld     = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
