--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -12,9 +12,9 @@
 	slowRetry      = 2 * time.Second // without a call, a slow one is tried again
 	paceWeight     = 0.5             // of the newest call
 	classesPerRank = 2               // the second one is for requests that have begun and will be late
-	lateRanks      = 2 // a piece whose request will be late counts as this much less urgent
-	slackCalls     = 4 // a job with this many full calls of time waits for an upstream near its engine
-	roundsHeld     = 2 // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	lateRanks      = 2               // a piece whose request will be late counts as this much less urgent
+	slackCalls     = 4               // a job with this many full calls of time waits for an upstream near its engine
+	roundsHeld     = 2               // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	rateSpan       = 500 * time.Millisecond
 	rateWeight     = 0.5  // of the newest span
 	inputsPart     = 0.8  // part of the time that results are kept after which inputs in the queue count as lost
