Bound the head of an upstream's answer and an event that does not end

Change: upcon reads at most 256 KiB until the head has ended and gives up the connection with ErrHeadTooLarge; a stream gives up its upstream when an event is longer than 1 MiB. Bodies of other answers were bounded or passed on as they come already.

--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -18,7 +18,13 @@
 	lastPriority  = 9
 )
 
-var errIncomplete = errors.New("the stream ended within an event")
+var (
+	errIncomplete = errors.New("the stream ended within an event")
+	errEndless    = errors.New("an event of the stream is too large")
+)
+
+// maxEvent bounds what is kept of an event that is not whole, in bytes.
+const maxEvent = 1 << 20
 
 // stream forwards a request whose answer is a sequence of events.
 //
@@ -125,6 +131,8 @@
 			return s.finish(a)
 		case err != nil:
 			return err
+		case len(s.rest) > maxEvent:
+			return errEndless
 		}
 	}
 }
--- /dev/null
+++ b/internal/wire/upcon/meter.go
@@ -0,0 +1,33 @@
+package upcon
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHead bounds the head of an answer, in bytes, with what is read ahead of its body.
+const maxHead = 256 << 10
+
+const unlimited = -1
+
+// ErrHeadTooLarge is the reason when the head of an answer does not end.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
+
+// meter passes on what it reads, up to a limit.
+type meter struct {
+	from io.Reader
+	left int // bytes; unlimited: no limit
+}
+
+func (m *meter) Read(p []byte) (int, error) {
+	if m.left == unlimited {
+		return m.from.Read(p)
+	}
+	if m.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := m.from.Read(p[:min(len(p), m.left)])
+	m.left -= n
+	return n, err
+}
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -274,7 +274,8 @@
 		p.mu.Unlock()
 		return nil, false, err
 	}
-	return &conn{pool: p, host: h, address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, false, nil
+	in := &meter{nc, unlimited}
+	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, false, nil
 }
 
 const readBuffer = 4 << 10
@@ -300,6 +301,7 @@
 	host    *host
 	address string
 	nc      net.Conn
+	in      *meter // between nc and br
 	br      *bufio.Reader
 	until   time.Time // when it may no longer be used
 	stop    func() bool
@@ -364,7 +366,7 @@
 	if !c.wrote {
 		return nil, <-c.written
 	}
-	hr, err := readHead(c.br, r.Method)
+	hr, err := c.readHead(r.Method)
 	if err != nil {
 		return nil, err
 	}
@@ -383,10 +385,13 @@
 	return err
 }
 
-// readHead skips informational answers.
-func readHead(br *bufio.Reader, method string) (*http.Response, error) {
+// readHead reads the head of an answer and skips informational ones before it. All of them together are bounded: a faulty upstream
+// may send bytes without end.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.in.left = maxHead
+	defer func() { c.in.left = unlimited }()
 	for {
-		hr, err := http.ReadResponse(br, &http.Request{Method: method})
+		hr, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
