Compress configurations in the group's log and tell when a member is current

Cause: each entry of the group's log was a whole configuration, which the leader sends to each member: with 1,400 routes some 600 kB, to four members in the other region. And a control node called itself sure as soon as it knew a leader; after a restart that is before the log's end has arrived.

Tests: TestLargeDocumentIsCompressedInTheLog and TestRestartedMemberIsCurrentOnlyInTheLeadersTerm have nothing to call in the code before (pack and Current are new); TestUncompressedCommandIsRead reads the old form.

--- a/internal/state/raft/machine.go
+++ b/internal/state/raft/machine.go
@@ -114,6 +114,9 @@
 		First: m.log.base + 1, Last: m.log.last(), Commit: m.commit, Applied: m.applied,
 		SnapshotIndex: m.snap.Index, Members: slices.Clone(m.members()),
 	}
+	if t, ok := m.log.term(m.applied); ok {
+		s.Current = m.leader != "" && t == m.hard.Term
+	}
 	if m.role == Leader {
 		s.Match = map[string]uint64{m.cfg.ID: m.persist.stable}
 		for id, pr := range m.peers {
--- a/internal/state/raft/raft.go
+++ b/internal/state/raft/raft.go
@@ -452,6 +452,9 @@
 	// First is the first index in the log, Last the last one.
 	First, Last     uint64
 	Commit, Applied uint64
+	// Current is true while a leader is known and this member has applied an entry of its term, and so all that was
+	// acknowledged before it was elected. What was acknowledged since may still be on its way.
+	Current bool
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
 	Members       []Member
--- a/internal/state/raft/step_test.go
+++ b/internal/state/raft/step_test.go
@@ -190,3 +190,17 @@
 		assert.Assert(t, m.Deadline().Sub(now) >= wait+DefaultElectionTimeout)
 	}
 }
+
+// Guards against a restarted member that passes an old state on as the newest one, because it knows a leader whose entries have
+// not arrived yet.
+func TestRestartedMemberIsCurrentOnlyInTheLeadersTerm(t *testing.T) {
+	d := newDriver(three, Restored{HardState: HardState{Term: 4, Commit: 1}, Entries: entriesOf(4, 1, 3)})
+	assert.Assert(t, !d.m.Status().Current, "no leader is known")
+	p, _, _ := d.receive(Message{Kind: KindAppend, From: "b", Term: 5, Index: 3, LogTerm: 4, Commit: 3})
+	d.step(Persisted{Seq: p.Seq})
+	assert.Equal(t, d.m.Status().Leader, "b")
+	assert.Assert(t, !d.m.Status().Current, "the leader has committed nothing in its term")
+	p, _, _ = d.receive(Message{Kind: KindAppend, From: "b", Term: 5, Index: 3, LogTerm: 4, Entries: entriesOf(5, 4, 4), Commit: 4})
+	d.step(Persisted{Seq: p.Seq})
+	assert.Assert(t, d.m.Status().Current)
+}
--- a/internal/state/vdoc/vdoc.go
+++ b/internal/state/vdoc/vdoc.go
@@ -17,6 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/berylledge/berylledge/internal/base/pack"
 )
 
 // Document is a whole configuration under its version. Version 0 means that there is none.
@@ -25,6 +27,13 @@
 	Body    []byte `cbor:"2,keyasint"`
 }
 
+// command is a Document as it stands in the log and in snapshots.
+type command struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Body    []byte `cbor:"2,keyasint"`
+	Packed  bool   `cbor:"3,keyasint,omitempty"` // Body is compressed
+}
+
 // Result is what became of a command.
 type Result struct {
 	Changed bool   `cbor:"1,keyasint"` // the command's document is stored now
@@ -51,8 +60,8 @@
 
 // Apply carries out one command and returns an encoded Result.
 func (r *Replica) Apply(_ uint64, data []byte) []byte {
-	var d Document
-	if err := cbor.Unmarshal(data, &d); err != nil {
+	d, err := decode(data)
+	if err != nil {
 		// Each member sees the same bytes and refuses them in the same way.
 		return encode(Result{Version: r.Latest().Version})
 	}
@@ -78,16 +87,35 @@
 
 // Restore takes the document of a snapshot.
 func (r *Replica) Restore(data []byte) error {
-	var d Document
-	if err := cbor.Unmarshal(data, &d); err != nil {
+	d, err := decode(data)
+	if err != nil {
 		return errors.Wrap(err, "snapshot of the document")
 	}
 	r.put(d)
 	return nil
 }
 
-// Encode returns the command that stores a document.
-func Encode(d Document) ([]byte, error) { return cbor.Marshal(d) }
+// Encode returns the command that stores a document. It is compressed where that makes it shorter: each member of the group
+// gets the whole document, over links that other traffic uses as well.
+func Encode(d Document) ([]byte, error) {
+	c := command{Version: d.Version, Body: d.Body}
+	if packed := pack.Compress(d.Body, nil); len(packed) < len(d.Body) {
+		c.Body, c.Packed = packed, true
+	}
+	return cbor.Marshal(c)
+}
+
+func decode(data []byte) (Document, error) {
+	var c command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Document{}, err
+	}
+	if !c.Packed {
+		return Document{Version: c.Version, Body: c.Body}, nil
+	}
+	body, err := pack.Expand(c.Body, nil, pack.MostBytes)
+	return Document{Version: c.Version, Body: body}, err
+}
 
 // DecodeResult decodes what Apply returned.
 func DecodeResult(data []byte) (Result, error) {
--- a/internal/state/vdoc/vdoc_test.go
+++ b/internal/state/vdoc/vdoc_test.go
@@ -1,8 +1,10 @@
 package vdoc
 
 import (
+	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -56,3 +58,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, result, Result{false, 4})
 }
+
+// Guards against a log that grows by whole configurations: "10 versions of 1,400 routes within 5 s" is more than a link between
+// regions carries.
+func TestLargeDocumentIsCompressedInTheLog(t *testing.T) {
+	body := strings.Repeat(`{"name":"r","host":"api.example","prefix":"/x/"},`, 1400)
+	data, err := Encode(Document{Version: 3, Body: []byte(body)})
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < len(body)/4, "%d of %d bytes", len(data), len(body))
+	r := New(func(Document) {})
+	r.Apply(1, data)
+	assert.Equal(t, string(r.Latest().Body), body)
+}
+
+// Guards against a member that cannot read its own log after an update.
+func TestUncompressedCommandIsRead(t *testing.T) {
+	data, err := cbor.Marshal(Document{Version: 3, Body: []byte("old")})
+	assert.NilError(t, err)
+	r := New(func(Document) {})
+	r.Apply(1, data)
+	assert.Equal(t, string(r.Latest().Body), "old")
+}
