--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -59,6 +59,7 @@
 	NodeFailed  Code = 4003
 
 	PeerMessageRefused Code = 4101
+	PeerTraffic        Code = 4102
 
 	ControlLost   Code = 4201
 	ControlFound  Code = 4202
@@ -133,6 +134,7 @@
 	{NodeLeaving, "node_leaving", hclog.Info, "Another node began a planned stop.", []string{"peer"}, ""},
 	{NodeFailed, "node_failed", hclog.Warn, "Another node is unreachable.", []string{"peer"}, "Check the VM; replace it if it does not return."},
 	{PeerMessageRefused, "peer_message_refused", hclog.Warn, "A message between processes could not be decoded or was too large.", []string{"peer", "reason"}, "Check that both run supported versions."},
+	{PeerTraffic, "peer_traffic", hclog.Info, "What this process sent to other processes since the last such line, as KIND=MESSAGES/BYTES, most bytes first. roster, raft, held and leaving go between control nodes, follow between entry nodes and control nodes, pieces and place between entry nodes.", []string{"kinds", "dropped", "seconds"}, "Compare with the tables of docs/CAPACITY.md when a link or a control node is full."},
 
 	{ControlLost, "control_lost", hclog.Warn, "No control node answers this entry node.", []string{"age_ms", "control"}, "Check the control nodes and the network."},
 	{ControlFound, "control_found", hclog.Info, "A control node answers this entry node again.", []string{"control"}, ""},
@@ -147,7 +149,7 @@
 	{FolderReplaced, "folder_replaced", hclog.Error, "The data folder was damaged; it was set aside, and the member starts as a new one.", []string{"reason"}, "Check the disk."},
 
 	{ConfigAccepted, "config_accepted", hclog.Info, "The control group accepted a configuration.", []string{"revision", "operator", "change"}, ""},
-	{ConfigInForce, "config_in_force", hclog.Info, "This node works with a configuration from now on.", []string{"revision"}, ""},
+	{ConfigInForce, "config_in_force", hclog.Info, "This node works with a configuration from now on.", []string{"revision", "peer"}, ""},
 	{ConfigRejected, "config_rejected", hclog.Error, "A configuration from another node was not used.", []string{"revision", "peer", "reason"}, "Two bodies under one revision point to two control groups: compare the cluster ids."},
 
 	{ConfigOrder, "config_order", hclog.Info, "An operator sent a configuration; stored is the highest version known after it.", []string{"version", "stored", "status", "reason"}, ""},
--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -60,7 +60,7 @@
 		return plain().EncodeAll(document, nil)
 	}
 	w := encoder(zstd.WithWindowSize(window(len(document)+len(earlier))), zstd.WithEncoderDictRaw(earlierID, earlier))
-	defer w.Close()
+	defer func() { _ = w.Close() }() // nothing is buffered
 	return w.EncodeAll(document, nil)
 }
 
--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -9,6 +9,11 @@
 //	reply, ok, err := d.Handle(ctx, kind, body) // from the peer hub
 //	d.Close()
 //
+// # What control nodes tell each other
+//
+// A control node tells the others what it hears itself: changes within shareEvery, and an empty Share each syncEvery, which renews
+// all records that it holds (package roster). One that misses a Share asks its sender for all that it holds.
+//
 // # Acknowledgements
 //
 // A configuration is acknowledged once the control group has committed it, or has committed a higher version. That an
@@ -44,21 +49,29 @@
 	BeatTo     string        // own address for heartbeats, told to upstreams; empty: they choose
 	BeatEvery  time.Duration // interval of heartbeats
 	EntryValid time.Duration // how long callers may keep an answer
-	BodyBytes  int64         // largest configuration
+	Address    string        // own peer address, as other control nodes know it
+	Place      feed.Place    // of this node
 }
 
 // Times of the desk.
 const (
 	syncEvery   = time.Second
+	shareEvery  = 100 * time.Millisecond
+	apartAfter  = 2500 * time.Millisecond // two lost Shares in a row are no cut
+	heldWait    = 2 * time.Second
 	proposeWait = 900 * time.Millisecond // operators turn to another node after a second
 	readWait    = 900 * time.Millisecond
 	leaveWait   = 800 * time.Millisecond
 	missedBeats = 4 // heartbeats that may be missed before an upstream counts as silent
 	forgetAfter = 45 * time.Second
 	entryAfter  = 2 * time.Second // without a report, an entry node is not given to callers
+	holderGrace = 2 * time.Second // longer than an entry node takes to turn to another control node
 	statusEvery = 100 * time.Millisecond
 )
 
+// maxRecords bounds the records of one answer to an entry node, some 25 kB.
+const maxRecords = 256
+
 // Desk is a running desk.
 type Desk struct {
 	o      Options
@@ -69,9 +82,12 @@
 
 	blame *blame.Board
 
-	mu       sync.Mutex
-	board    *roster.Board
-	lastSync time.Time
+	texts texts
+
+	mu     sync.Mutex
+	board  *roster.Board
+	shared uint64          // version of the board up to which the others were told
+	asking map[string]bool // control nodes that are asked for all that they hold, by address
 
 	statusMu sync.Mutex
 	statusAt time.Time
@@ -82,10 +98,12 @@
 
 // New starts a desk.
 func New(o Options) *Desk {
+	epoch := uint64(o.Clock.Now().UnixNano())
 	d := &Desk{
-		o: o, epoch: uint64(o.Clock.Now().UnixNano()), blame: blame.New(),
+		o: o, epoch: epoch, blame: blame.New(), asking: map[string]bool{},
 		board: roster.New(roster.Config{
-			SilentAfter: missedBeats * o.BeatEvery, ForgetAfter: forgetAfter, EntryAfter: entryAfter,
+			Self: o.Address, Epoch: epoch, SilentAfter: missedBeats * o.BeatEvery, ForgetAfter: forgetAfter, EntryAfter: entryAfter,
+			HolderGrace: holderGrace,
 		}),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -99,51 +117,82 @@
 	d.wg.Wait()
 }
 
-// run tells the other control nodes what this one has heard, and marks silent upstreams.
+// run tells the other control nodes what this one hears, and marks silent upstreams.
 func (d *Desk) run() {
-	for clock.Sleep(d.ctx, d.o.Clock, syncEvery) == nil {
+	var synced time.Time
+	for clock.Sleep(d.ctx, d.o.Clock, shareEvery) == nil {
 		now := d.o.Clock.Now()
-		d.mu.Lock()
-		batch := d.board.Heard(now, d.lastSync)
-		d.lastSync = now
+		due := now.Sub(synced) >= syncEvery
+		if due {
+			synced = now
+		}
+		d.share(now, due)
+	}
+}
+
+// share tells the others what changed; always, if it is due.
+func (d *Desk) share(now time.Time, due bool) {
+	d.mu.Lock()
+	if due {
 		d.board.Tick(now)
+	}
+	if !due && d.board.Version() == d.shared {
 		d.mu.Unlock()
-		if len(batch.Upstreams)+len(batch.Entries) > 0 {
-			d.tellOthers(batch)
-		}
+		return
+	}
+	s := d.board.Share(now, d.shared)
+	told := due || len(s.Upstreams)+len(s.Entries) > 0
+	if told {
+		d.shared = s.Version
+	}
+	d.mu.Unlock()
+	if told {
+		d.tellOthers(shared{Share: s})
 	}
 }
 
-func encodeBatch(batch roster.Batch) []byte {
-	body, err := cbor.Marshal(batch)
-	if err != nil { // records hold plain values only
+// shared is the message of KindRoster.
+type shared struct {
+	Share   roster.Share   `cbor:"1,keyasint"`
+	Crashes []blame.Record `cbor:"2,keyasint,omitempty"` // notes of an entry node that this node has just taken
+}
+
+// leaving is the message of KindLeaving.
+type leaving struct {
+	From     string          `cbor:"1,keyasint"` // peer address
+	Upstream roster.Upstream `cbor:"2,keyasint"`
+}
+
+func encode(v any) []byte {
+	body, err := cbor.Marshal(v)
+	if err != nil { // messages hold plain values only
 		panic(err)
 	}
 	return body
 }
 
-func (d *Desk) tellOthers(batch roster.Batch) {
-	body := encodeBatch(batch)
+func (d *Desk) tellOthers(m shared) {
+	body := encode(m)
 	for _, address := range d.o.Member.Addresses() {
 		d.o.Hub.Send(address, peer.KindRoster, body)
 	}
 }
 
-// tellMost sends a batch to the other members and reports whether more than half of the group has it. The calls to the rest go
-// on in the background.
-func (d *Desk) tellMost(batch roster.Batch) bool {
+// tellMost tells the other members that an upstream leaves, and reports whether more than half of the group knows it. The calls
+// to the rest go on in the background.
+func (d *Desk) tellMost(u roster.Upstream) bool {
 	_, others, voters := d.status()
 	need := voters / 2 // besides this one
 	if need == 0 {
 		return voters > 0
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, leaveWait)
-	body := encodeBatch(batch)
+	body := encode(leaving{d.o.Address, u})
 	acks := make(chan bool, len(others))
 	var calls sync.WaitGroup
 	for _, address := range others {
 		calls.Go(func() {
-			_, err := d.o.Hub.Call(ctx, address, peer.KindRoster, body)
+			_, err := d.o.Hub.Call(ctx, address, peer.KindLeaving, body)
 			acks <- err == nil
 		})
 	}
@@ -162,7 +211,7 @@
 	return false
 }
 
-// status returns whether this member knows a leader, the peer addresses of the other voters, and the number of voters.
+// status returns whether this member is sure of all that was acknowledged before its group's leader was elected, the peer addresses of the other voters, and the number of voters.
 func (d *Desk) status() (sure bool, others []string, voters int) {
 	now := d.o.Clock.Now()
 	d.statusMu.Lock()
@@ -172,7 +221,7 @@
 	}
 	d.statusAt = now
 	s, ok := d.o.Member.Status()
-	d.sure, d.others, d.voters = ok && s.Raft.Leader != "" && s.Err == nil, nil, 0
+	d.sure, d.others, d.voters = ok && s.Raft.Current && s.Err == nil, nil, 0
 	for _, m := range s.Raft.Members {
 		if m.Learner {
 			continue
@@ -189,13 +238,14 @@
 func (d *Desk) Handle(_ context.Context, kind peer.Kind, body []byte) (reply []byte, ok bool, err error) {
 	switch kind {
 	case peer.KindRoster:
-		var batch roster.Batch
-		if err = cbor.Unmarshal(body, &batch); err == nil {
-			d.mu.Lock()
-			d.board.Merge(d.o.Clock.Now(), batch)
-			d.mu.Unlock()
-		}
-		return nil, true, err
+		return nil, true, d.takeShare(body)
+	case peer.KindHeld:
+		d.mu.Lock()
+		s := d.board.Share(d.o.Clock.Now(), 0)
+		d.mu.Unlock()
+		return encode(shared{Share: s}), true, nil
+	case peer.KindLeaving:
+		return nil, true, d.takeLeaving(body)
 	case peer.KindFollow:
 		reply, err = d.follow(body)
 		return reply, true, err
@@ -206,6 +256,65 @@
 	return nil, false, nil
 }
 
+// takeShare takes what another control node tells, and asks it for all that it holds if something is missing.
+func (d *Desk) takeShare(body []byte) error {
+	var m shared
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		d.o.Events.Emit(event.PeerMessageRefused, event.F("peer", "control"), event.F("reason", err))
+		return err
+	}
+	now := d.o.Clock.Now()
+	d.noteCrashes(now, m.Crashes, m.Share.From)
+	if m.Share.From == "" {
+		return nil
+	}
+	d.mu.Lock()
+	missed := d.board.Take(now, m.Share)
+	ask := missed && !d.asking[m.Share.From]
+	if ask {
+		d.asking[m.Share.From] = true
+	}
+	d.mu.Unlock()
+	if ask {
+		d.wg.Go(func() { d.askHeld(m.Share.From) })
+	}
+	return nil
+}
+
+// askHeld asks a control node for all that it holds. Without an answer the next Share leads here again.
+func (d *Desk) askHeld(address string) {
+	ctx, cancel := context.WithTimeout(d.ctx, heldWait)
+	defer cancel()
+	reply, err := d.o.Hub.Call(ctx, address, peer.KindHeld, nil)
+	var m shared
+	if err == nil {
+		err = cbor.Unmarshal(reply, &m)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.asking, address)
+	if err == nil {
+		d.board.Take(d.o.Clock.Now(), m.Share)
+	}
+}
+
+func (d *Desk) takeLeaving(body []byte) error {
+	var m leaving
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Merge(d.o.Clock.Now(), m.From, roster.Batch{Upstreams: []roster.Upstream{m.Upstream}})
+	return nil
+}
+
+func (d *Desk) noteCrashes(now time.Time, notes []blame.Record, from string) {
+	for _, c := range d.blame.Merge(now, notes) {
+		d.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", from))
+	}
+}
+
 // follow answers an entry node.
 func (d *Desk) follow(body []byte) ([]byte, error) {
 	var ask feed.Ask
@@ -213,37 +322,54 @@
 		return nil, err
 	}
 	sure, _, _ := d.status()
-	tell := feed.Tell{Epoch: d.epoch, Sure: sure, Control: d.o.Member.Addresses()}
+	control := d.o.Member.Addresses()
+	latest := d.o.Member.Latest()
+	tell := feed.Tell{Epoch: d.epoch, Sure: sure, Version: latest.Version, Place: d.o.Place}
+	if feed.ControlSum(append(control, d.o.Address)) != ask.Control {
+		tell.Control = append(control, d.o.Address)
+	}
 	if ask.Epoch != d.epoch {
 		ask.Seen, ask.SuspectsSeen = 0, 0
 	}
 	now := d.o.Clock.Now()
-	for _, c := range d.blame.Merge(now, ask.Crashes) {
-		d.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", ask.Entry.Node))
+	if len(ask.Crashes) > 0 {
+		d.noteCrashes(now, ask.Crashes, "entry")
+		if ask.Entry != nil {
+			d.tellOthers(shared{Crashes: ask.Crashes})
+		}
 	}
 	tell.Suspects, tell.SuspectsVersion = d.blame.Suspects(now, ask.SuspectsSeen)
-	d.mu.Lock()
-	changed := d.board.Report(now, ask.Entry)
-	tell.Delta = d.board.Since(now, ask.Seen)
-	d.mu.Unlock()
-	if changed {
-		d.tellOthers(roster.Batch{Entries: []roster.Entry{ask.Entry}})
+	tell.Delta = d.delta(now, &ask)
+	if ask.Entry != nil {
+		d.mu.Lock()
+		tell.Apart = d.board.Apart(now, control, apartAfter)
+		d.mu.Unlock()
 	}
-	if doc := d.o.Member.Latest(); doc.Version > ask.Version {
-		tell.Document = &doc
+	if ask.Text != nil {
+		tell.Text = d.texts.piece(latest, ask.Version, *ask.Text)
 	}
-	return cbor.Marshal(tell)
+	return tell.Encode()
+}
+
+// delta returns the records that a question asks for.
+func (d *Desk) delta(now time.Time, ask *feed.Ask) roster.Delta {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case ask.Entry != nil:
+		d.board.Report(now, *ask.Entry)
+		return d.board.Since(now, ask.Seen, maxRecords)
+	case ask.Held:
+		return d.board.Held(now, ask.Seen, maxRecords)
+	}
+	return roster.Delta{}
 }
 
 // Upstreams returns the number of registered upstreams by state, for metrics.
 func (d *Desk) Upstreams() map[roster.State]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := map[roster.State]int{}
-	for _, u := range d.board.All(d.o.Clock.Now()).Upstreams {
-		out[u.State]++
-	}
-	return out
+	return d.board.States()
 }
 
 // Suspects returns the number of contents that entry nodes reported after a crash, for metrics.
--- a/internal/gate/desk/http.go
+++ b/internal/gate/desk/http.go
@@ -111,13 +111,10 @@
 	}
 	// A repeated word that it leaves may not have reached the others the first time.
 	leaves := u.State == roster.Draining && (changed || known && before.State == roster.Draining)
-	if leaves && !d.tellMost(roster.Batch{Upstreams: []roster.Upstream{u}}) {
+	if leaves && !d.tellMost(u) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
 	}
-	if changed && !leaves {
-		d.tellOthers(roster.Batch{Upstreams: []roster.Upstream{u}})
-	}
 	reply, err := d.o.Dialect.EncodeBeatReply(d.o.BeatTo)
 	if err != nil {
 		plain(w, http.StatusInternalServerError, err.Error())
@@ -141,7 +138,7 @@
 	}
 	d.mu.Unlock()
 	feed.LogUpstream(d.o.Events, u)
-	if !d.tellMost(roster.Batch{Upstreams: []roster.Upstream{u}}) {
+	if !d.tellMost(u) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
 	}
--- /dev/null
+++ b/internal/gate/feed/plan.go
@@ -0,0 +1,182 @@
+package feed
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+)
+
+// Times between two questions to a control node.
+const (
+	primaryEvery = 250 * time.Millisecond
+	apartEvery   = 1200 * time.Millisecond
+	turnEvery    = 1200 * time.Millisecond // one of the others is looked in on
+	helloEvery   = 500 * time.Millisecond  // to each one, while there is no primary
+	mostBackoff  = 10 * time.Second        // to one that does not answer
+)
+
+// maxFailed is the number of questions in a row without an answer after which a control node counts as removed.
+const maxFailed = 10
+
+// duty is what a control node is asked for.
+type duty uint8
+
+const (
+	lookIn     duty = iota // whether it is there, whether it is sure, and which configuration it has
+	followAll              // all that it knows
+	followHeld             // what it hears itself
+)
+
+// source is a control node.
+type source struct {
+	address string
+	place   Place  // as it said
+	draw    uint64 // order among those of one place, another one for each entry node
+	epoch   uint64
+	seen    uint64 // version of its last page of all that it knows
+	held    uint64 // version of its last page of what it hears itself
+	version uint64 // of its configuration
+	sure    bool
+	follows bool      // its last answer told records
+	pass    time.Time // start of a transfer of all records that has not ended yet
+	failed  int       // questions without an answer in a row
+	asking  bool
+	asked   time.Time
+	heard   time.Time // when it last answered
+	crashes uint64    // version of the own notes of crashes that it has
+	blame   uint64    // version of the last Suspects
+}
+
+func (f *Feed) addSource(address string) {
+	if address != "" && f.sources[address] == nil && len(f.sources) < maxControl {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(f.o.Self.Node + " " + address)) // a hash takes everything
+		f.sources[address] = &source{address: address, draw: h.Sum64()}
+	}
+}
+
+// primary returns the control node that this node follows, or nil. Without a group that has a leader none is sure, and the node
+// stays with one that answers.
+func (f *Feed) primary() *source {
+	var best *source
+	for _, s := range f.sources {
+		if s.failed == 0 && !s.heard.IsZero() && (best == nil || f.better(s, best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (f *Feed) better(a, b *source) bool {
+	if a.sure != b.sure {
+		return a.sure
+	}
+	if x, y := f.distance(a), f.distance(b); x != y {
+		return x < y
+	}
+	return a.draw < b.draw || a.draw == b.draw && a.address < b.address
+}
+
+// distance orders control nodes by where they are: in the own data centre, the own region, elsewhere.
+func (f *Feed) distance(s *source) int {
+	switch {
+	case s.place.Region != f.o.Self.Region:
+		return 2
+	case s.place.DataCentre != f.o.Self.DataCentre:
+		return 1
+	}
+	return 0
+}
+
+// hurry makes the questions due that carry what this node has to tell.
+func (f *Feed) hurry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	primary := f.primary()
+	for _, s := range f.sources {
+		if primary == nil || f.duty(primary, s) != lookIn {
+			s.asked = time.Time{}
+		}
+	}
+}
+
+func (f *Feed) duty(primary, s *source) duty {
+	if s == primary {
+		return followAll
+	}
+	if _, apart := f.apart[s.address]; apart {
+		return followHeld
+	}
+	return lookIn
+}
+
+// askDue starts the questions that are due.
+func (f *Feed) askDue(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.o.Seeds() {
+		f.addSource(a)
+	}
+	for _, s := range f.due(now) {
+		s.asking, s.asked = true, now
+		f.wg.Go(func() { f.follow(s) })
+	}
+	if !f.lost && now.Sub(f.answered) > lostAfter {
+		f.lost = true
+		f.o.Events.Emit(event.ControlLost, event.F("age_ms", now.Sub(f.answered).Milliseconds()), event.F("control", len(f.sources)))
+	}
+}
+
+// due returns the control nodes to ask now.
+func (f *Feed) due(now time.Time) []*source {
+	var out []*source
+	var turn *source
+	primary := f.primary()
+	for _, s := range f.sources {
+		if s.asking {
+			continue
+		}
+		if every := f.every(primary, s); every > 0 {
+			if now.Sub(s.asked) >= every {
+				out = append(out, s)
+			}
+			continue
+		}
+		if now.Sub(s.asked) >= backoff(s) && (turn == nil || s.asked.Before(turn.asked)) {
+			turn = s
+		}
+	}
+	if turn != nil && now.Sub(f.turned) >= turnEvery {
+		f.turned = now
+		out = append(out, turn)
+	}
+	return out
+}
+
+// every is the time between two questions to a control node; 0: it is asked in turn with others.
+func (f *Feed) every(primary, s *source) time.Duration {
+	switch {
+	case primary == nil || f.table == nil && !primary.sure:
+		return helloEvery
+	case f.duty(primary, s) == followAll:
+		return primaryEvery
+	case f.duty(primary, s) == followHeld && s.failed == 0:
+		return apartEvery
+	}
+	return 0
+}
+
+// backoff is the least time between two questions to a control node that is asked in turn.
+func backoff(s *source) time.Duration {
+	return min(turnEvery<<min(s.failed, maxFailed), mostBackoff)
+}
+
+// failed counts a question without an answer. A node that is not a seed and does not answer for long is forgotten.
+func (f *Feed) failed(s *source) {
+	s.failed++
+	if s.failed > maxFailed && !slices.Contains(f.o.Seeds(), s.address) {
+		delete(f.sources, s.address)
+	}
+}
--- /dev/null
+++ b/internal/gate/feed/view.go
@@ -0,0 +1,172 @@
+package feed
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+func (f *Feed) takeDelta(now time.Time, d roster.Delta, from string, sure bool) bool {
+	changed := false
+	for _, u := range d.Upstreams {
+		have := f.upstreams[u.ID]
+		if have != nil && !replaces(u, have.Upstream) {
+			changed = have.note(now, u, from) || changed
+			continue
+		}
+		next := &known{Upstream: u, told: now, silentAt: map[string]bool{}}
+		if have != nil {
+			next.logged = have.logged
+			if have.Born == u.Born {
+				next.silentAt = have.silentAt
+			}
+		}
+		delete(next.silentAt, from)
+		if u.Silent {
+			next.silentAt[from] = true
+		}
+		next.Age, next.Silent = 0, false
+		if have == nil || have.Upstream != next.Upstream || u.Silent || len(next.silentAt) > 0 {
+			changed = true
+		}
+		f.upstreams[u.ID] = next
+	}
+	for _, e := range d.Entries {
+		if !sure && !e.Ready {
+			continue // a control node that is cut off takes the others for gone
+		}
+		e.Age = 0
+		have := f.entries[e.Node]
+		if have != nil && (e.Started < have.Started || e.Started == have.Started && e.Report < have.Report) {
+			have.told = now
+			continue
+		}
+		quiet := e
+		if have != nil {
+			quiet.Report = have.Report
+		}
+		changed = changed || have == nil || quiet != have.Entry
+		f.entries[e.Node] = &knownEntry{e, now}
+	}
+	for id, u := range f.upstreams {
+		if (len(u.silentAt) > 0 || u.State == roster.Gone) && now.Sub(u.told) > forgetAfter {
+			delete(f.upstreams, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// note takes a record that is older than the one held. Renewals are not passed on, so that its heartbeat may be older than one
+// that another control node told, and its word on whether the upstream is heard still counts.
+func (u *known) note(now time.Time, word roster.Upstream, from string) bool {
+	if word.Born != u.Born {
+		delete(u.silentAt, from)
+		return false
+	}
+	u.told = now
+	before := u.silentAt[from]
+	if word.Silent {
+		u.silentAt[from] = true
+	} else {
+		delete(u.silentAt, from)
+	}
+	return before != word.Silent
+}
+
+// dropUntold removes the records that a transfer of all records, which began at a time, did not contain.
+func (f *Feed) dropUntold(began time.Time) bool {
+	changed := false
+	for id, u := range f.upstreams {
+		if u.told.Before(began) {
+			delete(f.upstreams, id)
+			changed = true
+		}
+	}
+	for node, e := range f.entries {
+		if e.told.Before(began) {
+			delete(f.entries, node)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// replaces reports whether a control node's record is at least as new as the one held.
+func replaces(u, have roster.Upstream) bool {
+	if u.Born != have.Born {
+		return u.Born > have.Born
+	}
+	if have.State == roster.Gone {
+		return false
+	}
+	return u.State == roster.Gone || u.Sequence >= have.Sequence
+}
+
+// silent reports whether no control node that this node follows hears an upstream. While control nodes are cut off from each
+// other, each upstream reports to one side only.
+func (f *Feed) silent(now time.Time, u *known) bool {
+	if len(u.silentAt) == 0 {
+		return false
+	}
+	for _, s := range f.sources {
+		if s.follows && now.Sub(s.heard) < lostAfter && !u.silentAt[s.address] {
+			return false
+		}
+	}
+	return true
+}
+
+// standing is what matters to a request of an upstream's record.
+type standing struct {
+	born   int64
+	state  roster.State
+	silent bool
+}
+
+func seenAs(u roster.Upstream) standing { return standing{u.Born, u.State, u.Silent} }
+
+// LogUpstream writes a line when a node begins to see an upstream in another way.
+func LogUpstream(log *event.Log, u roster.Upstream) {
+	switch {
+	case u.State != roster.Ready:
+		log.Emit(event.UpstreamLeaving, event.F("upstream", u.ID))
+	case u.Silent:
+		log.Emit(event.UpstreamExpired, event.F("upstream", u.ID))
+	default:
+		log.Emit(event.UpstreamAnnounced, event.F("upstream", u.ID), event.F("kind", u.Service), event.F("address", u.Address))
+	}
+}
+
+func (f *Feed) publish(now time.Time) {
+	v := &View{Table: f.table, Services: map[string][]roster.Upstream{}}
+	for _, u := range f.upstreams {
+		out := u.Upstream
+		out.Silent = f.silent(now, u)
+		if now := seenAs(out); now != u.logged {
+			u.logged = now
+			LogUpstream(f.o.Events, out)
+		}
+		if u.State != roster.Gone {
+			v.Services[u.Service] = append(v.Services[u.Service], out)
+		}
+	}
+	for _, list := range v.Services {
+		slices.SortFunc(list, func(a, b roster.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	}
+	for id, e := range f.entries {
+		if !e.Ready && now.Sub(e.told) > forgetAfter {
+			delete(f.entries, id)
+			continue
+		}
+		v.Entries = append(v.Entries, e.Entry)
+	}
+	slices.SortFunc(v.Entries, func(a, b roster.Entry) int { return strings.Compare(a.Node, b.Node) })
+	f.view.Store(v)
+	if f.o.Changed != nil {
+		f.o.Changed(v)
+	}
+}
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -7,10 +7,18 @@
 //
 // Usage:
 //
-//	b := roster.New(roster.Config{SilentAfter: 4 * time.Second})
+//	b := roster.New(roster.Config{Self: address, Epoch: start, SilentAfter: 4 * time.Second})
 //	changed := b.Beat(now, roster.Upstream{ID: "r1", Born: 17, Sequence: 4, ...})
-//	batch := b.Heard(lastRound)      // for the other control nodes: b.Merge(now, batch)
-//	delta := b.Since(epoch, version) // for entry nodes
+//	share := b.Share(lastVersion)         // for the other control nodes
+//	if b.Take(now, share) { ... }         // there: true asks the sender for all that it holds
+//	delta := b.Since(now, version, 256)   // for entry nodes
+//
+// # Holders
+//
+// The node that hears an upstream or an entry node holds its record. Renewals stay with the holder: it tells the other control
+// nodes changes only, and each Share, also an empty one, renews all records that its sender holds. What control nodes tell each
+// other so grows with the changes, not with the number of records. A record whose holder falls silent ages until another node
+// hears its process.
 //
 // # Order of records
 //
@@ -63,25 +71,34 @@
 	Age        int64  `cbor:"9,keyasint,omitempty" json:"-"`
 }
 
-// Config holds the times of a Board.
+// Config names a Board and holds its times.
 type Config struct {
+	Self        string        // peer address of this node
+	Epoch       uint64        // identifies this start of the node
 	SilentAfter time.Duration // without a heartbeat, an upstream is marked silent
 	ForgetAfter time.Duration // a silent or gone upstream is removed
 	EntryAfter  time.Duration // without a report, an entry node is not given out
+	// HolderGrace is added to EntryAfter for entry nodes that report to another node: when that one falls silent they turn to
+	// the next one first.
+	HolderGrace time.Duration
+}
+
+// origin is where a record comes from and when it changed.
+type origin struct {
+	heard   time.Time
+	holder  string // peer address of the control node that hears it; empty: none does
+	version uint64 // of the last change that matters to entry nodes
+	shared  uint64 // of the last change that matters to other control nodes
 }
 
 type upstreamRecord struct {
 	Upstream
-	heard   time.Time
-	direct  time.Time // last heard by this node itself
-	version uint64
+	origin
 }
 
 type entryRecord struct {
 	Entry
-	heard   time.Time
-	direct  time.Time
-	version uint64
+	origin
 }
 
 // Board holds the records. It is not safe for concurrent use.
@@ -91,24 +108,23 @@
 	upstreams map[string]*upstreamRecord
 	entries   map[string]*entryRecord
 	addresses map[string]string // holder's id by address
-	dropped   uint64            // version at the last removal of a record
+	dropped   uint64            // highest version among the records that were removed
+	peers     map[string]*holder
 }
 
 // New returns an empty board.
 func New(cfg Config) *Board {
 	return &Board{
 		cfg: cfg, upstreams: map[string]*upstreamRecord{}, entries: map[string]*entryRecord{}, addresses: map[string]string{},
+		peers: map[string]*holder{},
 	}
 }
 
+// Version returns the number of changes so far.
+func (b *Board) Version() uint64 { return b.version }
+
 // Beat takes a heartbeat that this node received and reports whether it changed more than the time.
-func (b *Board) Beat(now time.Time, u Upstream) bool {
-	changed := b.takeUpstream(now, u)
-	if r := b.upstreams[u.ID]; r != nil && r.Born == u.Born && r.Sequence == u.Sequence {
-		r.direct = now
-	}
-	return changed
-}
+func (b *Board) Beat(now time.Time, u Upstream) bool { return b.takeUpstream(now, u, b.cfg.Self) }
 
 // Leave marks the present start of an upstream as gone. It returns false if the upstream is not known or already gone.
 func (b *Board) Leave(now time.Time, id string) (Upstream, bool) {
@@ -118,37 +134,66 @@
 	}
 	u := r.Upstream
 	u.State = Gone
-	b.storeUpstream(now, r, u)
-	r.direct = now
+	b.storeUpstream(now, r, u, b.cfg.Self)
 	return u, true
 }
 
-func (b *Board) takeUpstream(heard time.Time, u Upstream) bool {
+// takeUpstream takes a record from the node that hears it.
+func (b *Board) takeUpstream(heard time.Time, u Upstream, from string) bool {
 	r := b.upstreams[u.ID]
 	if r == nil {
-		if holder := b.upstreams[b.addresses[u.Address]]; holder != nil && holder.State != Gone && holder.Born > u.Born {
+		if other := b.upstreams[b.addresses[u.Address]]; other != nil && other.State != Gone && other.Born > u.Born {
 			return false // a late heartbeat of a process whose address another one has by now
 		}
 		r = &upstreamRecord{}
 		b.upstreams[u.ID] = r
-		b.storeUpstream(heard, r, u)
+		b.storeUpstream(heard, r, u, from)
 		return true
 	}
 	if !newer(u, r.Upstream) {
+		b.takeOlder(heard, r, u, from)
 		return false
 	}
 	if r.State == Gone && u.Born <= r.Born {
 		return false
 	}
-	changed := meaning(u) != meaning(r.Upstream) || r.Silent
-	if !changed {
-		r.Sequence, r.heard, r.ColdUntil = u.Sequence, later(r.heard, heard), u.ColdUntil
+	if meaning(u) == meaning(r.Upstream) && !r.Silent {
+		r.Sequence, r.ColdUntil = u.Sequence, u.ColdUntil
+		b.hold(&r.origin, heard, from, u.Silent)
 		return false
 	}
-	b.storeUpstream(heard, r, u)
+	b.storeUpstream(heard, r, u, from)
 	return true
 }
 
+// takeOlder takes a record that is not newer than the one held: only who hears the upstream may change.
+func (b *Board) takeOlder(heard time.Time, r *upstreamRecord, u Upstream, from string) {
+	same := u.Born == r.Born && u.Sequence == r.Sequence && u.State == r.State
+	switch {
+	case same && (r.holder == from || r.holder == "" && !u.Silent):
+		b.hold(&r.origin, heard, from, u.Silent)
+	case r.holder == b.cfg.Self && from != b.cfg.Self:
+		b.version++
+		r.shared = b.version // the other node heard an old heartbeat and must learn who holds the upstream
+	}
+}
+
+// hold notes that a node hears the process of a record, or that it does not any more.
+func (b *Board) hold(o *origin, heard time.Time, from string, lost bool) {
+	o.heard = later(o.heard, heard)
+	if lost {
+		from = ""
+	}
+	if o.holder == from {
+		return
+	}
+	o.holder = from
+	if from == b.cfg.Self {
+		b.version++
+		o.shared = b.version
+	}
+}
+
 // newer orders the records of one id. Gone wins over other records of the same start, since it is the last word.
 func newer(a, b Upstream) bool {
 	if a.Born != b.Born {
@@ -173,163 +218,184 @@
 	return a
 }
 
-func (b *Board) storeUpstream(heard time.Time, r *upstreamRecord, u Upstream) {
-	b.version++
+func (b *Board) storeUpstream(heard time.Time, r *upstreamRecord, u Upstream, from string) {
+	lost := u.Silent
 	u.Age, u.Silent = 0, false
-	r.Upstream, r.heard, r.version = u, later(r.heard, heard), b.version
+	r.Upstream = u
+	b.hold(&r.origin, heard, from, lost)
+	b.changed(&r.origin)
 	if u.State == Gone {
 		return
 	}
 	if other := b.upstreams[b.addresses[u.Address]]; other != nil && other != r && other.State != Gone {
 		if other.Born > u.Born {
-			b.version++
-			r.State, r.version = Gone, b.version
+			r.State = Gone
+			b.changed(&r.origin)
 			return
 		}
-		b.version++
-		other.State, other.version = Gone, b.version
+		other.State = Gone
+		b.changed(&other.origin)
 	}
 	b.addresses[u.Address] = u.ID
 }
 
-// Report takes the report of an entry node that asked this node.
-func (b *Board) Report(now time.Time, e Entry) bool {
-	changed := b.takeEntry(now, e)
-	if r := b.entries[e.Node]; r != nil {
-		r.direct = now
-	}
-	return changed
+// changed numbers a change for all readers.
+func (b *Board) changed(o *origin) {
+	b.version++
+	o.version, o.shared = b.version, b.version
 }
 
-func (b *Board) takeEntry(heard time.Time, e Entry) bool {
+// Report takes the report of an entry node that asked this node.
+func (b *Board) Report(now time.Time, e Entry) bool { return b.takeEntry(now, e, b.cfg.Self) }
+
+func (b *Board) takeEntry(heard time.Time, e Entry, from string) bool {
 	e.Age = 0
 	r := b.entries[e.Node]
 	if r == nil {
 		r = &entryRecord{}
 		b.entries[e.Node] = r
-	} else if cmp.Or(cmp.Compare(e.Started, r.Started), cmp.Compare(e.Report, r.Report)) <= 0 {
-		return false
+	} else if order := cmp.Or(cmp.Compare(e.Started, r.Started), cmp.Compare(e.Report, r.Report)); order <= 0 {
+		// The same report again tells who hears the entry node, and that its holder does not hear it any more.
+		if order < 0 || r.holder != from && r.holder != "" {
+			return false
+		}
+		if e.Ready == r.Ready {
+			b.hold(&r.origin, heard, from, false)
+			return false
+		}
 	}
 	quiet := r.Entry
 	quiet.Report = e.Report
-	changed := quiet != e || heard.Sub(r.heard) > b.cfg.EntryAfter
-	r.Entry, r.heard = e, later(r.heard, heard)
+	changed := quiet != e
+	r.Entry = e
+	b.hold(&r.origin, heard, from, false)
 	if changed {
-		b.version++
-		r.version = b.version
+		b.changed(&r.origin)
 	}
 	return changed
 }
 
-// Batch is what one control node tells another.
+// Batch is a set of records.
 type Batch struct {
 	Upstreams []Upstream `cbor:"1,keyasint,omitempty"`
 	Entries   []Entry    `cbor:"2,keyasint,omitempty"`
 }
 
-// Heard returns what this node heard itself at or after a time, with ages as of now.
-func (b *Board) Heard(now, since time.Time) Batch {
-	var out Batch
-	for _, r := range b.upstreams {
-		if !r.direct.Before(since) {
-			u := r.Upstream
-			u.Age = now.Sub(r.heard).Milliseconds()
-			out.Upstreams = append(out.Upstreams, u)
-		}
-	}
-	for _, r := range b.entries {
-		if !r.direct.Before(since) {
-			e := r.Entry
-			e.Age = now.Sub(r.heard).Milliseconds()
-			out.Entries = append(out.Entries, e)
-		}
-	}
-	sortBatch(&out)
-	return out
-}
-
-// All returns all records, for a control node that has just started.
-func (b *Board) All(now time.Time) Batch { return b.Heard(now, time.Time{}) }
-
 func sortBatch(out *Batch) {
 	slices.SortFunc(out.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(out.Entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
 }
 
-// Merge takes what another control node told and reports whether anything but times changed.
-func (b *Board) Merge(now time.Time, batch Batch) bool {
+// Merge takes what the control node at a peer address told and reports whether anything but times changed.
+func (b *Board) Merge(now time.Time, from string, batch Batch) bool {
 	changed := false
 	for _, u := range batch.Upstreams {
-		heard := now.Add(-time.Duration(u.Age) * time.Millisecond)
-		if b.takeUpstream(heard, u) {
+		if b.takeUpstream(aged(now, u.Age), u, from) {
 			changed = true
 		}
 	}
 	for _, e := range batch.Entries {
-		if b.takeEntry(now.Add(-time.Duration(e.Age)*time.Millisecond), e) {
+		if b.takeEntry(aged(now, e.Age), e, from) {
 			changed = true
 		}
 	}
 	return changed
 }
 
+func aged(now time.Time, age int64) time.Time { return now.Add(-time.Duration(age) * time.Millisecond) }
+
 // Tick marks upstreams that have fallen silent and forgets old records.
 func (b *Board) Tick(now time.Time) {
 	for id, r := range b.upstreams {
-		age := now.Sub(r.heard)
+		age := now.Sub(b.heardAt(&r.origin))
 		switch {
 		case age > b.cfg.ForgetAfter:
-			b.forget(id, r)
+			if b.addresses[r.Address] == id {
+				delete(b.addresses, r.Address)
+			}
+			delete(b.upstreams, id)
+			b.dropped = max(b.dropped, r.version)
 		case age > b.cfg.SilentAfter && !r.Silent && r.State != Gone:
-			b.version++
-			r.Silent, r.version = true, b.version
+			r.Silent = true
+			b.changed(&r.origin)
 		}
 	}
 	for id, r := range b.entries {
-		age := now.Sub(r.heard)
+		age := now.Sub(b.heardAt(&r.origin))
 		switch {
 		case age > b.cfg.ForgetAfter:
 			delete(b.entries, id)
-			b.version++
-			b.dropped = b.version
-		case age > b.cfg.EntryAfter && r.Ready:
-			b.version++
-			r.Ready, r.version = false, b.version
+			b.dropped = max(b.dropped, r.version)
+		case age > b.entryAfter(&r.origin) && r.Ready:
+			r.Ready = false
+			b.changed(&r.origin)
 		}
 	}
+	b.forgetPeers(now)
 }
 
-func (b *Board) forget(id string, r *upstreamRecord) {
-	if b.addresses[r.Address] == id {
-		delete(b.addresses, r.Address)
+// entryAfter is the time without news after which an entry node is not given out.
+func (b *Board) entryAfter(o *origin) time.Duration {
+	if o.holder == b.cfg.Self {
+		return b.cfg.EntryAfter
 	}
-	delete(b.upstreams, id)
-	b.version++
-	b.dropped = b.version
+	return b.cfg.EntryAfter + b.cfg.HolderGrace
 }
 
-// Delta is what changed for a reader. Whole means that it replaces all that the reader has.
+// Delta is a page of what changed for a reader, in the order of the changes. Whole means that the reader gets all records with
+// this page and those that follow it, and has none that is not among them. More means that another page follows at once.
 type Delta struct {
 	Version   uint64     `cbor:"1,keyasint"`
 	Whole     bool       `cbor:"2,keyasint,omitempty"`
 	Upstreams []Upstream `cbor:"3,keyasint,omitempty"`
 	Entries   []Entry    `cbor:"4,keyasint,omitempty"`
+	More      bool       `cbor:"5,keyasint,omitempty"`
+}
+
+// Since returns the changes after a version, with at most the given number of records. A reader with version 0, or one that
+// missed the last change of a record that is removed by now, gets all records.
+func (b *Board) Since(now time.Time, version uint64, most int) Delta {
+	return b.page(now, version, most, func(*origin) bool { return true })
 }
 
-// Since returns the changes after a version; version 0, or one before a removal, gets all records.
-func (b *Board) Since(now time.Time, version uint64) Delta {
-	d := Delta{Version: b.version, Whole: version == 0 || version < b.dropped || version > b.version}
+// Held returns the changes of the records that this node hears itself, as Since does.
+func (b *Board) Held(now time.Time, version uint64, most int) Delta {
+	return b.page(now, version, most, func(o *origin) bool { return o.holder == b.cfg.Self })
+}
+
+func (b *Board) page(now time.Time, version uint64, most int, match func(*origin) bool) Delta {
+	if version < b.dropped || version > b.version {
+		version = 0
+	}
+	d := Delta{Version: b.version, Whole: version == 0}
+	if version == b.version {
+		return d
+	}
+	var versions []uint64
+	for _, r := range b.upstreams {
+		if r.version > version && match(&r.origin) {
+			versions = append(versions, r.version)
+		}
+	}
+	for _, r := range b.entries {
+		if r.version > version && match(&r.origin) {
+			versions = append(versions, r.version)
+		}
+	}
+	if len(versions) > most {
+		slices.Sort(versions)
+		d.Version, d.More = versions[most-1], true
+	}
+	in := func(o *origin) bool { return o.version > version && o.version <= d.Version && match(o) }
 	for _, r := range b.upstreams {
-		if d.Whole || r.version > version {
-			u := r.Upstream
-			u.Age = now.Sub(r.heard).Milliseconds()
-			d.Upstreams = append(d.Upstreams, u)
+		if in(&r.origin) {
+			d.Upstreams = append(d.Upstreams, r.Upstream)
 		}
 	}
 	for _, r := range b.entries {
-		if d.Whole || r.version > version {
+		if in(&r.origin) {
 			e := r.Entry
-			e.Age = now.Sub(r.heard).Milliseconds()
+			e.Age = now.Sub(b.heardAt(&r.origin)).Milliseconds()
 			d.Entries = append(d.Entries, e)
 		}
 	}
@@ -343,7 +409,7 @@
 func (b *Board) Serving(now time.Time, dataCentre, region string) []Entry {
 	var parts [3][]Entry
 	for _, r := range b.entries {
-		if !r.Ready || now.Sub(r.heard) > b.cfg.EntryAfter {
+		if !r.Ready || now.Sub(b.heardAt(&r.origin)) > b.entryAfter(&r.origin) {
 			continue
 		}
 		switch {
@@ -374,3 +440,12 @@
 	}
 	return r.Upstream, true
 }
+
+// States returns the number of upstreams by state.
+func (b *Board) States() map[State]int {
+	out := map[State]int{}
+	for _, r := range b.upstreams {
+		out[r.State]++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gate/roster/share.go
@@ -0,0 +1,130 @@
+package roster
+
+import (
+	"time"
+)
+
+// Share is what one control node tells the others about the records that it holds.
+type Share struct {
+	From      string     `cbor:"1,keyasint"`           // peer address of the sender
+	Epoch     uint64     `cbor:"2,keyasint"`           // of its start
+	Since     uint64     `cbor:"3,keyasint"`           // the sender's version after which changes are told; 0: all records that it holds
+	Version   uint64     `cbor:"4,keyasint"`           // the sender's version now
+	Upstreams []Upstream `cbor:"5,keyasint,omitempty"` // Silent: the sender does not hear it any more
+	Entries   []Entry    `cbor:"6,keyasint,omitempty"`
+}
+
+// holder is another control node that holds records.
+type holder struct {
+	epoch   uint64
+	version uint64    // up to which its changes have arrived here
+	at      time.Time // of its last Share
+	missed  bool      // a Share is missing, so that the next ones renew nothing
+}
+
+// Share returns the changes after a version of the records that this node holds.
+func (b *Board) Share(now time.Time, since uint64) Share {
+	s := Share{From: b.cfg.Self, Epoch: b.cfg.Epoch, Since: since, Version: b.version}
+	for _, r := range b.upstreams {
+		if r.holder == b.cfg.Self && r.shared > since {
+			u := r.Upstream
+			u.Age = now.Sub(r.heard).Milliseconds()
+			s.Upstreams = append(s.Upstreams, u)
+		}
+	}
+	for _, r := range b.entries {
+		if r.holder == b.cfg.Self && r.shared > since {
+			e := r.Entry
+			e.Age = now.Sub(r.heard).Milliseconds()
+			s.Entries = append(s.Entries, e)
+		}
+	}
+	batch := Batch{s.Upstreams, s.Entries}
+	sortBatch(&batch)
+	return s
+}
+
+// Take merges a Share. It reports whether the sender must be asked for all that it holds, because an earlier Share did not
+// arrive.
+func (b *Board) Take(now time.Time, s Share) bool {
+	if s.From == "" || s.From == b.cfg.Self {
+		return false
+	}
+	p := b.peers[s.From]
+	if p == nil || p.epoch < s.Epoch {
+		b.release(s.From)
+		p = &holder{epoch: s.Epoch, missed: true}
+		b.peers[s.From] = p
+	}
+	if s.Epoch < p.epoch {
+		return false // sent before the node restarted
+	}
+	if s.Since == 0 {
+		b.release(s.From)
+		p.missed = false
+	} else if s.Since > p.version {
+		p.missed = true
+	}
+	b.Merge(now, s.From, Batch{s.Upstreams, s.Entries})
+	if !p.missed {
+		p.version, p.at = max(p.version, s.Version), now
+	}
+	return p.missed
+}
+
+// release lets the records age that a node held: it restarted, or is about to tell which ones it holds.
+func (b *Board) release(from string) {
+	for _, r := range b.upstreams {
+		b.releaseOne(&r.origin, from)
+	}
+	for _, r := range b.entries {
+		b.releaseOne(&r.origin, from)
+	}
+}
+
+func (b *Board) releaseOne(o *origin, from string) {
+	if o.holder == from {
+		o.heard, o.holder = b.heardAt(o), ""
+	}
+}
+
+// heardAt returns when a record's process was last heard, by this node or by the one that holds it.
+func (b *Board) heardAt(o *origin) time.Time {
+	if p := b.peers[o.holder]; p != nil {
+		return later(o.heard, p.at)
+	}
+	return o.heard
+}
+
+// forgetPeers removes the nodes that were not heard for long, together with their hold on records.
+func (b *Board) forgetPeers(now time.Time) {
+	for from, p := range b.peers {
+		if !p.at.IsZero() && now.Sub(p.at) > b.cfg.ForgetAfter {
+			b.release(from)
+			delete(b.peers, from)
+		}
+	}
+}
+
+// Known is how far this node knows the records of another control node.
+type Known struct {
+	Address string `cbor:"1,keyasint"`
+	Epoch   uint64 `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Apart returns those of the given control nodes that were not heard for a time.
+func (b *Board) Apart(now time.Time, addresses []string, after time.Duration) []Known {
+	var out []Known
+	for _, a := range addresses {
+		k := Known{Address: a}
+		if p := b.peers[a]; p != nil {
+			if now.Sub(p.at) <= after {
+				continue
+			}
+			k.Epoch, k.Version = p.epoch, p.version
+		}
+		out = append(out, k)
+	}
+	return out
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -169,7 +169,8 @@
 			a.do(func(now time.Time) { a.stepRelay(now, relay.Received{Message: m}) })
 		}
 	case peer.KindRaft, peer.KindReply, peer.KindPropose, peer.KindEvents, peer.KindStatus, peer.KindQuery, peer.KindOperate,
-		peer.KindCrash, peer.KindAskCrash, peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace:
+		peer.KindCrash, peer.KindAskCrash, peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace,
+		peer.KindHeld, peer.KindLeaving:
 		return false
 	}
 	if err != nil {
--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -203,7 +203,8 @@
 		reply, err = n.suspectNews(table.CrashNews{})
 		return reply, true, err
 	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindEvents, peer.KindCrash, peer.KindOperate,
-		peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace:
+		peer.KindAdmit, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace,
+		peer.KindHeld, peer.KindLeaving:
 	}
 	return nil, false, nil
 }
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -83,6 +83,7 @@
 	}
 	close(p.ready)
 	p.wg.Go(p.watchSettings)
+	p.wg.Go(p.logTraffic)
 	p.events.Emit(event.ProcessStarted, event.F("roles", p.roles()), event.F("address", s.Listen.Callers+s.Listen.Control))
 	return p, nil
 }
@@ -168,7 +169,8 @@
 	}
 	p.desk = desk.New(desk.Options{
 		Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Member: p.member, Hub: p.hub, BeatTo: p.s.Listen.Control,
-		BeatEvery: beat, EntryValid: valid,
+		BeatEvery: beat, EntryValid: valid, Address: address,
+		Place: feed.Place{DataCentre: p.s.DataCentre, Region: p.s.Region},
 	})
 	if err := p.serve("control", p.s.Listen.Control, p.desk.ControlRoutes()); err != nil {
 		return err
--- /dev/null
+++ b/internal/node/gated/growth_test.go
@@ -0,0 +1,76 @@
+package gated
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+)
+
+// largeConfig returns a configuration of many routes whose names look random.
+func (f *fleet) largeConfig(version uint64, routes int) *conf.Config {
+	c := f.config(version, "/x/")
+	for i := range routes {
+		r := c.Routes[0]
+		r.Name, r.Prefix = fmt.Sprintf("r-%07x", i*2654435761%0xfffffff), fmt.Sprintf("/%x/%x/", i, i*40503%0xffff)
+		c.Routes = append(c.Routes, r)
+	}
+	c.Routes[1].Timeout = conf.MS(2000 + version)
+	return c
+}
+
+func (f *fleet) sent() int64 {
+	total := int64(0)
+	for _, p := range f.nodes {
+		total += p.hub.Counters().BytesOut
+	}
+	return total
+}
+
+// Guards against whole configurations for each node and each version: "1,000 routes in ten versions within 5 s, then power loss"
+// filled the link between two regions, the control nodes behind it lost their leader, and entry nodes there served an old version.
+func TestQuickVersionsOfALargeConfigurationFillNoLink(t *testing.T) {
+	f := newFleet(t, 71)
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	const entries, versions, routes = 4, 10, 1000
+	f.put(1, f.largeConfig(1, routes))
+	for n := 11; n < 11+entries; n++ {
+		f.start(n, true)
+	}
+	inForce := func(version uint64) func() bool {
+		return func() bool {
+			for n := 11; n < 11+entries; n++ {
+				if table := f.nodes[n].feed.View().Table; table == nil || table.Config.Version != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	f.eventually("the first configuration is in force", inForce(1))
+	before := f.sent()
+	for v := uint64(2); v <= versions+1; v++ {
+		f.put(1, f.largeConfig(v, routes))
+	}
+	f.eventually("the last configuration is in force", inForce(versions+1))
+	document, err := json.Marshal(f.largeConfig(versions+1, routes))
+	assert.NilError(t, err)
+	perNode := (f.sent() - before) / (entries + 2)
+	assert.Assert(t, perNode < versions*int64(len(document))/4, "%d bytes for each node, one document has %d", perNode, len(document))
+
+	for n := range f.nodes {
+		f.stop(n)
+	}
+	for n := 1; n <= 3; n++ {
+		f.start(n, false)
+	}
+	for n := 11; n < 11+entries; n++ {
+		f.start(n, false)
+	}
+	f.eventually("the last configuration is in force again", inForce(versions+1))
+}
--- a/internal/node/gated/metrics.go
+++ b/internal/node/gated/metrics.go
@@ -11,8 +11,11 @@
 	var b strings.Builder
 	line := func(name, labels string, value any) { fmt.Fprintf(&b, "berylledge_%s%s %v\n", name, labels, value) }
 	c := p.hub.Counters()
-	line("peer_bytes_out", "", c.BytesOut)
-	line("peer_messages_out", "", c.MessagesOut)
+	for _, v := range c.Kinds {
+		labels := fmt.Sprintf(`{kind="%s"}`, v.Kind)
+		line("peer_bytes_out", labels, v.Bytes)
+		line("peer_messages_out", labels, v.Messages)
+	}
 	line("peer_dropped", "", c.Dropped)
 	if p.member != nil {
 		s, _ := p.member.Status()
@@ -26,6 +29,7 @@
 	}
 	if p.front != nil {
 		line("suspect_contents", `{role="entry"}`, p.board.Len())
+		line("config_version", "", p.feed.Version())
 		p.front.WriteMetrics(line)
 		p.maker.WriteMetrics(line)
 		line("dialed", "", p.pool.Dialed())
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -276,7 +276,8 @@
 		reply, err = m.admit(ctx, body)
 		return reply, true, err
 	case peer.KindMember, peer.KindSpread, peer.KindRelay, peer.KindReply, peer.KindPropose, peer.KindEvents, peer.KindQuery,
-		peer.KindOperate, peer.KindCrash, peer.KindAskCrash, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace:
+		peer.KindOperate, peer.KindCrash, peer.KindAskCrash, peer.KindRoster, peer.KindFollow, peer.KindPieces, peer.KindPlace,
+		peer.KindHeld, peer.KindLeaving:
 	}
 	return nil, false, nil
 }
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -10,11 +10,17 @@
 	"github.com/berylledge/berylledge/internal/wire/dial"
 )
 
+// outgoing is an encoded message that waits to be written.
+type outgoing struct {
+	kind Kind
+	data []byte
+}
+
 // link is the outgoing side to one address: a queue, a goroutine that dials and writes, and one that reads answers.
 type link struct {
 	hub     *Hub
 	address string
-	out     chan []byte
+	out     chan outgoing
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -35,7 +41,7 @@
 	if l := h.links[address]; l != nil {
 		return l
 	}
-	l := &link{hub: h, address: address, out: make(chan []byte, queueLength), answers: map[uint64]chan Envelope{}}
+	l := &link{hub: h, address: address, out: make(chan outgoing, queueLength), answers: map[uint64]chan Envelope{}}
 	l.ctx, l.cancel = context.WithCancel(h.ctx)
 	h.links[address] = l
 	h.wg.Go(l.run)
@@ -50,14 +56,14 @@
 }
 
 // queue adds a message and reports whether there was room.
-func (l *link) queue(data []byte) bool {
+func (l *link) queue(m outgoing) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || l.failing && len(l.out) > 0 {
 		return false // while dialling fails, one message is kept to try again with
 	}
 	select {
-	case l.out <- data:
+	case l.out <- m:
 		return true
 	default:
 		return false
@@ -99,7 +105,7 @@
 func (l *link) run() {
 	defer l.breakCalls()
 	for l.ctx.Err() == nil {
-		var first []byte
+		var first outgoing
 		select {
 		case first = <-l.out:
 		case <-l.ctx.Done():
@@ -133,7 +139,7 @@
 }
 
 // serve writes messages to a connection and reads its answers until it ends.
-func (l *link) serve(conn *websocket.Conn, first []byte) {
+func (l *link) serve(conn *websocket.Conn, first outgoing) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	l.hub.wg.Go(func() {
@@ -145,20 +151,19 @@
 	defer idle.Stop()
 	ping := l.hub.o.Clock.NewTimer(pingEvery)
 	defer ping.Stop()
-	for data := first; ; {
-		if data != nil {
+	for next := first; ; {
+		if next.data != nil {
 			_ = conn.SetWriteDeadline(l.hub.o.Clock.Now().Add(writeTimeout))
-			if conn.WriteMessage(websocket.BinaryMessage, data) != nil {
+			if conn.WriteMessage(websocket.BinaryMessage, next.data) != nil {
 				return
 			}
-			l.hub.bytesOut.Add(int64(len(data)))
-			l.hub.sent.Add(1)
+			l.hub.count(next.kind, next.data)
 			idle.Reset(idleTimeout)
 		}
 		select {
-		case data = <-l.out:
+		case next = <-l.out:
 		case <-ping.C():
-			data = nil
+			next = outgoing{}
 			if conn.WriteControl(websocket.PingMessage, nil, l.hub.o.Clock.Now().Add(writeTimeout)) != nil {
 				return
 			}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -35,31 +35,6 @@
 // Version is the version of the envelope. A message of another version is refused.
 const Version = 1
 
-// Kind says which package a message belongs to.
-type Kind uint8
-
-// The kinds of messages. KindPropose, KindEvents, KindStatus, KindQuery, KindOperate, KindAskCrash, KindAdmit, KindFollow,
-// KindPieces and KindPlace are questions of Call; the last two also carry messages without an answer.
-const (
-	KindMember   Kind = 1
-	KindSpread   Kind = 2
-	KindRelay    Kind = 3
-	KindRaft     Kind = 4
-	KindReply    Kind = 5
-	KindPropose  Kind = 6
-	KindEvents   Kind = 7
-	KindStatus   Kind = 8
-	KindQuery    Kind = 9  // of operators, to a control node
-	KindOperate  Kind = 10 // of operators, to any process
-	KindCrash    Kind = 11
-	KindAskCrash Kind = 12
-	KindAdmit    Kind = 13 // of a member that wants to be added to a control group
-	KindRoster   Kind = 14 // registrations of upstreams and entry nodes, between control nodes
-	KindFollow   Kind = 15 // of an entry node, to a control node
-	KindPieces   Kind = 16 // work on stages, between entry nodes
-	KindPlace    Kind = 17 // places at model engines, between entry nodes
-)
-
 // Times of the check whether a connection still carries data: one that has gone silent breaks nothing by itself, and all
 // messages on it would be lost until the kernel gives up.
 const (
@@ -115,9 +90,10 @@
 	wg     sync.WaitGroup
 	slots  chan struct{}
 
-	bytesIn, bytesOut atomic.Int64
-	sent, received    atomic.Int64
-	dropped           atomic.Int64
+	bytesIn  atomic.Int64
+	received atomic.Int64
+	dropped  atomic.Int64
+	sent     [len(kindNames)]volume // by kind; an answer counts under the kind of its question
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -129,6 +105,7 @@
 	BytesIn, BytesOut, MessagesIn, MessagesOut int64
 	// Dropped counts messages that found the queue full or the address unreachable.
 	Dropped int64
+	Kinds   []KindVolume // what was sent, of the kinds with a message, in the order of their numbers
 }
 
 // New starts a hub.
@@ -157,10 +134,16 @@
 
 // Counters returns the traffic so far.
 func (h *Hub) Counters() Counters {
-	return Counters{
-		BytesIn: h.bytesIn.Load(), BytesOut: h.bytesOut.Load(),
-		MessagesIn: h.received.Load(), MessagesOut: h.sent.Load(), Dropped: h.dropped.Load(),
+	c := Counters{BytesIn: h.bytesIn.Load(), MessagesIn: h.received.Load(), Dropped: h.dropped.Load()}
+	for k := range h.sent {
+		v := KindVolume{Kind: Kind(k), Messages: h.sent[k].messages.Load(), Bytes: h.sent[k].bytes.Load()}
+		if v.Messages > 0 {
+			c.Kinds = append(c.Kinds, v)
+		}
+		c.BytesOut += v.Bytes
+		c.MessagesOut += v.Messages
 	}
+	return c
 }
 
 // Close ends all connections.
@@ -190,7 +173,7 @@
 	if err != nil {
 		return
 	}
-	if l := h.link(address); l != nil && !l.queue(data) {
+	if l := h.link(address); l != nil && !l.queue(outgoing{kind, data}) {
 		h.dropped.Add(1)
 	}
 }
@@ -229,7 +212,7 @@
 	if err != nil {
 		return nil, &LinkError{address, true, err}
 	}
-	if !l.queue(data) {
+	if !l.queue(outgoing{kind, data}) {
 		return nil, &LinkError{address, true, errors.New("the queue is full or the peer cannot be reached")}
 	}
 	select {
@@ -324,22 +307,22 @@
 	select {
 	case h.slots <- struct{}{}:
 	default:
-		in.answer(e.Call, nil, errors.New("too many questions"))
+		in.answer(e, nil, errors.New("too many questions"))
 		return
 	}
 	h.wg.Go(func() {
 		defer func() { <-h.slots }()
 		body, err := h.o.Handle(in.ctx, e.From, e.Kind, e.Body)
-		in.answer(e.Call, body, err)
+		in.answer(e, body, err)
 	})
 }
 
-func (in *inbound) answer(call uint64, body []byte, err error) {
+func (in *inbound) answer(question Envelope, body []byte, err error) {
 	failed := ""
 	if err != nil {
 		failed = err.Error()
 	}
-	data, err := in.hub.envelope(KindReply, call, body, failed)
+	data, err := in.hub.envelope(KindReply, question.Call, body, failed)
 	if err != nil {
 		return
 	}
@@ -347,7 +330,6 @@
 	defer in.mu.Unlock()
 	_ = in.conn.SetWriteDeadline(in.hub.o.Clock.Now().Add(writeTimeout))
 	if in.conn.WriteMessage(websocket.BinaryMessage, data) == nil {
-		in.hub.bytesOut.Add(int64(len(data)))
-		in.hub.sent.Add(1)
+		in.hub.count(question.Kind, data)
 	}
 }
