Check idle connections between processes only while they are used

Cause: each connection between two processes was pinged each second by the side that dialled it. Entry nodes keep one to each control node and to each entry node that owns a queue; most are idle, so that pings grow with the square of the fleet.

Change: a connection without a message for 3 s is not pinged until the next one; then it must answer within 2.5 s as before.

Test: TestOnlyUsedConnectionsAreChecked (pings of a connection that nobody uses, and one that falls silent meanwhile).

--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/gorilla/websocket"
 
@@ -151,6 +152,7 @@
 	defer idle.Stop()
 	ping := l.hub.o.Clock.NewTimer(pingEvery)
 	defer ping.Stop()
+	used, quiet := l.hub.o.Clock.Now(), false
 	for next := first; ; {
 		if next.data != nil {
 			_ = conn.SetWriteDeadline(l.hub.o.Clock.Now().Add(writeTimeout))
@@ -159,12 +161,13 @@
 			}
 			l.hub.count(next.kind, next.data)
 			idle.Reset(idleTimeout)
+			used = l.hub.o.Clock.Now()
 		}
 		select {
 		case next = <-l.out:
 		case <-ping.C():
 			next = outgoing{}
-			if conn.WriteControl(websocket.PingMessage, nil, l.hub.o.Clock.Now().Add(writeTimeout)) != nil {
+			if l.ping(conn, used, &quiet) != nil {
 				return
 			}
 			ping.Reset(pingEvery)
@@ -176,6 +179,23 @@
 	}
 }
 
+// ping asks the other side for a sign of life, which read waits for, unless the connection was last used long ago: between all
+// pairs of processes the pings of idle connections would be most of what is sent.
+func (l *link) ping(conn *websocket.Conn, used time.Time, quiet *bool) error {
+	now := l.hub.o.Clock.Now()
+	before := *quiet
+	*quiet = now.Sub(used) > quietAfter
+	switch {
+	case *quiet:
+		return conn.SetReadDeadline(now.Add(idleTimeout + dialTimeout))
+	case before:
+		if err := conn.SetReadDeadline(now.Add(silentAfter)); err != nil {
+			return err
+		}
+	}
+	return conn.WriteControl(websocket.PingMessage, nil, now.Add(writeTimeout))
+}
+
 // read takes the answers on a connection. Without an answer to a ping within silentAfter it ends the connection.
 func (l *link) read(conn *websocket.Conn) {
 	alive := func() { _ = conn.SetReadDeadline(l.hub.o.Clock.Now().Add(silentAfter)) }
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -40,6 +40,7 @@
 const (
 	pingEvery   = time.Second
 	silentAfter = 2500 * time.Millisecond
+	quietAfter  = 3 * time.Second // without a message, a connection is not checked until the next one
 )
 
 // Envelope surrounds each message.
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,3 +138,47 @@
 		return poll.Success()
 	}, poll.WithDelay(5*time.Millisecond))
 }
+
+// Guards against pings between all pairs of processes that grow with the square of the fleet, and against messages that go into a
+// connection that fell silent while nothing was sent.
+func TestOnlyUsedConnectionsAreChecked(t *testing.T) {
+	t.Parallel()
+	var pings, conns atomic.Int64
+	var mute atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		up := websocket.Upgrader{}
+		c, err := up.Upgrade(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		conns.Add(1)
+		c.SetPingHandler(func(string) error {
+			pings.Add(1)
+			if mute.Load() {
+				return nil
+			}
+			return c.WriteControl(websocket.PongMessage, nil, time.Now().Add(time.Second))
+		})
+		for {
+			if _, _, err := c.ReadMessage(); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	h, _ := hub(t, "a", "127.0.0.1:0", ignore)
+	address := server.Listener.Addr().String()
+	h.Send(address, peer.KindMember, []byte{1})
+	time.Sleep(4500 * time.Millisecond)
+	used := pings.Load()
+	assert.Assert(t, used >= 1 && used <= 4, "%d pings", used)
+	time.Sleep(2500 * time.Millisecond)
+	assert.Equal(t, pings.Load(), used, "pings of a connection that nobody uses")
+	mute.Store(true)
+	for range 9 {
+		h.Send(address, peer.KindMember, []byte{1})
+		time.Sleep(500 * time.Millisecond)
+	}
+	assert.Assert(t, conns.Load() >= 2, "the silent connection is still in use")
+}
