Run requests with large shared parts in the region where the parts lie

Change: engine.Request.Home gives each last shared part one region by weighted rendezvous hashing, in proportion to the regions' engines that take work. A request whose shared parts have 2,000 tokens or more is placed there, with its stages; others stay. One that would be late there turns to another region as before.

--- a/internal/base/rendez/rendez.go
+++ b/internal/base/rendez/rendez.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,3 +20,25 @@
 func Compare(key, a, b string) int {
 	return cmp.Or(cmp.Compare(Weight(key, b), Weight(key, a)), cmp.Compare(a, b))
 }
+
+// Share is a node that gets keys in proportion to a size.
+type Share struct {
+	Name string
+	Size float64 // 0: it gets no keys
+}
+
+// Pick returns the node that has a key, "" if none has a size. A node whose size changes gains or loses its own keys only.
+func Pick(key string, nodes []Share) string {
+	best, most := "", 0.0
+	for _, n := range nodes {
+		if n.Size <= 0 {
+			continue
+		}
+		uniform := (float64(Weight(key, n.Name)) + 0.5) / (1 << 64)
+		score := -n.Size / math.Log(uniform)
+		if best == "" || score > most || score == most && n.Name < best {
+			best, most = n.Name, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/gate/engine/home_test.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func subject(i, shared int) Request {
+	return Request{Model: "m", Parts: []Part{{ID: fmt.Sprint("s", i), Tokens: shared}, {ID: fmt.Sprint("own", i), Tokens: 3000}}}
+}
+
+// Guards against each region reading each shared part by itself: "1,000 subjects of 13,000 tokens, asked for in two regions".
+func TestASubjectHasOneHomeWhoeverAsks(t *testing.T) {
+	areas := []Area{{"north", 60}, {"south", 30}}
+	homes := map[string]int{}
+	for i := range 3000 {
+		r := subject(i, 13_000)
+		home := r.Home("north", areas)
+		assert.Equal(t, r.Home("south", areas), home)
+		homes[home]++
+	}
+	assert.Assert(t, homes["north"] > 1850 && homes["north"] < 2150, "%v: two thirds of the engines are in the north", homes)
+}
+
+// Guards against requests that cross regions for parts that are read sooner than the way takes.
+func TestASmallPromptStaysInItsRegion(t *testing.T) {
+	areas := []Area{{"north", 60}, {"south", 30}}
+	for i := range 100 {
+		assert.Equal(t, subject(i, 500).Home("south", areas), "south")
+	}
+	assert.Equal(t, Request{}.Home("south", areas), "south")
+}
+
+// Guards against a lost region that moves the subjects of the others, and against requests for a region without engines.
+func TestALostRegionMovesItsOwnSubjectsOnly(t *testing.T) {
+	areas := []Area{{"north", 60}, {"south", 30}, {"west", 30}}
+	for i := range 1000 {
+		r := subject(i, 13_000)
+		before := r.Home("north", areas)
+		after := r.Home("north", []Area{{"north", 60}, {"south", 30}, {"west", 0}})
+		assert.Assert(t, after != "west")
+		assert.Assert(t, before == "west" || before == after)
+	}
+	assert.Equal(t, subject(1, 10).Home("east", areas) != "east", true)
+	assert.Equal(t, subject(1, 10).Home("east", nil), "east")
+}
--- a/internal/gate/front/foresee.go
+++ b/internal/gate/front/foresee.go
@@ -46,7 +46,7 @@
 // tryArea takes a seat in another region if little waits there and the stages end in good time, much sooner than here.
 // Otherwise a request stays: to move it costs bytes between regions and may read its prompt again.
 func (x *exchange) tryArea(area string, slack time.Duration) bool {
-	there := x.seatIn(area)
+	there := x.seatIn(area, x.engineRequest())
 	if there == nil {
 		return false
 	}
@@ -112,6 +112,27 @@
 	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == area
 }
 
+// engineAreas returns the regions that a request can use with the number of their engines that take work. Without one that has
+// upstreams for all stages, it returns those that have an engine.
+func (f *Front) engineAreas(service string, stages []conf.Stage) []engine.Area {
+	names := f.areas(service, stages)
+	if len(names) == 0 {
+		names = f.areas(service, nil)
+	}
+	out := make([]engine.Area, len(names))
+	for i, name := range names {
+		out[i].Name = name
+	}
+	for _, u := range f.o.View().Services[service] {
+		for i := range out {
+			if f.serves(u, out[i].Name) {
+				out[i].Engines++
+			}
+		}
+	}
+	return out
+}
+
 // areas returns the regions that have an engine and an upstream of each stage that take work.
 func (f *Front) areas(service string, stages []conf.Stage) []string {
 	view := f.o.View()
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -59,13 +59,16 @@
 	return s != nil && s.Engine != nil
 }
 
-// seatFor asks the node that places requests on the engines of the region for a place; nil if it knows none.
-func (x *exchange) seatFor() *seat { return x.seatIn(x.f.area(x.service)) }
+// seatFor asks the node that places requests on the engines of a region for a place; nil if it knows none. The region is that of
+// the shared parts of the prompt, if they are large.
+func (x *exchange) seatFor() *seat {
+	r := x.engineRequest()
+	return x.seatIn(r.Home(x.f.o.Region, x.f.engineAreas(x.service, x.route.Stages)), r)
+}
 
-func (x *exchange) seatIn(area string) *seat {
+func (x *exchange) seatIn(area string, r engine.Request) *seat {
 	f := x.f
 	s := &seat{service: x.service, area: area}
-	r := x.engineRequest()
 	var tell placeTell
 	asked := f.o.Clock.Now()
 	s.owner, tell = f.askPlace(x.ctx, placeAsk{Service: s.service, Area: s.area, Request: &r})
@@ -142,25 +145,6 @@
 	return r
 }
 
-// area is the region whose engines serve this node: its own, if one of them takes work, or else the first that has one.
-func (f *Front) area(service string) string {
-	best := f.o.Region
-	found := false
-	for _, u := range f.o.View().Services[service] {
-		if u.State != roster.Ready || u.Silent {
-			continue
-		}
-		region := f.o.RegionOf[u.DataCentre]
-		if region == f.o.Region {
-			return region
-		}
-		if !found || region < best {
-			best, found = region, true
-		}
-	}
-	return best
-}
-
 // place gives a place from the placer that this node keeps.
 func (f *Front) place(q placeAsk) placeTell {
 	now := f.o.Clock.Now()
