Let long prompts avoid engines with many streams

Cause: pauses stood nowhere in the placement.

Change: each stream that runs on an engine adds 0.05 of the new prompt's own unread tokens to the cost of the engine.

Test: TestALongPromptAvoidsEnginesWithManyStreams fails on the code before.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -20,7 +20,8 @@
 // The cost of an engine is the number of prompt tokens that it has to read before the request's first token: those of the
 // requests placed there before, and those of the request's own prompt that it does not have. Urgent requests do not count
 // less urgent ones, which engines put behind. Tokens of shared parts count more, since a part that is read again also takes
-// the place of another one.
+// the place of another one. The streams of an engine pause while it reads a prompt, so that a long prompt costs more where
+// many run.
 package engine
 
 import (
@@ -72,6 +73,7 @@
 const (
 	sharedCost   = 2.2             // of a token of a shared part, against a token that must be read anyway
 	stagedWeight = 0.3             // of the prompt of a request whose stages still run
+	streamCost   = 0.05            // of a token that must be read, for each stream that pauses meanwhile
 	runCost      = 40              // tokens for each running request, which all slow each other down
 	firstPause   = time.Second     // after a failure
 	mostPause    = 8 * time.Second // after several
@@ -240,7 +242,8 @@
 }
 
 func (t *target) cost(r Request, chains []string) float64 {
-	cost := float64(t.unread(r, chains))
+	own := float64(t.unread(r, chains))
+	cost := own
 	for i, x := range r.Parts[:max(len(r.Parts)-1, 0)] {
 		if t.parts[chains[i]] == nil {
 			cost += (sharedCost - 1) * float64(x.Tokens)
@@ -248,6 +251,9 @@
 	}
 	for _, other := range t.tickets {
 		cost += runCost
+		if other.streaming() {
+			cost += streamCost * own
+		}
 		if other.rank <= r.Rank {
 			cost += other.weight() * float64(other.unread)
 		}
@@ -269,6 +275,9 @@
 	return slices.ContainsFunc(t.needs, func(n Need) bool { return n.Pieces > 0 })
 }
 
+// streaming reports whether the prompt has been read, so that events are on their way.
+func (t *ticket) streaming() bool { return t.unread == 0 && !t.staging() }
+
 // judge forecasts a request on an engine where it has some prompt tokens to read. If it cannot be on time, the forecast is that of
 // a request that yields to those that can.
 func (p *Placer) judge(now time.Time, r Request, at *target, unread int) Forecast {
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -33,6 +33,23 @@
 	return seat.Ticket, seat.ID
 }
 
+// Load pattern: long prompts beside many chats whose events must not pause. Guards against a long prompt that goes where the most
+// streams run, because nothing waits there to be read.
+func TestALongPromptAvoidsEnginesWithManyStreams(t *testing.T) {
+	p := placer(2)
+	for i := range 20 {
+		ticket, id := place(t, p, Request{Parts: []Part{{fmt.Sprint("chat", i), 100}}, Prompt: 100, Output: 400, Rank: 2, Exclude: []string{"e1"}})
+		assert.Equal(t, id, "e0")
+		p.First(t0, ticket)
+	}
+	_, id := place(t, p, Request{Parts: []Part{{"other", 2000}}, Prompt: 2000, Exclude: []string{"e0"}})
+	assert.Equal(t, id, "e1")
+	_, id = place(t, p, review("long", 3000))
+	assert.Equal(t, id, "e1", "twenty streams would pause for 16,000 tokens")
+	_, id = place(t, p, Request{Parts: []Part{{"short", 50}}, Prompt: 50})
+	assert.Equal(t, id, "e0", "a short prompt hardly delays them")
+}
+
 // Load pattern: requests about a few long documents, one after the other. Guards against a document that each engine reads.
 func TestRequestsReturnToTheEngineThatReadTheirDocument(t *testing.T) {
 	p := placer(3)
