End only the message whose handler panics

It can happen here: messages of other processes are handled in goroutines of the hub, where a panic ends the process with all requests in flight.

Change: the hub recovers, writes peer_handler_failed with the stack, and answers a question with an error.

Test: TestAHandlerThatPanicsEndsItsMessageOnly; without the guard the test process itself ends (runtime error: index out of range).

--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -302,7 +303,7 @@
 func (in *inbound) take(e Envelope) {
 	h := in.hub
 	if e.Call == 0 {
-		_, _ = h.o.Handle(h.ctx, e.From, e.Kind, e.Body) // the handler reports what it cannot use
+		_, _ = h.handle(h.ctx, e) // the handler reports what it cannot use
 		return
 	}
 	select {
@@ -313,11 +314,23 @@
 	}
 	h.wg.Go(func() {
 		defer func() { <-h.slots }()
-		body, err := h.o.Handle(in.ctx, e.From, e.Kind, e.Body)
+		body, err := h.handle(in.ctx, e)
 		in.answer(e, body, err)
 	})
 }
 
+// handle hands a message over. A panic of the handler ends this message only.
+func (h *Hub) handle(ctx context.Context, e Envelope) (body []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("the handler failed: %v", cause)
+			h.o.Events.Emit(event.PeerHandlerFailed, event.F("peer", e.From), event.F("kind", e.Kind), event.F("reason", cause),
+				event.F("stack", string(debug.Stack())))
+		}
+	}()
+	return h.o.Handle(ctx, e.From, e.Kind, e.Body)
+}
+
 func (in *inbound) answer(question Envelope, body []byte, err error) {
 	failed := ""
 	if err != nil {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -182,3 +182,23 @@
 	}
 	assert.Assert(t, conns.Load() >= 2, "the silent connection is still in use")
 }
+
+// Guards against one message that takes a whole process down, with all that it serves.
+func TestAHandlerThatPanicsEndsItsMessageOnly(t *testing.T) {
+	b, events := hub(t, "b", "127.0.0.1:0", func(_ context.Context, _ string, kind peer.Kind, body []byte) ([]byte, error) {
+		if kind == peer.KindCrash {
+			var none []byte
+			_ = none[len(body)]
+		}
+		return body, nil
+	})
+	a, _ := hub(t, "a", "127.0.0.1:0", ignore)
+	a.Send(b.Address(), peer.KindCrash, []byte{1})
+	_, err := a.Call(t.Context(), b.Address(), peer.KindCrash, []byte{1})
+	var remote *peer.RemoteError
+	assert.Assert(t, errors.As(err, &remote), "%v", err)
+	reply, err := a.Call(t.Context(), b.Address(), peer.KindStatus, []byte{7})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply, []byte{7})
+	assert.Equal(t, len(events.Select(event.Filter{Name: "peer_handler_failed"})), 2)
+}
