Leave a region alone while its placers are silent

Cause: with a home region for large parts, a request asks a placer across the link between regions. While that link is cut or loses packets, it waited 150 ms for each of up to eight placers there before it was placed at all.

Change: two placers of another region are asked; if both are silent, requests run in the own region for 2 s. Without engines here the way stays as it was.

--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -82,6 +82,8 @@
 	budget  *budget
 	rng     *rand.Rand
 	placers map[placeKey]*engine.Placer // of engines, where this node keeps them
+	// unreached holds until when no request is placed in a region, because its placers were silent.
+	unreached map[string]time.Time
 	// reported is when a crash was last reported ahead of the next question.
 	reported time.Time
 }
@@ -92,7 +94,7 @@
 func New(o Options) *Front {
 	f := &Front{
 		o: o, chooser: pick.New(), budget: newBudget(o.Budget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
-		placers: map[placeKey]*engine.Placer{},
+		placers: map[placeKey]*engine.Placer{}, unreached: map[string]time.Time{},
 	}
 	for _, region := range o.RegionOf {
 		if !slices.Contains(f.regions, region) {
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -18,6 +18,12 @@
 // maxPlacers is the number of nodes that are asked for one place.
 const maxPlacers = 8
 
+// Bounds of attempts to place a request in another region.
+const (
+	farPlacers   = 2               // nodes that are asked
+	unreachedFor = 2 * time.Second // the region is left alone after they were silent
+)
+
 // placeTimeout is how long an entry node waits for a place before it asks another node. It is well above a round trip in a
 // region and well below the time until a first token.
 const placeTimeout = 150 * time.Millisecond
@@ -60,10 +66,17 @@
 }
 
 // seatFor asks the node that places requests on the engines of a region for a place; nil if it knows none. The region is that of
-// the shared parts of the prompt, if they are large.
+// the shared parts of the prompt, if they are large and the region can be reached.
 func (x *exchange) seatFor() *seat {
+	f := x.f
 	r := x.engineRequest()
-	return x.seatIn(r.Home(x.f.o.Region, x.f.engineAreas(x.service, x.route.Stages)), r)
+	areas := f.engineAreas(x.service, x.route.Stages)
+	home := r.Home(f.o.Region, f.reached(areas))
+	s := x.seatIn(home, r)
+	if s == nil && !f.reaches(home) {
+		s = x.seatIn(r.Home(f.o.Region, f.reached(areas)), r)
+	}
+	return s
 }
 
 func (x *exchange) seatIn(area string, r engine.Request) *seat {
@@ -71,7 +84,10 @@
 	s := &seat{service: x.service, area: area}
 	var tell placeTell
 	asked := f.o.Clock.Now()
-	s.owner, tell = f.askPlace(x.ctx, placeAsk{Service: s.service, Area: s.area, Request: &r})
+	var ok bool
+	if s.owner, tell, ok = f.askPlace(x.ctx, placeAsk{Service: s.service, Area: s.area, Request: &r}); !ok {
+		return nil
+	}
 	if due := asked.Add(tell.Due); tell.ID != "" && due.Before(x.due) {
 		x.due = due
 	}
@@ -90,9 +106,15 @@
 
 // askPlace asks the node that places requests for a place, and the one that stands in for it if it does not answer in time. All
 // nodes turn to the same one, so it soon knows all requests: a node that chose by itself would know its own only, and its
-// forecasts would let in every one of them.
-func (f *Front) askPlace(ctx context.Context, q placeAsk) (string, placeTell) {
-	for range maxPlacers {
+// forecasts would let in every one of them. If the placers of another region are silent, the way there may be cut: the result is
+// false, and the region is left alone for a while, unless there is no other.
+func (f *Front) askPlace(ctx context.Context, q placeAsk) (string, placeTell, bool) {
+	far := q.Area != f.o.Region && f.reaches(q.Area)
+	most := maxPlacers
+	if far {
+		most = farPlacers
+	}
+	for range most {
 		owner := f.o.Maker.Owner(q.Service, q.Area)
 		if owner == f.o.Maker.Self() {
 			break
@@ -100,12 +122,39 @@
 		var tell placeTell
 		err := f.callPlacer(ctx, owner, q, &tell)
 		if err == nil {
-			return owner, tell
+			return owner, tell, true
 		}
 		f.o.Events.Emit(event.PlacerSilent, event.F("peer", owner), event.F("service", q.Service), event.F("region", q.Area), event.F("reason", err))
 		f.o.Maker.Avoid(owner)
 	}
-	return f.o.Maker.Self(), f.place(q)
+	if far {
+		f.mu.Lock()
+		f.unreached[q.Area] = f.o.Clock.Now().Add(unreachedFor)
+		f.mu.Unlock()
+		return "", placeTell{}, false
+	}
+	return f.o.Maker.Self(), f.place(q), true
+}
+
+// reaches reports whether requests may be placed in a region: in the own one always, elsewhere unless its placers were silent.
+func (f *Front) reaches(area string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return area == f.o.Region || !f.o.Clock.Now().Before(f.unreached[area])
+}
+
+// reached returns the regions that can be reached, or all if that leaves none.
+func (f *Front) reached(areas []engine.Area) []engine.Area {
+	var out []engine.Area
+	for _, a := range areas {
+		if f.reaches(a.Name) {
+			out = append(out, a)
+		}
+	}
+	if len(out) == 0 {
+		return areas
+	}
+	return out
 }
 
 func (f *Front) callPlacer(ctx context.Context, owner string, q placeAsk, tell *placeTell) error {
