Keep records for a minute that a restarted control node does not tell

Cause, found by reading: an entry node dropped the records that a transfer of all records did not contain. A control node that has just started has heard few upstreams, so that an entry node that follows it could lose upstreams that are alive.

Change: such records are marked, and dropped after 60 s unless a control node tells them meanwhile.

--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -211,7 +211,8 @@
 	return false
 }
 
-// status returns whether this member is sure of all that was acknowledged before its group's leader was elected, the peer addresses of the other voters, and the number of voters.
+// status returns whether this member is sure of all that was acknowledged before its group's leader was elected, the peer
+// addresses of the other voters, and the number of voters.
 func (d *Desk) status() (sure bool, others []string, voters int) {
 	now := d.o.Clock.Now()
 	d.statusMu.Lock()
--- a/internal/gate/feed/ask.go
+++ b/internal/gate/feed/ask.go
@@ -239,12 +239,9 @@
 	if s.pass.IsZero() || tell.Delta.More {
 		return changed
 	}
-	began := s.pass
+	f.noteUntold(now, s.pass)
 	s.pass = time.Time{}
-	if !tell.Sure || len(f.apart) > 0 {
-		return changed // others may know what this control node does not
-	}
-	return f.dropUntold(began) || changed
+	return changed
 }
 
 // setApart notes the control nodes that the primary does not hear.
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -2,9 +2,9 @@
 // entry nodes, and reports the entry node to them with each question.
 //
 // One control node, the primary, is asked often for all that changed: one of the own data centre, else of the own region, and
-// another one for each entry node, so that the load is spread and little crosses regions. The others are only looked in on in turn, so that a new primary
-// is known when this one fails. Those that the primary does not hear are asked for what they hear themselves: while control
-// nodes are cut off from each other, each upstream reports to one side only.
+// another one for each entry node, so that the load is spread and little crosses regions. The others are only looked in on in
+// turn, so that a new primary is known when this one fails. Those that the primary does not hear are asked for what they hear
+// themselves: while control nodes are cut off from each other, each upstream reports to one side only.
 //
 // Records come in pages and configurations in pieces, packed against the version that is in force here, so that a node with a
 // slow link never waits for a large message.
@@ -90,13 +90,15 @@
 type known struct {
 	roster.Upstream
 	told     time.Time
+	untold   time.Time       // as of a knownEntry
 	silentAt map[string]bool // control nodes that do not hear it, by address
 	logged   standing
 }
 
 type knownEntry struct {
 	roster.Entry
-	told time.Time
+	told   time.Time
+	untold time.Time // end of the transfer of all records that did not contain it; zero: it was told since
 }
 
 // New starts a feed.
--- a/internal/gate/feed/view.go
+++ b/internal/gate/feed/view.go
@@ -41,7 +41,7 @@
 		e.Age = 0
 		have := f.entries[e.Node]
 		if have != nil && (e.Started < have.Started || e.Started == have.Started && e.Report < have.Report) {
-			have.told = now
+			have.told, have.untold = now, time.Time{}
 			continue
 		}
 		quiet := e
@@ -49,15 +49,9 @@
 			quiet.Report = have.Report
 		}
 		changed = changed || have == nil || quiet != have.Entry
-		f.entries[e.Node] = &knownEntry{e, now}
+		f.entries[e.Node] = &knownEntry{Entry: e, told: now}
 	}
-	for id, u := range f.upstreams {
-		if (len(u.silentAt) > 0 || u.State == roster.Gone) && now.Sub(u.told) > forgetAfter {
-			delete(f.upstreams, id)
-			changed = true
-		}
-	}
-	return changed
+	return f.forget(now) || changed
 }
 
 // note takes a record that is older than the one held. Renewals are not passed on, so that its heartbeat may be older than one
@@ -67,7 +61,7 @@
 		delete(u.silentAt, from)
 		return false
 	}
-	u.told = now
+	u.told, u.untold = now, time.Time{}
 	before := u.silentAt[from]
 	if word.Silent {
 		u.silentAt[from] = true
@@ -77,22 +71,36 @@
 	return before != word.Silent
 }
 
-// dropUntold removes the records that a transfer of all records, which began at a time, did not contain.
-func (f *Feed) dropUntold(began time.Time) bool {
-	changed := false
+// noteUntold marks the records that a transfer of all records, which began at a time, did not contain. They are dropped after
+// forgetAfter: a control node that has just started has not heard all upstreams yet.
+func (f *Feed) noteUntold(now, began time.Time) {
+	for _, u := range f.upstreams {
+		if u.told.Before(began) && u.untold.IsZero() {
+			u.untold = now
+		}
+	}
+	for _, e := range f.entries {
+		if e.told.Before(began) && e.untold.IsZero() {
+			e.untold = now
+		}
+	}
+}
+
+// forget removes the records that have been silent, gone or untold for long, and reports whether there were any.
+func (f *Feed) forget(now time.Time) bool {
+	old := func(since time.Time) bool { return !since.IsZero() && now.Sub(since) > forgetAfter }
+	before := len(f.upstreams) + len(f.entries)
 	for id, u := range f.upstreams {
-		if u.told.Before(began) {
+		if old(u.untold) || (len(u.silentAt) > 0 || u.State == roster.Gone) && old(u.told) {
 			delete(f.upstreams, id)
-			changed = true
 		}
 	}
 	for node, e := range f.entries {
-		if e.told.Before(began) {
+		if old(e.untold) || !e.Ready && old(e.told) {
 			delete(f.entries, node)
-			changed = true
 		}
 	}
-	return changed
+	return len(f.upstreams)+len(f.entries) != before
 }
 
 // replaces reports whether a control node's record is at least as new as the one held.
@@ -157,11 +165,7 @@
 	for _, list := range v.Services {
 		slices.SortFunc(list, func(a, b roster.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	for id, e := range f.entries {
-		if !e.Ready && now.Sub(e.told) > forgetAfter {
-			delete(f.entries, id)
-			continue
-		}
+	for _, e := range f.entries {
 		v.Entries = append(v.Entries, e.Entry)
 	}
 	slices.SortFunc(v.Entries, func(a, b roster.Entry) int { return strings.Compare(a.Node, b.Node) })
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -109,14 +109,14 @@
 	entries   map[string]*entryRecord
 	addresses map[string]string // holder's id by address
 	dropped   uint64            // highest version among the records that were removed
-	peers     map[string]*holder
+	peers     map[string]*peerState
 }
 
 // New returns an empty board.
 func New(cfg Config) *Board {
 	return &Board{
 		cfg: cfg, upstreams: map[string]*upstreamRecord{}, entries: map[string]*entryRecord{}, addresses: map[string]string{},
-		peers: map[string]*holder{},
+		peers: map[string]*peerState{},
 	}
 }
 
--- a/internal/gate/roster/share.go
+++ b/internal/gate/roster/share.go
@@ -14,8 +14,8 @@
 	Entries   []Entry    `cbor:"6,keyasint,omitempty"`
 }
 
-// holder is another control node that holds records.
-type holder struct {
+// peerState is what is known of another control node that holds records.
+type peerState struct {
 	epoch   uint64
 	version uint64    // up to which its changes have arrived here
 	at      time.Time // of its last Share
@@ -53,7 +53,7 @@
 	p := b.peers[s.From]
 	if p == nil || p.epoch < s.Epoch {
 		b.release(s.From)
-		p = &holder{epoch: s.Epoch, missed: true}
+		p = &peerState{epoch: s.Epoch, missed: true}
 		b.peers[s.From] = p
 	}
 	if s.Epoch < p.epoch {
