--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -135,8 +135,8 @@
 	{NodeLeaving, "node_leaving", hclog.Info, "Another node began a planned stop.", []string{"peer"}, ""},
 	{NodeFailed, "node_failed", hclog.Warn, "Another node is unreachable.", []string{"peer"}, "Check the VM; replace it if it does not return."},
 	{PeerMessageRefused, "peer_message_refused", hclog.Warn, "A message between processes could not be decoded or was too large.", []string{"peer", "reason"}, "Check that both run supported versions."},
-	{PeerHandlerFailed, "peer_handler_failed", hclog.Error, "The work on a message of another process ended by a fault of the program. The message had no effect that is known; the process goes on.", []string{"peer", "kind", "reason", "stack"}, "Report it with the stack."},
 	{PeerTraffic, "peer_traffic", hclog.Info, "What this process sent to other processes since the last such line, as KIND=MESSAGES/BYTES, most bytes first. roster, raft, held and leaving go between control nodes, follow between entry nodes and control nodes, pieces and place between entry nodes.", []string{"kinds", "dropped", "seconds"}, "Compare with the tables of docs/CAPACITY.md when a link or a control node is full."},
+	{PeerHandlerFailed, "peer_handler_failed", hclog.Error, "The work on a message of another process ended by a fault of the program. The message had no effect that is known; the process goes on.", []string{"peer", "kind", "reason", "stack"}, "Report it with the stack."},
 
 	{ControlLost, "control_lost", hclog.Warn, "No control node answers this entry node.", []string{"age_ms", "control"}, "Check the control nodes and the network."},
 	{ControlFound, "control_found", hclog.Info, "A control node answers this entry node again.", []string{"control"}, ""},
