Bound the time of callers that send or read a byte now and then

Report of others: stalled streams that sent a byte now and then never ended. At upstreams that cannot happen (tests below). At callers it could: limits.header_ms was read and used by no code; a body was read before the time of the request began; and an answer was written without a bound.

Change: a caller's connection is closed when the head of a request has not arrived within header_ms of its first byte; a new one that is not used is closed after idle_ms, as an idle one. The body must arrive within the time of the request; else 408, which is true: nothing was sent. An answer is written in parts of 16 kB with 10 s each, so that a slow sound caller of a long answer is not cut.

Also new, and passing on the code before: TestALateSecondCopyReachesNobody, TestWorkThatMayHaveRunIsNeverSaidNotToHaveRun, TestASlowSoundStreamIsKept, TestAStreamOfBytesWithoutAnEventEnds.

--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -4,10 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
@@ -19,7 +22,7 @@
 // exchange is one request of a caller on its way through the node.
 type exchange struct {
 	f     *Front
-	w     http.ResponseWriter
+	w     *callerWriter
 	r     *http.Request
 	began time.Time
 	id    string
@@ -74,11 +77,11 @@
 		x.refuse(*refused)
 		return
 	}
+	x.limitTime()
+	defer x.cancel()
 	if !x.readBody() {
 		return
 	}
-	x.limitTime()
-	defer x.cancel()
 	x.f.countRequest(x.service)
 	if refused := x.blocked(); refused != nil {
 		x.refuse(*refused)
@@ -126,7 +129,8 @@
 	return n
 }
 
-// readBody reads the whole body, so that it can be sent again. It returns false if the request has ended.
+// readBody reads the whole body, so that it can be sent again. It returns false if the request has ended: a caller that has not
+// sent its body when the time of the request is over gets no answer later either.
 func (x *exchange) readBody() bool {
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return true
@@ -134,15 +138,21 @@
 	most := int64(x.table.Config.Limits.BodyBytes)
 	in := io.Reader(x.r.Body)
 	if most > 0 {
-		in = http.MaxBytesReader(x.w, x.r.Body, most)
+		in = http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, most)
 	}
+	_ = x.w.control.SetReadDeadline(x.end) // without support for it, the caller is waited for
 	body, err := io.ReadAll(in)
 	switch {
 	case err == nil:
+		_ = x.w.control.SetReadDeadline(time.Time{}) // as above
 		x.body = body
 		return true
 	case httpd.TooLarge(err):
 		x.refuse(refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close") // the rest of the body may come at any time
+		// The server takes a caller whose read failed for gone, which it is not.
+		x.writeRefusal(refusal{http.StatusRequestTimeout, "the body did not arrive in time", 0})
 	default:
 		x.log(0, "the body ended early: "+err.Error())
 		panic(http.ErrAbortHandler) // closes the connection; the caller has gone or breaks the protocol
@@ -238,6 +248,10 @@
 		x.log(0, f.reason)
 		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
 	}
+	x.writeRefusal(f)
+}
+
+func (x *exchange) writeRefusal(f refusal) {
 	h := x.w.Header()
 	if x.id != "" {
 		h.Set(x.f.o.Dialect.Headers.RequestID, x.id)
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -230,6 +230,6 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{f: f, w: w, r: r, began: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID)}
+	x := &exchange{f: f, w: newCallerWriter(w, f.o.Clock), r: r, began: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID)}
 	x.serve()
 }
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/blame"
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/desk"
 	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/front"
@@ -130,7 +132,7 @@
 		}
 	}
 	if p.s.Metrics > 0 {
-		return p.serve("metrics", net.JoinHostPort(p.s.IP, itoa(p.s.Metrics)), []rest.Route{
+		return p.serve("metrics", net.JoinHostPort(p.s.IP, strconv.Itoa(p.s.Metrics)), []rest.Route{
 			{Method: http.MethodGet, Path: "/metrics", Handler: p.metrics},
 		})
 	}
@@ -224,9 +226,9 @@
 		Budget: front.Budget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
 		Blame:  p.board, Report: p.feed.AskNow, Consult: p.feed.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
-	idle := newIdle(p.o.Clock, p.idleTime)
-	p.http = &http.Server{Handler: p.front, ConnState: idle.state, ErrorLog: log.New(io.Discard, "", 0)}
-	p.wg.Go(func() { _ = p.http.Serve(listener) }) // returns http.ErrServerClosed after Shutdown or Close
+	p.http = &http.Server{Handler: p.front, ConnState: connState, ErrorLog: log.New(io.Discard, "", 0)}
+	callers := &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
+	p.wg.Go(func() { _ = p.http.Serve(callers) }) // returns http.ErrServerClosed after Shutdown or Close
 	if p.s.Listen.Ready == "" {
 		return nil
 	}
@@ -252,12 +254,12 @@
 	http.Error(w, "not ready", http.StatusServiceUnavailable)
 }
 
-// idleTime is how long a caller's connection may stay unused.
-func (p *Process) idleTime() time.Duration {
-	if t := p.feed.View().Table; t != nil && t.Config.Limits.IdleTime > 0 {
-		return t.Config.Limits.IdleTime.Duration()
+// callerLimits are the present limits of callers' connections.
+func (p *Process) callerLimits() conf.Limits {
+	if t := p.feed.View().Table; t != nil {
+		return t.Config.Limits
 	}
-	return 0
+	return conf.Limits{}
 }
 
 // handle takes the messages of the other processes.
