--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -83,21 +83,23 @@
 	turned    time.Time               // when a control node was last looked in on
 	answered  time.Time
 	asked     time.Time     // when the latest question that was answered was asked
-	news      chan struct{} // closed with each answer
+	news      chan struct{} // closed with each answer of the primary
 	lost      bool
 }
 
+// known is an upstream as control nodes told of it.
 type known struct {
 	roster.Upstream
-	told     time.Time
+	told     time.Time       // when a control node last told of it
 	untold   time.Time       // as of a knownEntry
 	silentAt map[string]bool // control nodes that do not hear it, by address
 	logged   standing
 }
 
+// knownEntry is an entry node as control nodes told of it.
 type knownEntry struct {
 	roster.Entry
-	told   time.Time
+	told   time.Time // when a control node last told of it
 	untold time.Time // end of the transfer of all records that did not contain it; zero: it was told since
 }
 
--- a/internal/gate/feed/view.go
+++ b/internal/gate/feed/view.go
@@ -9,6 +9,8 @@
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
+// takeDelta takes the records of an answer and reports whether the view changes. A control node that is not sure does not say that
+// an entry node is gone.
 func (f *Feed) takeDelta(now time.Time, d roster.Delta, from string, sure bool) bool {
 	changed := false
 	for _, u := range d.Upstreams {
