Do not take a placer for silent because the caller has left

Cause, found by reading: a question for a place ends with the request, and each end without an answer counted against the node that was asked.

Change: when the request has ended, nobody is blamed and no place is given.

Test: TestACallerThatLeavesMakesNoPlacerSilent fails on the code before (a place is given by this node itself, and the owner changes).

--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -106,8 +106,8 @@
 
 // askPlace asks the node that places requests for a place, and the one that stands in for it if it does not answer in time. All
 // nodes turn to the same one, so it soon knows all requests: a node that chose by itself would know its own only, and its
-// forecasts would let in every one of them. If the placers of another region are silent, the way there may be cut: the result is
-// false, and the region is left alone for a while, unless there is no other.
+// forecasts would let in every one of them. The result is false if the request ends meanwhile. If the placers of another region are silent, the way there may be cut: the result
+// is false as well, and the region is left alone for a while, unless there is no other.
 func (f *Front) askPlace(ctx context.Context, q placeAsk) (string, placeTell, bool) {
 	far := q.Area != f.o.Region && f.reaches(q.Area)
 	most := maxPlacers
@@ -124,6 +124,9 @@
 		if err == nil {
 			return owner, tell, true
 		}
+		if ctx.Err() != nil { // the caller has left, or its time is over
+			return "", placeTell{}, false
+		}
 		f.o.Events.Emit(event.PlacerSilent, event.F("peer", owner), event.F("service", q.Service), event.F("region", q.Area), event.F("reason", err))
 		f.o.Maker.Avoid(owner)
 	}
--- a/internal/gate/front/placing_test.go
+++ b/internal/gate/front/placing_test.go
@@ -95,6 +95,24 @@
 	assert.Equal(t, len(p.placers), 0)
 }
 
+// Load pattern: many callers leave soon. Guards against nodes and regions that are avoided because a caller left while they were asked
+// for a place.
+func TestACallerThatLeavesMakesNoPlacerSilent(t *testing.T) {
+	p := newPlacers(t, map[string]string{"a": "n", "b": "s"})
+	for _, e := range p.view.Entries {
+		p.silent.Store(e.Node, true)
+	}
+	for _, area := range []string{"n", "s"} {
+		owner := p.o.Maker.Owner("models", area)
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		_, _, ok := p.askPlace(ctx, placeAsk{Service: "models", Area: area, Request: &engine.Request{}})
+		assert.Assert(t, !ok)
+		assert.Equal(t, p.o.Maker.Owner("models", area), owner)
+		assert.Assert(t, p.reaches(area))
+	}
+}
+
 // Load pattern: the link to another region is cut or loses packets, and large shared parts of prompts lie there. Guards against
 // requests that wait for each placer of that region in turn, one after the other.
 func TestARegionWhosePlacersAreSilentIsLeftAlone(t *testing.T) {
