While the group is divided, count an upstream as heard only by who names it

Cause, found by reading. Of a control node that the primary does not hear, an entry node asks for what that one hears itself; but it took silence about an upstream for a good word. An upstream that crashed while the group was divided stayed ready for the whole cut. And that an upstream turned to a node of the other side was no change there, so that it was never named. And while the primary is not sure, the others were looked in on one every 1.2 s: with nine, up to 10 s with the smaller part of a divided group.

Change: each word on an upstream is kept by control node and duty; besides the primary only a good word counts. roster.Held numbers records as shares do, so that a change of the holder is told. While the primary is not sure, all are asked each 0.5 s.

On the way: the order of control nodes comes from package rendez and the sum of addresses from xxhash, as elsewhere, in place of FNV; clock.Later stands once; Since, Held and Share build their records in one way.

Tests: TestOnlyAControlNodeThatNamesAnUpstreamHearsIt, TestHeldNamesAnUpstreamThatTurnedToThisNode and TestAllControlNodesAreAskedWhileThePrimaryIsNotSure fail on the code before (run there: not silent; 0 records of 1; 1 node of 9 asked).

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -66,3 +66,11 @@
 func (r realTimer) C() <-chan time.Time        { return r.t.C }
 func (r realTimer) Stop() bool                 { return r.t.Stop() }
 func (r realTimer) Reset(d time.Duration) bool { return r.t.Reset(d) }
+
+// Later returns the later one of two times.
+func Later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/gate/feed/ask.go
+++ b/internal/gate/feed/ask.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/base/pack"
 	"github.com/berylledge/berylledge/internal/gate/blame"
@@ -85,9 +87,7 @@
 func ControlSum(addresses []string) uint64 {
 	sum := uint64(0)
 	for _, a := range addresses {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(a)) // a hash takes everything
-		sum += h.Sum64()
+		sum += xxhash.Sum64String(a)
 	}
 	return sum
 }
@@ -140,25 +140,18 @@
 	}
 	again := f.take(now, s, as, tell)
 	if as == followAll {
-		f.asked = later(f.asked, began)
+		f.asked = clock.Later(f.asked, began)
 		close(f.news)
 		f.news = make(chan struct{})
 	}
 	return again && f.ctx.Err() == nil
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // question returns what a control node is asked for now.
 func (f *Feed) question(s *source) (duty, Ask) {
 	primary := f.primary()
 	as := f.duty(primary, s)
-	q := Ask{Epoch: s.epoch, Version: f.version, SuspectsSeen: s.blame, Control: f.controlSum()}
+	q := Ask{Epoch: s.epoch, Version: f.version, SuspectsSeen: s.blame, Control: ControlSum(slices.Collect(maps.Keys(f.sources)))}
 	switch as {
 	case followAll:
 		f.report++
@@ -178,14 +171,6 @@
 	return as, q
 }
 
-func (f *Feed) controlSum() uint64 {
-	addresses := make([]string, 0, len(f.sources))
-	for a := range f.sources {
-		addresses = append(addresses, a)
-	}
-	return ControlSum(addresses)
-}
-
 // take takes an answer and reports whether there is more to ask for.
 func (f *Feed) take(now time.Time, s *source, as duty, tell Tell) bool {
 	f.answered = now
@@ -198,7 +183,7 @@
 	}
 	seen := s.seen + s.held
 	s.epoch, s.place, s.version, s.sure = tell.Epoch, tell.Place, tell.Version, tell.Sure
-	s.failed, s.heard, s.follows = 0, now, as != lookIn
+	s.failed, s.heard, s.told = 0, now, as
 	for _, a := range tell.Control {
 		f.addSource(a)
 	}
@@ -227,7 +212,7 @@
 		return false
 	case followHeld:
 		s.held = tell.Delta.Version
-		return f.takeDelta(now, tell.Delta, s.address, tell.Sure)
+		return f.takeDelta(now, tell.Delta, s.speaks(), tell.Sure)
 	case followAll:
 	}
 	s.seen = tell.Delta.Version
@@ -235,7 +220,7 @@
 	if tell.Delta.Whole {
 		s.pass = now
 	}
-	changed = f.takeDelta(now, tell.Delta, s.address, tell.Sure) || changed
+	changed = f.takeDelta(now, tell.Delta, s.speaks(), tell.Sure) || changed
 	if s.pass.IsZero() || tell.Delta.More {
 		return changed
 	}
@@ -244,18 +229,18 @@
 	return changed
 }
 
-// setApart notes the control nodes that the primary does not hear.
+// setApart notes the control nodes that the primary does not hear, and reports whether they are others than before.
 func (f *Feed) setApart(list []roster.Known) bool {
 	if len(list) == 0 && len(f.apart) == 0 {
 		return false
 	}
-	before := len(f.apart)
+	before := f.apart
 	f.apart = map[string]roster.Known{}
 	for _, k := range list {
 		f.addSource(k.Address)
 		f.apart[k.Address] = k
 	}
-	return before != len(f.apart)
+	return !maps.Equal(before, f.apart)
 }
 
 // unsureAfter is how long a node without a configuration waits for a control node that is sure to have the newest one.
@@ -268,14 +253,10 @@
 	if f.table != nil || tell.Sure {
 		return true
 	}
-	anySure := slices.ContainsFunc(f.list(), func(s *source) bool { return s.sure && s.failed == 0 })
-	return !anySure && now.Sub(f.started) >= unsureAfter
-}
-
-func (f *Feed) list() []*source {
-	out := make([]*source, 0, len(f.sources))
 	for _, s := range f.sources {
-		out = append(out, s)
+		if s.sure && s.failed == 0 {
+			return false
+		}
 	}
-	return out
+	return now.Sub(f.started) >= unsureAfter
 }
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -90,10 +90,17 @@
 // known is an upstream as control nodes told of it.
 type known struct {
 	roster.Upstream
-	told     time.Time       // when a control node last told of it
-	untold   time.Time       // as of a knownEntry
-	silentAt map[string]bool // control nodes that do not hear it, by address
-	logged   standing
+	told   time.Time        // when a control node last told of it
+	untold time.Time        // as of a knownEntry
+	heard  map[speaker]bool // by which control nodes; false: by their word they do not hear it
+	logged standing
+}
+
+// speaker is a control node in one of its duties: what it says of all that it knows is another word than what it says of what it
+// hears itself.
+type speaker struct {
+	address string
+	held    bool
 }
 
 // knownEntry is an entry node as control nodes told of it.
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -141,6 +141,7 @@
 	assert.Equal(t, f.every(nil, a), helloEvery)
 	f.tell(t0, "a", Tell{})
 	assert.Equal(t, f.every(a, b), helloEvery, "a is not sure")
+	assert.Equal(t, f.every(a, a), primaryEvery)
 	f.tell(t0, "a", withText(Tell{Sure: true}, 7, `{"version":7}`))
 	assert.Equal(t, f.every(a, b), time.Duration(0), "in turn with others")
 	assert.Equal(t, f.every(a, a), primaryEvery)
--- a/internal/gate/feed/plan.go
+++ b/internal/gate/feed/plan.go
@@ -1,11 +1,11 @@
 package feed
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/base/rendez"
 )
 
 // Times between two questions to a control node.
@@ -13,7 +13,7 @@
 	primaryEvery = 250 * time.Millisecond
 	apartEvery   = 1200 * time.Millisecond
 	turnEvery    = 1200 * time.Millisecond // one of the others is looked in on
-	helloEvery   = 500 * time.Millisecond  // to each one, while there is no primary
+	helloEvery   = 500 * time.Millisecond  // to each one, while none is known that is sure
 	mostBackoff  = 10 * time.Second        // to one that does not answer
 )
 
@@ -32,14 +32,13 @@
 // source is a control node.
 type source struct {
 	address string
-	place   Place  // as it said
-	draw    uint64 // order among those of one place, another one for each entry node
+	place   Place // as it said
 	epoch   uint64
 	seen    uint64 // version of its last page of all that it knows
 	held    uint64 // version of its last page of what it hears itself
 	version uint64 // of its configuration
 	sure    bool
-	follows bool      // its last answer told records
+	told    duty      // of its last answer
 	pass    time.Time // start of a transfer of all records that has not ended yet
 	failed  int       // questions without an answer in a row
 	asking  bool
@@ -51,9 +50,7 @@
 
 func (f *Feed) addSource(address string) {
 	if address != "" && f.sources[address] == nil && len(f.sources) < maxControl {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(f.o.Self.Node + " " + address)) // a hash takes everything
-		f.sources[address] = &source{address: address, draw: h.Sum64()}
+		f.sources[address] = &source{address: address}
 	}
 }
 
@@ -76,7 +73,7 @@
 	if x, y := f.distance(a), f.distance(b); x != y {
 		return x < y
 	}
-	return a.draw < b.draw || a.draw == b.draw && a.address < b.address
+	return rendez.Compare(f.o.Self.Node, a.address, b.address) < 0 // another order for each entry node
 }
 
 // distance orders control nodes by where they are: in the own data centre, the own region, elsewhere.
@@ -155,13 +152,16 @@
 	return out
 }
 
-// every is the time between two questions to a control node; 0: it is asked in turn with others.
+// every is the time between two questions to a control node; 0: it is asked in turn with others. A primary that is not sure may
+// belong to the smaller part of a divided group, so that another one is looked for.
 func (f *Feed) every(primary, s *source) time.Duration {
 	switch {
-	case primary == nil || f.table == nil && !primary.sure:
+	case primary == nil:
 		return helloEvery
-	case f.duty(primary, s) == followAll:
+	case s == primary:
 		return primaryEvery
+	case !primary.sure:
+		return helloEvery
 	case f.duty(primary, s) == followHeld && s.failed == 0:
 		return apartEvery
 	}
--- a/internal/gate/feed/plan_test.go
+++ b/internal/gate/feed/plan_test.go
@@ -141,6 +141,49 @@
 	assert.Equal(t, as, lookIn)
 }
 
+// Guards against a crashed upstream that counts as heard while the group is divided, because the other side does not speak of it; and
+// against one that reports to the other side now and counts as silent.
+func TestOnlyAControlNodeThatNamesAnUpstreamHearsIt(t *testing.T) {
+	f := newFeed()
+	a, b := f.sources["a"], f.sources["b"]
+	f.tell(t0, "a", Tell{Sure: true, Epoch: 1, Delta: roster.Delta{Version: 1, Upstreams: []roster.Upstream{
+		{ID: "u", Service: "s", State: roster.Ready, Born: 5, Sequence: 3},
+	}}})
+	b.told = lookIn
+	apart := []roster.Known{{Address: "b", Epoch: 1, Version: 9}}
+	silent := upstream(roster.Ready, 3, true)
+	silent.Epoch, silent.Apart = 1, apart
+	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 9}})
+	f.take(t0, a, followAll, silent)
+	assert.Assert(t, f.state(t).Silent, "b hears others, not this one")
+	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 10, Upstreams: []roster.Upstream{
+		{ID: "u", Service: "s", State: roster.Ready, Born: 5, Sequence: 8},
+	}}})
+	assert.Assert(t, !f.state(t).Silent)
+	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 11, Upstreams: []roster.Upstream{
+		{ID: "u", Service: "s", State: roster.Ready, Born: 5, Sequence: 8, Silent: true},
+	}}})
+	assert.Assert(t, f.state(t).Silent)
+}
+
+// Guards against an entry node that stays for seconds with a control node of the smaller part of a divided group, since it looks in on
+// the others one after the other.
+func TestAllControlNodesAreAskedWhileThePrimaryIsNotSure(t *testing.T) {
+	f := feedOf("e", 9)
+	for _, s := range f.sources {
+		f.take(t0, s, lookIn, Tell{Epoch: 1, Place: s.place})
+	}
+	primary := f.primary()
+	for _, s := range f.sources {
+		s.asked = t0
+	}
+	assert.Equal(t, len(f.due(t0.Add(helloEvery))), 9)
+	sure := f.sources["10.0.0.7:7100"]
+	f.take(t0, sure, lookIn, Tell{Epoch: 1, Sure: true, Place: sure.place})
+	assert.Equal(t, f.primary(), sure)
+	assert.Equal(t, f.every(sure, primary), time.Duration(0))
+}
+
 // Guards against entry nodes that vanish from the view because nothing changed for a minute.
 func TestUnchangedEntryNodeStays(t *testing.T) {
 	f := newFeed()
@@ -179,7 +222,7 @@
 	f := newFeed()
 	f.tell(t0, "a", upstream(roster.Ready, 50, false))
 	f.sources["a"].failed = 1
-	f.sources["a"].follows = false
+	f.sources["a"].told = lookIn
 	f.tell(t0, "b", upstream(roster.Ready, 3, false))
 	assert.Assert(t, !f.state(t).Silent)
 	f.tell(t0, "b", upstream(roster.Ready, 3, true))
--- a/internal/gate/feed/view.go
+++ b/internal/gate/feed/view.go
@@ -11,7 +11,7 @@
 
 // takeDelta takes the records of an answer and reports whether the view changes. A control node that is not sure does not say that
 // an entry node is gone.
-func (f *Feed) takeDelta(now time.Time, d roster.Delta, from string, sure bool) bool {
+func (f *Feed) takeDelta(now time.Time, d roster.Delta, from speaker, sure bool) bool {
 	changed := false
 	for _, u := range d.Upstreams {
 		have := f.upstreams[u.ID]
@@ -19,21 +19,15 @@
 			changed = have.note(now, u, from) || changed
 			continue
 		}
-		next := &known{Upstream: u, told: now, silentAt: map[string]bool{}}
+		next := &known{Upstream: u, told: now, heard: map[speaker]bool{}}
 		if have != nil {
 			next.logged = have.logged
 			if have.Born == u.Born {
-				next.silentAt = have.silentAt
+				next.heard = have.heard
 			}
 		}
-		delete(next.silentAt, from)
-		if u.Silent {
-			next.silentAt[from] = true
-		}
 		next.Age, next.Silent = 0, false
-		if have == nil || have.Upstream != next.Upstream || u.Silent || len(next.silentAt) > 0 {
-			changed = true
-		}
+		changed = next.hear(from, !u.Silent) || changed || have == nil || have.Upstream != next.Upstream
 		f.upstreams[u.ID] = next
 	}
 	for _, e := range d.Entries {
@@ -58,19 +52,30 @@
 
 // note takes a record that is older than the one held. Renewals are not passed on, so that its heartbeat may be older than one
 // that another control node told, and its word on whether the upstream is heard still counts.
-func (u *known) note(now time.Time, word roster.Upstream, from string) bool {
+func (u *known) note(now time.Time, word roster.Upstream, from speaker) bool {
 	if word.Born != u.Born {
-		delete(u.silentAt, from)
+		delete(u.heard, from)
 		return false
 	}
 	u.told, u.untold = now, time.Time{}
-	before := u.silentAt[from]
-	if word.Silent {
-		u.silentAt[from] = true
-	} else {
-		delete(u.silentAt, from)
+	return u.hear(from, !word.Silent)
+}
+
+// hear notes whether a control node hears the upstream, and reports whether it said something else before.
+func (u *known) hear(from speaker, heard bool) bool {
+	before, said := u.heard[from]
+	u.heard[from] = heard
+	return !said || before != heard
+}
+
+// missed reports whether some control node does not hear the upstream.
+func (u *known) missed() bool {
+	for _, heard := range u.heard {
+		if !heard {
+			return true
+		}
 	}
-	return before != word.Silent
+	return false
 }
 
 // noteUntold marks the records that a transfer of all records, which began at a time, did not contain. They are dropped after
@@ -93,7 +98,7 @@
 	old := func(since time.Time) bool { return !since.IsZero() && now.Sub(since) > forgetAfter }
 	before := len(f.upstreams) + len(f.entries)
 	for id, u := range f.upstreams {
-		if old(u.untold) || (len(u.silentAt) > 0 || u.State == roster.Gone) && old(u.told) {
+		if old(u.untold) || (u.missed() || u.State == roster.Gone) && old(u.told) {
 			delete(f.upstreams, id)
 		}
 	}
@@ -116,14 +121,21 @@
 	return u.State == roster.Gone || u.Sequence >= have.Sequence
 }
 
+// speaks returns a control node as it speaks in its last answer.
+func (s *source) speaks() speaker { return speaker{s.address, s.told == followHeld} }
+
 // silent reports whether no control node that this node follows hears an upstream. While control nodes are cut off from each
-// other, each upstream reports to one side only.
+// other, each upstream reports to one side only. The primary hears, or knows who hears, what it has said nothing else of; of the
+// others that counts only for the upstreams that they named.
 func (f *Feed) silent(now time.Time, u *known) bool {
-	if len(u.silentAt) == 0 {
+	if !u.missed() {
 		return false
 	}
 	for _, s := range f.sources {
-		if s.follows && now.Sub(s.heard) < lostAfter && !u.silentAt[s.address] {
+		if s.told == lookIn || now.Sub(s.heard) >= lostAfter {
+			continue
+		}
+		if heard, said := u.heard[s.speaks()]; heard || !said && s.told == followAll {
 			return false
 		}
 	}
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -31,6 +31,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
 )
 
 // State is what an upstream says of itself.
@@ -180,7 +182,7 @@
 
 // hold notes that a node hears the process of a record, or that it does not any more.
 func (b *Board) hold(o *origin, heard time.Time, from string, lost bool) {
-	o.heard = later(o.heard, heard)
+	o.heard = clock.Later(o.heard, heard)
 	if lost {
 		from = ""
 	}
@@ -211,13 +213,6 @@
 	return u
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (b *Board) storeUpstream(heard time.Time, r *upstreamRecord, u Upstream, from string) {
 	lost := u.Silent
 	u.Age, u.Silent = 0, false
@@ -281,28 +276,43 @@
 	Entries   []Entry    `cbor:"2,keyasint,omitempty"`
 }
 
-func sortBatch(out *Batch) {
-	slices.SortFunc(out.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(out.Entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
+func sortRecords(upstreams []Upstream, entries []Entry) {
+	slices.SortFunc(upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
+}
+
+// aged returns a record as it is sent on, with its age.
+func (r *upstreamRecord) aged(now, heard time.Time) Upstream {
+	u := r.Upstream
+	u.Age = now.Sub(heard).Milliseconds()
+	return u
+}
+
+func (r *entryRecord) aged(now, heard time.Time) Entry {
+	e := r.Entry
+	e.Age = now.Sub(heard).Milliseconds()
+	return e
 }
 
 // Merge takes what the control node at a peer address told and reports whether anything but times changed.
 func (b *Board) Merge(now time.Time, from string, batch Batch) bool {
 	changed := false
 	for _, u := range batch.Upstreams {
-		if b.takeUpstream(aged(now, u.Age), u, from) {
+		if b.takeUpstream(before(now, u.Age), u, from) {
 			changed = true
 		}
 	}
 	for _, e := range batch.Entries {
-		if b.takeEntry(aged(now, e.Age), e, from) {
+		if b.takeEntry(before(now, e.Age), e, from) {
 			changed = true
 		}
 	}
 	return changed
 }
 
-func aged(now time.Time, age int64) time.Time { return now.Add(-time.Duration(age) * time.Millisecond) }
+func before(now time.Time, age int64) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
 
 // Tick marks upstreams that have fallen silent and forgets old records.
 func (b *Board) Tick(now time.Time) {
@@ -314,7 +324,7 @@
 				delete(b.addresses, r.Address)
 			}
 			delete(b.upstreams, id)
-			b.dropped = max(b.dropped, r.version)
+			b.dropped = max(b.dropped, r.version, r.shared)
 		case age > b.cfg.SilentAfter && !r.Silent && r.State != Gone:
 			r.Silent = true
 			b.changed(&r.origin)
@@ -325,7 +335,7 @@
 		switch {
 		case age > b.cfg.ForgetAfter:
 			delete(b.entries, id)
-			b.dropped = max(b.dropped, r.version)
+			b.dropped = max(b.dropped, r.version, r.shared)
 		case age > b.entryAfter(&r.origin) && r.Ready:
 			r.Ready = false
 			b.changed(&r.origin)
@@ -355,15 +365,22 @@
 // Since returns the changes after a version, with at most the given number of records. A reader with version 0, or one that
 // missed the last change of a record that is removed by now, gets all records.
 func (b *Board) Since(now time.Time, version uint64, most int) Delta {
-	return b.page(now, version, most, func(*origin) bool { return true })
+	return b.page(now, version, most, func(o *origin) uint64 { return o.version })
 }
 
-// Held returns the changes of the records that this node hears itself, as Since does.
+// Held returns the changes of the records that this node hears itself, or heard last, as Since does. That it began to hear a process
+// which reported to another node before is such a change.
 func (b *Board) Held(now time.Time, version uint64, most int) Delta {
-	return b.page(now, version, most, func(o *origin) bool { return o.holder == b.cfg.Self })
+	return b.page(now, version, most, func(o *origin) uint64 {
+		if o.holder != b.cfg.Self {
+			return 0
+		}
+		return o.shared
+	})
 }
 
-func (b *Board) page(now time.Time, version uint64, most int, match func(*origin) bool) Delta {
+// page returns the records whose number is after a version; 0 is the number of a record that the reader does not want.
+func (b *Board) page(now time.Time, version uint64, most int, number func(*origin) uint64) Delta {
 	if version < b.dropped || version > b.version {
 		version = 0
 	}
@@ -371,22 +388,20 @@
 	if version == b.version {
 		return d
 	}
-	var versions []uint64
-	for _, r := range b.upstreams {
-		if r.version > version && match(&r.origin) {
-			versions = append(versions, r.version)
+	var numbers []uint64
+	for o := range b.origins {
+		if n := number(o); n > version {
+			numbers = append(numbers, n)
 		}
 	}
-	for _, r := range b.entries {
-		if r.version > version && match(&r.origin) {
-			versions = append(versions, r.version)
-		}
+	if len(numbers) > most {
+		slices.Sort(numbers)
+		d.Version, d.More = numbers[most-1], true
 	}
-	if len(versions) > most {
-		slices.Sort(versions)
-		d.Version, d.More = versions[most-1], true
+	in := func(o *origin) bool {
+		n := number(o)
+		return n > version && n <= d.Version
 	}
-	in := func(o *origin) bool { return o.version > version && o.version <= d.Version && match(o) }
 	for _, r := range b.upstreams {
 		if in(&r.origin) {
 			d.Upstreams = append(d.Upstreams, r.Upstream)
@@ -394,16 +409,27 @@
 	}
 	for _, r := range b.entries {
 		if in(&r.origin) {
-			e := r.Entry
-			e.Age = now.Sub(b.heardAt(&r.origin)).Milliseconds()
-			d.Entries = append(d.Entries, e)
+			d.Entries = append(d.Entries, r.aged(now, b.heardAt(&r.origin)))
 		}
 	}
-	batch := Batch{d.Upstreams, d.Entries}
-	sortBatch(&batch)
+	sortRecords(d.Upstreams, d.Entries)
 	return d
 }
 
+// origins passes the origin of each record on.
+func (b *Board) origins(yield func(*origin) bool) {
+	for _, r := range b.upstreams {
+		if !yield(&r.origin) {
+			return
+		}
+	}
+	for _, r := range b.entries {
+		if !yield(&r.origin) {
+			return
+		}
+	}
+}
+
 // Serving returns the entry nodes that take callers, those of the data centre first, then of the region, then others; each
 // part is sorted by name. Parts after the first are left out once there are two nodes.
 func (b *Board) Serving(now time.Time, dataCentre, region string) []Entry {
--- a/internal/gate/roster/share.go
+++ b/internal/gate/roster/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
 )
 
 // Share is what one control node tells the others about the records that it holds.
@@ -25,22 +27,18 @@
 // Share returns the changes after a version of the records that this node holds.
 func (b *Board) Share(now time.Time, since uint64) Share {
 	s := Share{From: b.cfg.Self, Epoch: b.cfg.Epoch, Since: since, Version: b.version}
+	in := func(o *origin) bool { return o.holder == b.cfg.Self && o.shared > since }
 	for _, r := range b.upstreams {
-		if r.holder == b.cfg.Self && r.shared > since {
-			u := r.Upstream
-			u.Age = now.Sub(r.heard).Milliseconds()
-			s.Upstreams = append(s.Upstreams, u)
+		if in(&r.origin) {
+			s.Upstreams = append(s.Upstreams, r.aged(now, r.heard))
 		}
 	}
 	for _, r := range b.entries {
-		if r.holder == b.cfg.Self && r.shared > since {
-			e := r.Entry
-			e.Age = now.Sub(r.heard).Milliseconds()
-			s.Entries = append(s.Entries, e)
+		if in(&r.origin) {
+			s.Entries = append(s.Entries, r.aged(now, r.heard))
 		}
 	}
-	batch := Batch{s.Upstreams, s.Entries}
-	sortBatch(&batch)
+	sortRecords(s.Upstreams, s.Entries)
 	return s
 }
 
@@ -74,24 +72,17 @@
 
 // release lets the records age that a node held: it restarted, or is about to tell which ones it holds.
 func (b *Board) release(from string) {
-	for _, r := range b.upstreams {
-		b.releaseOne(&r.origin, from)
-	}
-	for _, r := range b.entries {
-		b.releaseOne(&r.origin, from)
-	}
-}
-
-func (b *Board) releaseOne(o *origin, from string) {
-	if o.holder == from {
-		o.heard, o.holder = b.heardAt(o), ""
+	for o := range b.origins {
+		if o.holder == from {
+			o.heard, o.holder = b.heardAt(o), ""
+		}
 	}
 }
 
 // heardAt returns when a record's process was last heard, by this node or by the one that holds it.
 func (b *Board) heardAt(o *origin) time.Time {
 	if p := b.peers[o.holder]; p != nil {
-		return later(o.heard, p.at)
+		return clock.Later(o.heard, p.at)
 	}
 	return o.heard
 }
--- a/internal/gate/roster/share_test.go
+++ b/internal/gate/roster/share_test.go
@@ -199,3 +199,19 @@
 	assert.Equal(t, len(d.Upstreams), 1)
 	assert.Equal(t, d.Upstreams[0].ID, "r2")
 }
+
+// Guards against an upstream that reports to the other side of a divided group now, and that this side does not name to entry nodes.
+func TestHeldNamesAnUpstreamThatTurnedToThisNode(t *testing.T) {
+	x := newNet(2)
+	x.beat(start, "c0", 1, 1)
+	x.round(start)
+	x.round(start)
+	known := x.boards["c1"].Version()
+	x.beat(start.Add(time.Second), "c1", 1, 2)
+	d := x.boards["c1"].Held(start.Add(time.Second), known, anyNumber)
+	assert.Equal(t, len(d.Upstreams), 1)
+	x.boards["c1"].Tick(start.Add(7 * time.Second))
+	d = x.boards["c1"].Held(start.Add(7*time.Second), d.Version, anyNumber)
+	assert.Equal(t, len(d.Upstreams), 1)
+	assert.Assert(t, d.Upstreams[0].Silent, "heard here last, and not any more")
+}
