Give each caller an order of its own of the entry nodes

Cause, found by reading: an answer of the directory holds 64 addresses, and nodes stood in the order of their names. In a data centre with more entry nodes, those after the 64th were ready and never had a caller.

Change: nodes are ordered for each caller by rendezvous hashing of its IP number, which stays the same.

On the way: the desk holds its lock in functions that release it whatever happens. The hub recovers from a panic of a handler; with the lock still held, the process would have stood still from then on, which is worse than its end.

Test: TestEachEntryNodeIsGivenToSomeCaller. In the order of names, 36 of its 100 nodes are given to nobody.

--- a/internal/gate/desk/desk.go
+++ b/internal/gate/desk/desk.go
@@ -132,23 +132,26 @@
 
 // share tells the others what changed; always, if it is due.
 func (d *Desk) share(now time.Time, due bool) {
+	if s, any := d.news(now, due); any || due {
+		d.tellOthers(shared{Share: s})
+	}
+}
+
+// news returns what the others were not told yet, and whether there is anything. After it, they count as told if so, or if it is due.
+func (d *Desk) news(now time.Time, due bool) (roster.Share, bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if due {
 		d.board.Tick(now)
-	}
-	if !due && d.board.Version() == d.shared {
-		d.mu.Unlock()
-		return
+	} else if d.board.Version() == d.shared {
+		return roster.Share{}, false
 	}
 	s := d.board.Share(now, d.shared)
-	told := due || len(s.Upstreams)+len(s.Entries) > 0
-	if told {
+	any := len(s.Upstreams)+len(s.Entries) > 0
+	if any || due {
 		d.shared = s.Version
 	}
-	d.mu.Unlock()
-	if told {
-		d.tellOthers(shared{Share: s})
-	}
+	return s, any
 }
 
 // shared is the message of KindRoster.
@@ -241,10 +244,7 @@
 	case peer.KindRoster:
 		return nil, true, d.takeShare(body)
 	case peer.KindHeld:
-		d.mu.Lock()
-		s := d.board.Share(d.o.Clock.Now(), 0)
-		d.mu.Unlock()
-		return encode(shared{Share: s}), true, nil
+		return encode(shared{Share: d.held()}), true, nil
 	case peer.KindLeaving:
 		return nil, true, d.takeLeaving(body)
 	case peer.KindFollow:
@@ -269,19 +269,30 @@
 	if m.Share.From == "" {
 		return nil
 	}
-	d.mu.Lock()
-	missed := d.board.Take(now, m.Share)
-	ask := missed && !d.asking[m.Share.From]
-	if ask {
-		d.asking[m.Share.From] = true
-	}
-	d.mu.Unlock()
-	if ask {
+	if d.take(now, m.Share) {
 		d.wg.Go(func() { d.askHeld(m.Share.From) })
 	}
 	return nil
 }
 
+// take merges a Share and reports whether its sender must be asked for all that it holds. It is asked once at a time.
+func (d *Desk) take(now time.Time, s roster.Share) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.board.Take(now, s) || d.asking[s.From] {
+		return false
+	}
+	d.asking[s.From] = true
+	return true
+}
+
+// held returns all that this node hears itself.
+func (d *Desk) held() roster.Share {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.board.Share(d.o.Clock.Now(), 0)
+}
+
 // askHeld asks a control node for all that it holds. Without an answer the next Share leads here again.
 func (d *Desk) askHeld(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, heldWait)
@@ -340,30 +351,26 @@
 		}
 	}
 	tell.Suspects, tell.SuspectsVersion = d.blame.Suspects(now, ask.SuspectsSeen)
-	tell.Delta = d.delta(now, &ask)
-	if ask.Entry != nil {
-		d.mu.Lock()
-		tell.Apart = d.board.Apart(now, control, apartAfter)
-		d.mu.Unlock()
-	}
+	tell.Delta, tell.Apart = d.records(now, &ask, control)
 	if ask.Text != nil {
 		tell.Text = d.texts.piece(latest, ask.Version, *ask.Text)
 	}
 	return tell.Encode()
 }
 
-// delta returns the records that a question asks for.
-func (d *Desk) delta(now time.Time, ask *feed.Ask) roster.Delta {
+// records returns the records that a question asks for, and to an entry node that follows this node the control nodes that it does
+// not hear.
+func (d *Desk) records(now time.Time, ask *feed.Ask, control []string) (roster.Delta, []roster.Known) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case ask.Entry != nil:
 		d.board.Report(now, *ask.Entry)
-		return d.board.Since(now, ask.Seen, maxRecords)
+		return d.board.Since(now, ask.Seen, maxRecords), d.board.Apart(now, control, apartAfter)
 	case ask.Held:
-		return d.board.Held(now, ask.Seen, maxRecords)
+		return d.board.Held(now, ask.Seen, maxRecords), nil
 	}
-	return roster.Delta{}
+	return roster.Delta{}, nil
 }
 
 // Upstreams returns the number of registered upstreams by state, for metrics.
--- a/internal/gate/desk/http.go
+++ b/internal/gate/desk/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -102,16 +103,7 @@
 		plain(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	d.mu.Lock()
-	before, known := d.board.Find(u.ID)
-	changed := d.board.Beat(d.o.Clock.Now(), u)
-	d.mu.Unlock()
-	if changed {
-		feed.LogUpstream(d.o.Events, u)
-	}
-	// A repeated word that it leaves may not have reached the others the first time.
-	leaves := u.State == roster.Draining && (changed || known && before.State == roster.Draining)
-	if leaves && !d.tellMost(u) {
+	if d.takeBeat(u) && !d.tellMost(u) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
 		return
 	}
@@ -123,20 +115,22 @@
 	jsonBody(w, reply)
 }
 
-// leave takes the word of an upstream that it has left or leaves at once.
-func (d *Desk) leave(w http.ResponseWriter, r *http.Request) {
-	id := pathvar.Vars(r)["id"]
-	now := d.o.Clock.Now()
+// takeBeat takes a heartbeat and reports whether the others must be told before it is acknowledged. A repeated word that the upstream
+// leaves may not have reached them the first time.
+func (d *Desk) takeBeat(u roster.Upstream) bool {
 	d.mu.Lock()
-	u, ok := d.board.Leave(now, id)
-	if !ok {
-		if u, ok = d.board.Find(id); !ok {
-			// The other control nodes may know it by a heartbeat that has not arrived here yet.
-			u = roster.Upstream{ID: id, State: roster.Gone, Born: now.UnixMilli()}
-			d.board.Beat(now, u)
-		}
+	defer d.mu.Unlock()
+	before, known := d.board.Find(u.ID)
+	changed := d.board.Beat(d.o.Clock.Now(), u)
+	if changed {
+		feed.LogUpstream(d.o.Events, u)
 	}
-	d.mu.Unlock()
+	return u.State == roster.Draining && (changed || known && before.State == roster.Draining)
+}
+
+// leave takes the word of an upstream that it has left or leaves at once.
+func (d *Desk) leave(w http.ResponseWriter, r *http.Request) {
+	u := d.takeLeave(pathvar.Vars(r)["id"])
 	feed.LogUpstream(d.o.Events, u)
 	if !d.tellMost(u) {
 		plain(w, http.StatusServiceUnavailable, "the other control nodes cannot be told")
@@ -145,14 +139,32 @@
 	jsonBody(w, []byte("{}"))
 }
 
+func (d *Desk) takeLeave(id string) roster.Upstream {
+	now := d.o.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u, ok := d.board.Leave(now, id)
+	if ok {
+		return u
+	}
+	if u, ok = d.board.Find(id); !ok {
+		// The other control nodes may know it by a heartbeat that has not arrived here yet.
+		u = roster.Upstream{ID: id, State: roster.Gone, Born: now.UnixMilli()}
+		d.board.Beat(now, u)
+	}
+	return u
+}
+
 // maxEntries bounds the addresses in one answer.
 const maxEntries = 64
 
 func (d *Desk) entries(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	d.mu.Lock()
-	nodes := d.board.Serving(d.o.Clock.Now(), q.Get(d.o.Dialect.Query.DataCentre), q.Get(d.o.Dialect.Query.Region))
-	d.mu.Unlock()
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	nodes := d.serving(caller, q.Get(d.o.Dialect.Query.DataCentre), q.Get(d.o.Dialect.Query.Region))
 	if len(nodes) == 0 {
 		plain(w, http.StatusServiceUnavailable, "no entry node is known")
 		return
@@ -168,3 +180,9 @@
 	}
 	jsonBody(w, body)
 }
+
+func (d *Desk) serving(caller, dataCentre, region string) []roster.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.board.Serving(d.o.Clock.Now(), caller, dataCentre, region)
+}
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/rendez"
 )
 
 // State is what an upstream says of itself.
@@ -430,9 +431,10 @@
 	}
 }
 
-// Serving returns the entry nodes that take callers, those of the data centre first, then of the region, then others; each
-// part is sorted by name. Parts after the first are left out once there are two nodes.
-func (b *Board) Serving(now time.Time, dataCentre, region string) []Entry {
+// Serving returns the entry nodes that take callers, those of the data centre first, then of the region, then others. Parts after the
+// first are left out once there are two nodes. Each caller gets a part in an order of its own that stays the same, so that all nodes
+// have callers where an answer holds fewer addresses than there are nodes.
+func (b *Board) Serving(now time.Time, caller, dataCentre, region string) []Entry {
 	var parts [3][]Entry
 	for _, r := range b.entries {
 		if !r.Ready || now.Sub(b.heardAt(&r.origin)) > b.entryAfter(&r.origin) {
@@ -452,7 +454,7 @@
 		if len(out) >= 2 {
 			break
 		}
-		slices.SortFunc(part, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
+		slices.SortFunc(part, func(a, b Entry) int { return rendez.Compare(caller, a.Node, b.Node) })
 		out = append(out, part...)
 	}
 	return out
