Let no verdict of a test depend on a pause

Streams, heads of requests and checks of connections are tested on a fake clock or by what the other side sees; the decision when a connection is checked is a type without a network (peer.liveness). The checks are as strict: exact numbers of pings and exact times stand where ranges stood.

On the way: two functions of package maker hold their lock so that a panic releases it.

--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -87,21 +87,29 @@
 			delete(forget, node)
 			continue
 		}
-		m.mu.Lock()
-		m.freeService(service, list)
-		m.mu.Unlock()
+		m.freeOwn(service, list)
 	}
 	for node, list := range forget {
 		if node != m.o.Peer {
 			m.tell(node, ask{Service: service, Forget: list})
 			continue
 		}
-		m.mu.Lock()
-		m.forget(service, list)
-		m.mu.Unlock()
+		m.forgetOwn(service, list)
 	}
 }
 
+func (m *Maker) freeOwn(service string, results []Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.freeService(service, results)
+}
+
+func (m *Maker) forgetOwn(service string, results []Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forget(service, results)
+}
+
 // split sorts results by the nodes that are to free them, and those that only drop them from their account.
 func (m *Maker) split(service, source string, results []Result) (free, forget map[string][]Result) {
 	free, forget = map[string][]Result{}, map[string][]Result{}
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/gorilla/websocket"
 
@@ -152,7 +151,7 @@
 	defer idle.Stop()
 	ping := l.hub.o.Clock.NewTimer(pingEvery)
 	defer ping.Stop()
-	used, quiet := l.hub.o.Clock.Now(), false
+	check := liveness{used: l.hub.o.Clock.Now()}
 	for next := first; ; {
 		if next.data != nil {
 			_ = conn.SetWriteDeadline(l.hub.o.Clock.Now().Add(writeTimeout))
@@ -161,13 +160,13 @@
 			}
 			l.hub.count(next.kind, next.data)
 			idle.Reset(idleTimeout)
-			used = l.hub.o.Clock.Now()
+			check.used = l.hub.o.Clock.Now()
 		}
 		select {
 		case next = <-l.out:
 		case <-ping.C():
 			next = outgoing{}
-			if l.ping(conn, used, &quiet) != nil {
+			if l.check(conn, &check) != nil {
 				return
 			}
 			ping.Reset(pingEvery)
@@ -179,20 +178,18 @@
 	}
 }
 
-// ping asks the other side for a sign of life, which read waits for, unless the connection was last used long ago: between all
-// pairs of processes the pings of idle connections would be most of what is sent.
-func (l *link) ping(conn *websocket.Conn, used time.Time, quiet *bool) error {
+// check asks the other side for a sign of life, which read waits for, if the connection is in use.
+func (l *link) check(conn *websocket.Conn, c *liveness) error {
 	now := l.hub.o.Clock.Now()
-	before := *quiet
-	*quiet = now.Sub(used) > quietAfter
-	switch {
-	case *quiet:
-		return conn.SetReadDeadline(now.Add(idleTimeout + dialTimeout))
-	case before:
-		if err := conn.SetReadDeadline(now.Add(silentAfter)); err != nil {
+	ping, readBy := c.tick(now)
+	if !readBy.IsZero() {
+		if err := conn.SetReadDeadline(readBy); err != nil {
 			return err
 		}
 	}
+	if !ping {
+		return nil
+	}
 	return conn.WriteControl(websocket.PingMessage, nil, now.Add(writeTimeout))
 }
 
