Let processes of before and after refuse each other's messages

Change: the version is 2.

Test: the existing ones of package peer refuse another version; no mixed fleet was run.

--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -33,8 +33,8 @@
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
-// Version is the version of the envelope. A message of another version is refused.
-const Version = 1
+// Version is the version of the envelope and of the messages in it. A message of another version is refused.
+const Version = 2
 
 // Times of the check whether a connection still carries data: one that has gone silent breaks nothing by itself, and all
 // messages on it would be lost until the kernel gives up.
