Test the hand-over of a queue, and let tests of reports end when they fail

Report of others: around a hand-over between two processes, both acted for a moment. For stages that happens: an owner that was cut off goes on with its call while the next one makes the same pieces. The new test shows that the request gets one result of each and that the others are freed.

--- a/internal/gate/front/reports_test.go
+++ b/internal/gate/front/reports_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
@@ -18,6 +20,9 @@
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
+// patience ends a test that waits for what does not come.
+const patience = 20 * time.Second
+
 // Report of others: a server sent a second copy of an answer, late, on a connection that was in use again, and the next caller got
 // it. The copy comes before, within and after the next answer.
 func TestALateSecondCopyReachesNobody(t *testing.T) {
@@ -121,6 +126,7 @@
 type paced struct {
 	*rawup.Upstream
 	texts chan string
+	end   func() // no further text is sent
 	ended chan struct{}
 }
 
@@ -134,9 +140,36 @@
 		_, _ = io.Copy(io.Discard, c) // until the connection ends
 		close(p.ended)
 	})
+	p.end = sync.OnceFunc(func() { close(p.texts) })
+	t.Cleanup(p.end)
 	return p
 }
 
+// send lets the upstream send a text.
+func (p *paced) send(t *testing.T, text string) {
+	t.Helper()
+	select {
+	case p.texts <- text:
+	case <-time.After(patience):
+		t.Fatal("the upstream cannot send any more")
+	}
+}
+
+// stream sends a request and returns its answer once it has begun.
+func (p *paced) stream(t *testing.T, s *site) <-chan *http.Response {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	began := make(chan *http.Response, 1)
+	go func() {
+		resp, err := s.server.Client().Do(s.request("/x/", "id1").WithContext(ctx))
+		if assert.Check(t, err) {
+			t.Cleanup(func() { _ = resp.Body.Close() })
+		}
+		began <- resp
+	}()
+	return began
+}
+
 func readText(t *testing.T, r io.Reader, want string) {
 	t.Helper()
 	got := make([]byte, len(want))
@@ -150,26 +183,20 @@
 	c := clock.NewFake(time.Now())
 	up := newPaced(t)
 	s := newSiteAt(t, c, streamRoute(false), up.Upstream)
-	began := make(chan *http.Response, 1)
-	go func() {
-		resp, err := s.server.Client().Do(s.request("/x/", "id1"))
-		assert.Check(t, err)
-		began <- resp
-	}()
+	began := up.stream(t, s)
 	var body io.ReadCloser
 	for i := 1; i <= 6; i++ {
 		for _, part := range strings.SplitAfter(events(i, i), ":") {
-			up.texts <- chunk(part)
+			up.send(t, chunk(part))
 		}
 		if body == nil {
 			body = (<-began).Body
-			defer body.Close()
 		}
 		readText(t, body, events(i, i))
 		c.Advance(320 * time.Millisecond) // 1,920 ms in all; the route allows 2,000
 	}
-	up.texts <- "0\r\n\r\n"
-	close(up.texts)
+	up.send(t, "0\r\n\r\n")
+	up.end()
 	rest, err := io.ReadAll(body)
 	assert.NilError(t, err)
 	assert.Equal(t, string(rest), "")
@@ -180,18 +207,17 @@
 	c := clock.NewFake(time.Now())
 	up := newPaced(t)
 	s := newSiteAt(t, c, streamRoute(false), up.Upstream)
-	go func() { up.texts <- chunk(events(1, 1)) }()
-	resp, err := s.server.Client().Do(s.request("/x/", "id1"))
-	assert.NilError(t, err)
-	defer resp.Body.Close()
+	began := up.stream(t, s)
+	up.send(t, chunk(events(1, 1)))
+	resp := <-began
 	readText(t, resp.Body, events(1, 1))
 	for range 20 {
-		up.texts <- chunk("a")
+		up.send(t, chunk("a"))
 		c.Advance(100 * time.Millisecond)
 	}
-	close(up.texts)
+	up.end()
 	rest, err := io.ReadAll(resp.Body)
-	assert.Assert(t, err != nil, "the stream must not look complete")
+	assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded), "%v: the stream must end, and not look complete", err)
 	assert.Equal(t, string(rest), "")
 	<-up.ended
 }
@@ -214,8 +240,9 @@
 			}
 		}
 	}()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(patience)))
 	answer, err := io.ReadAll(c)
-	assert.NilError(t, err)
+	assert.NilError(t, err, "the connection is left open")
 	assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 408 "), "%s", answer)
 	assert.Equal(t, len(up.Requests()), 0)
 }
--- /dev/null
+++ b/internal/gate/maker/fence_test.go
@@ -0,0 +1,83 @@
+package maker
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/test/rawup"
+)
+
+// Report of others: around a hand-over between two processes, both acted for a moment. The node that keeps a queue is cut off while a call
+// is under way, and another one takes the queue over. The pieces are made twice, which their protocol allows; the request must get each
+// result once, and what the old owner made must not keep the upstream's memory.
+func TestTheLateCallOfAnOldOwnerIsFreed(t *testing.T) {
+	release := make(chan bool)
+	var mu sync.Mutex
+	calls, freed := 0, map[string]bool{}
+	a, b, _ := pair(t, func(c *rawup.Conn, r *rawup.Request) {
+		var body struct{ Handles []string }
+		assert.Check(t, json.Unmarshal(r.Body, &body))
+		mu.Lock()
+		for _, h := range body.Handles {
+			freed[h] = true
+		}
+		if len(body.Handles) == 0 {
+			calls++
+		}
+		call := calls
+		mu.Unlock()
+		if len(body.Handles) > 0 {
+			c.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return
+		}
+		if call == 1 { // the old owner's
+			<-release
+		}
+		text := `{"items":[`
+		for i := range items(r) {
+			if i > 0 {
+				text += ","
+			}
+			text += fmt.Sprintf(`{"handle":"call%d-%d"}`, call, i)
+		}
+		text += "]}"
+		c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text))
+	})
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return calls
+	}
+	done := make(chan []Made, 1)
+	go func() {
+		made, err := a.Make(t.Context(), "s", "n", jobs(4))
+		assert.Check(t, err)
+		done <- made
+	}()
+	waitFor(t, "the old owner calls the upstream", func() bool { return count() == 1 })
+	b.hub.Close()
+	made := <-done
+	var handles []string
+	for _, m := range made {
+		assert.Equal(t, m.Source, a.Self())
+		handles = append(handles, m.Handle)
+	}
+	slices.Sort(handles)
+	assert.DeepEqual(t, handles, []string{"call2-0", "call2-1", "call2-2", "call2-3"})
+	close(release)
+	waitFor(t, "the late results are freed", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return freed["call1-0"] && freed["call1-1"] && freed["call1-2"] && freed["call1-3"]
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	for _, h := range handles {
+		assert.Assert(t, !freed[h], "%s is in use", h)
+	}
+}
--- a/internal/node/gated/callers_test.go
+++ b/internal/node/gated/callers_test.go
@@ -50,6 +50,7 @@
 // awaitClosed waits until the server has closed the connection: it does so in a goroutine of its timer.
 func (p *pipe) awaitClosed() {
 	p.t.Helper()
+	assert.NilError(p.t, p.caller.SetReadDeadline(time.Now().Add(patience)))
 	_, err := p.caller.Read(make([]byte, 1))
 	assert.Equal(p.t, err, io.EOF)
 }
@@ -120,6 +121,7 @@
 	assert.NilError(t, err)
 	_, err = io.WriteString(c, "GET / HT") // and no more
 	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(patience)))
 	_, err = in.ReadByte()
 	assert.Equal(t, err, io.EOF)
 }
