Do not give a restarted VM to callers before it knows the others

Callers saw: requests that were refused by a VM which had just been started, and sent again elsewhere.

Cause: a VM that has just started listens before it has heard of any other. A caller whose address had expired asked it, and it named itself, the only VM that it knew, without a configuration or upstreams. The rule that a VM which settles is not named falls back to all VMs when none has settled.

Change: a VM that knows no other one refuses that question until it has settled, and the caller asks the next seed. One whose settings name no other VM has settled at once.

--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -76,6 +76,10 @@
 			members[i].Draining = members[i].Draining || members[i].ID == n.self.ID
 		}
 	}
+	if len(members) == 1 && n.o.Ready != nil && !n.o.Ready() {
+		refuse(w, refusal(caller.CodeNoConfig, "this VM has just started and knows no other one yet"))
+		return
+	}
 	key := r.URL.Query().Get("key")
 	if key == "" {
 		key = r.Header.Get(caller.HeaderTeam) + "\x00" + r.RemoteAddr
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -61,7 +61,8 @@
 	stop     chan struct{} // closed when an operator asked for a planned stop
 	stopOnce sync.Once
 	guard    *guard.Guard // nil without the entry role
-	staticAt []string
+	staticAt []string     // peer addresses of the control nodes that the settings name
+	seeds    []string     // peer addresses of other nodes that the settings name
 	started  time.Time
 	ready    chan struct{} // closed when all parts that handle messages exist
 }
@@ -165,16 +166,16 @@
 	if s.Has(setup.RoleControl) {
 		self.Roles |= member.RoleControl
 	}
-	seeds := append([]string(nil), s.Join...)
+	p.seeds = append([]string(nil), s.Join...)
 	for _, v := range s.Control {
 		_, address, _ := strings.Cut(v, "=")
 		p.staticAt = append(p.staticAt, address)
 		if address != s.PeerListen {
-			seeds = append(seeds, address)
+			p.seeds = append(p.seeds, address)
 		}
 	}
 	p.agent = agent.New(agent.Options{
-		Self: self, Seeds: seeds, Seed: s.Seed, Clock: p.clock, Events: p.events, Activate: p.activate,
+		Self: self, Seeds: p.seeds, Seed: s.Seed, Clock: p.clock, Events: p.events, Activate: p.activate,
 		Apply: agent.Apply{
 			Announce: func(at time.Time, a upapi.Announce) { p.whenEntry(func(n *entry.Node) { n.RelayedAnnounce(at, a) }) },
 			Renew:    func(at time.Time, r upapi.Renew) { p.whenEntry(func(n *entry.Node) { n.RelayedRenew(at, r) }) },
@@ -275,8 +276,10 @@
 // others tell it of the upstreams.
 const settleTime = 3 * time.Second
 
-// settled reports whether this node knows the fleet.
-func (p *Process) settled() bool { return p.clock.Now().Sub(p.started) >= settleTime }
+// settled reports whether this node knows the fleet. One that the settings name no other node to has none to learn from.
+func (p *Process) settled() bool {
+	return len(p.seeds) == 0 || p.clock.Now().Sub(p.started) >= settleTime
+}
 
 // settling reports whether another node started a moment ago. Its incarnation is the time of its start; that of this
 // process's clock and the other's may differ by the drift, which is small against settleTime.
--- a/internal/test/procs/whole_test.go
+++ b/internal/test/procs/whole_test.go
@@ -253,3 +253,35 @@
 	bound = quiet.Add(lease).UnixNano()
 	assert.Assert(t, silent.counts().LastCallNS <= bound, "work %d ms after it fell silent", (silent.counts().LastCallNS-quiet.UnixNano())/1e6)
 }
+
+// Guards against callers that are sent to a node which has just been started, because it knows no other one yet: it refused their
+// requests, which were then sent again.
+func TestRestartedNodeIsNotGivenBeforeItKnowsTheOthers(t *testing.T) {
+	s := startSystem(t)
+	first := s.nodes[0]
+	for range 5 {
+		first.signal(syscall.SIGKILL)
+		first.exit()
+		given := make(chan string, 1)
+		go func() { given <- firstGiven(t.Context(), first.address) }()
+		first = startNode(t, first.name, first.args...)
+		assert.Assert(t, <-given != first.address, "it gave itself")
+	}
+}
+
+// firstGiven asks a node which one to use until it answers.
+func firstGiven(ctx context.Context, address string) string {
+	for ctx.Err() == nil {
+		resp, err := http.Get("http://" + address + caller.PathEntry)
+		if err != nil {
+			continue
+		}
+		var e caller.Entry
+		_ = json.NewDecoder(resp.Body).Decode(&e) // without an address in case of a refusal
+		resp.Body.Close()
+		if e.Address != "" {
+			return e.Address
+		}
+	}
+	return ""
+}
