Test large configurations over a link with a bit rate

Change: package links puts bit rates, delays and cuts on the connections of processes in a test; peer and gated take the function that dials. The simulation in capac has a bit rate between regions.

--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -40,6 +40,8 @@
 	Clock   clock.Clock
 	Logger  hclog.Logger
 	Path    string // settings file, read again when it changes
+	// Dial opens connections to the other processes of the system; nil: package dial does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Process is a running process.
@@ -117,7 +119,9 @@
 func (p *Process) start() error {
 	var err error
 	address := p.s.ownPeer()
-	p.hub, err = peer.New(peer.Options{ID: p.s.Node, Address: p.s.peerAddress(p.s.IP), Clock: p.o.Clock, Events: p.events, Handle: p.handle})
+	p.hub, err = peer.New(peer.Options{
+		ID: p.s.Node, Address: p.s.peerAddress(p.s.IP), Clock: p.o.Clock, Events: p.events, Handle: p.handle, Dial: p.o.Dial,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -20,9 +20,11 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/feed"
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/poison"
+	"github.com/berylledge/berylledge/internal/test/links"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
@@ -34,7 +36,9 @@
 	nodes map[int]*Process
 	seeds []string
 	up    *rawup.Upstream
-	born  int64 // start of the upstream
+	born  int64              // start of the upstream
+	place map[int]feed.Place // of nodes that are not in data centre "a" of region "north"
+	links *links.Net         // nil: the nodes reach each other at full speed
 }
 
 const (
@@ -70,8 +74,12 @@
 // start starts a control node, or an entry node for numbers from 11.
 func (f *fleet) start(node int, first bool) *Process {
 	f.t.Helper()
+	place, ok := f.place[node]
+	if !ok {
+		place = feed.Place{DataCentre: "a", Region: "north"}
+	}
 	s := Settings{
-		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: "a", Region: "north", Regions: map[string]string{"a": "north"},
+		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
 		PeerPort: peerPort, Seeds: f.seeds, FirstStart: first, BeatMS: 300, Losses: 1,
 		Bounds: Bounds{StopS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
 	}
@@ -85,12 +93,26 @@
 		s.Listen = Listen{Callers: f.at(node, callersPort), Ready: f.at(node, readyPort)}
 	}
 	assert.Equal(f.t, len(s.check()), 0)
-	p, err := New(s, Options{Dialect: lingo.Own(), Clock: clock.Real()})
+	o := Options{Dialect: lingo.Own(), Clock: clock.Real()}
+	if f.links != nil {
+		f.links.Place(f.ip(node), place.Region)
+		o.Dial = f.links.Dialer(f.ip(node))
+	}
+	p, err := New(s, o)
 	assert.NilError(f.t, err)
 	f.nodes[node] = p
 	return p
 }
 
+// regions returns the region of each data centre.
+func (f *fleet) regions() map[string]string {
+	out := map[string]string{"a": "north"}
+	for _, p := range f.place {
+		out[p.DataCentre] = p.Region
+	}
+	return out
+}
+
 func (f *fleet) stop(node int) {
 	f.nodes[node].Close()
 	delete(f.nodes, node)
--- a/internal/test/capac/host.go
+++ b/internal/test/capac/host.go
@@ -41,6 +41,9 @@
 		delay = sameRegion
 	}
 	delay += time.Duration(n.rng.ExpFloat64() * float64(delay) / 4)
+	if h.Region != to.Region {
+		delay += n.cross(regions{h.Region, to.Region}, len(b))
+	}
 	arrive := func() {
 		if !to.Up {
 			return
@@ -56,6 +59,21 @@
 	}
 }
 
+// cross sends bytes over the link between two regions and returns how long they wait for it and need.
+func (n *Net) cross(link regions, bytes int) time.Duration {
+	n.Crossed += int64(bytes)
+	if n.opt.LinkRate == 0 {
+		return 0
+	}
+	free := n.links[link]
+	if free.Before(n.Now) {
+		free = n.Now
+	}
+	free = free.Add(time.Duration(int64(bytes) * int64(time.Second) / n.opt.LinkRate))
+	n.links[link] = free
+	return free.Sub(n.Now)
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
--- a/internal/test/capac/net.go
+++ b/internal/test/capac/net.go
@@ -53,6 +53,8 @@
 	Loss   float64       // share of messages that are lost
 	Member member.Config // Self, Seeds and Seed are filled in
 	Relay  relay.Config  // the identity and Seed are filled in
+	// LinkRate is how many bytes a second pass from one region to another, all nodes together; 0 means any number.
+	LinkRate int64
 	// StaleAfter is the bound for nodes without news of the control group; 0 means the default.
 	StaleAfter time.Duration
 }
@@ -88,6 +90,9 @@
 	epoch      int
 }
 
+// regions names the link from one region to another.
+type regions struct{ from, to string }
+
 type delivery struct {
 	at    time.Time
 	order uint64
@@ -118,6 +123,8 @@
 	Blocked func(from, to *Host) bool
 	// Duplicate is the share of messages that arrive a second time, up to 2 s later.
 	Duplicate float64
+	// Crossed counts the encoded bytes that were sent from one region to another.
+	Crossed int64
 
 	opt    Options
 	rng    *rand.Rand
@@ -125,7 +132,8 @@
 	order  uint64
 	byID   map[string]*Host
 	byAddr map[string]*Host
-	leader bool // the control group has a leader; Beat is sent
+	links  map[regions]time.Time // when all that was sent so far has passed
+	leader bool                  // the control group has a leader; Beat is sent
 	body   []byte
 	rev    uint64
 	stamp  uint64
@@ -144,7 +152,7 @@
 func NewNet(o Options) *Net {
 	n := &Net{
 		Now: time.Unix(1_800_000_000, 0), opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)),
-		byID: map[string]*Host{}, byAddr: map[string]*Host{}, leader: true,
+		byID: map[string]*Host{}, byAddr: map[string]*Host{}, links: map[regions]time.Time{}, leader: true,
 	}
 	for _, p := range o.Layout {
 		h := &Host{Place: p, net: n, ByProto: map[string]*Traffic{}, Failures: map[string]time.Time{}}
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -7,7 +7,6 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
-	"github.com/berylledge/berylledge/internal/wire/dial"
 )
 
 // outgoing is an encoded message that waits to be written.
@@ -127,8 +126,7 @@
 func (l *link) dial() *websocket.Conn {
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	defer cancel()
-	tcp := dial.Dialer{Clock: l.hub.o.Clock, Timeout: dialTimeout}
-	d := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: tcp.DialContext}
+	d := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: l.hub.o.Dial}
 	conn, resp, err := d.DialContext(ctx, "ws://"+l.address+path, nil)
 	if err != nil {
 		return nil
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -30,6 +30,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/wire/dial"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
@@ -79,6 +80,8 @@
 	Clock    clock.Clock
 	Events   *event.Log
 	Handle   Handler
+	// Dial opens the connections to other processes; nil: package dial does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Hub sends and receives messages.
@@ -120,6 +123,9 @@
 	if h.dec, err = (cbor.DecOptions{MaxNestedLevels: 8, MaxMapPairs: 64, MaxArrayElements: 1024}).DecMode(); err != nil {
 		return nil, errors.Wrap(err, "peer decoding")
 	}
+	if h.o.Dial == nil {
+		h.o.Dial = dial.Dialer{Clock: o.Clock, Timeout: dialTimeout}.DialContext
+	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.server, err = httpd.New(httpd.Options{Name: "peer", Address: o.Address, Listener: o.Listener}, []rest.Route{
 		{Method: http.MethodGet, Path: path, Handler: h.accept},
