Say why a configuration is late at an entry node

Change: config_late after a second with what the followed control node has and how many bytes came, control_followed when that node changes, and in config_in_force the version before, how long it was known and the bytes on the way.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -66,6 +66,8 @@
 	ControlFound  Code = 4202
 	ProcessReload Code = 4203
 	LinesLeftOut  Code = 4204
+	// ControlFollowed is of entry nodes that forward requests.
+	ControlFollowed Code = 4205
 
 	LeaderChanged  Code = 5001
 	ControlFailed  Code = 5002
@@ -77,6 +79,7 @@
 	ConfigInForce  Code = 6002
 	ConfigRejected Code = 6003
 	ConfigOrder    Code = 6004
+	ConfigLate     Code = 6005
 
 	OperatorChange Code = 7001
 
@@ -142,6 +145,7 @@
 	{ControlFound, "control_found", hclog.Info, "A control node answers this entry node again.", []string{"control"}, ""},
 	{ProcessReload, "process_reload", hclog.Info, "The settings were read again; only the seeds take effect without a restart.", []string{"seeds", "reason"}, ""},
 	{LinesLeftOut, "lines_left_out", hclog.Warn, "Log lines of one kind were left out, because there were more than the limit.", []string{"kind", "count"}, "See the counters at /metrics."},
+	{ControlFollowed, "control_followed", hclog.Info, "This entry node follows another control node from now on; sure says whether that one has all that was acknowledged, revision which configuration it had.", []string{"control", "sure", "data_centre", "revision"}, ""},
 
 	{LeaderChanged, "leader_changed", hclog.Info, "The control group has another leader, as this member sees it.", []string{"leader", "term"}, ""},
 	{ControlFailed, "control_failed", hclog.Error, "This member of the control group has stopped, because its disk failed.", []string{"reason"}, "Replace the disk or the VM; see docs/OPERATIONS.md."},
@@ -151,10 +155,11 @@
 	{FolderReplaced, "folder_replaced", hclog.Error, "The data folder was damaged; it was set aside, and the member starts as a new one.", []string{"reason"}, "Check the disk."},
 
 	{ConfigAccepted, "config_accepted", hclog.Info, "The control group accepted a configuration.", []string{"revision", "operator", "change"}, ""},
-	{ConfigInForce, "config_in_force", hclog.Info, "This node works with a configuration from now on.", []string{"revision", "peer"}, ""},
+	{ConfigInForce, "config_in_force", hclog.Info, "This node works with a configuration from now on. Of an entry node: which one it had before, how long it had known of the new one, and the version that the bytes on the way were packed against (0: none).", []string{"revision", "peer", "before", "known_ms", "base", "bytes"}, ""},
 	{ConfigRejected, "config_rejected", hclog.Error, "A configuration from another node was not used.", []string{"revision", "peer", "reason"}, "Two bodies under one revision point to two control groups: compare the cluster ids."},
 
 	{ConfigOrder, "config_order", hclog.Info, "An operator sent a configuration; stored is the highest version known after it.", []string{"version", "stored", "status", "reason"}, ""},
+	{ConfigLate, "config_late", hclog.Warn, "A control node has had a newer configuration for a second, and it is not in force here. control is the one that this node follows and control_revision what it has; arrived counts the bytes of the next configuration.", []string{"revision", "in_force", "age_ms", "peer", "control", "control_revision", "sure", "arrived"}, "Find out whether the followed control node lacks it (leader_changed there) or the bytes do not arrive (peer_traffic)."},
 
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
--- a/internal/gate/feed/ask.go
+++ b/internal/gate/feed/ask.go
@@ -184,6 +184,7 @@
 	seen := s.seen + s.held
 	s.epoch, s.place, s.version, s.sure = tell.Epoch, tell.Place, tell.Version, tell.Sure
 	s.failed, s.heard, s.told = 0, now, as
+	f.newest.note(now, tell.Version, s.address)
 	for _, a := range tell.Control {
 		f.addSource(a)
 	}
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -76,6 +76,7 @@
 	version   uint64
 	document  []byte // of version, as the operator sent it
 	text      text   // the next one, as far as it has arrived
+	newest    newest
 	upstreams map[string]*known
 	entries   map[string]*knownEntry
 	sources   map[string]*source      // by peer address
@@ -85,6 +86,7 @@
 	asked     time.Time     // when the latest question that was answered was asked
 	news      chan struct{} // closed with each answer of the primary
 	lost      bool
+	followed  string // the primary that was logged last
 }
 
 // known is an upstream as control nodes told of it.
--- a/internal/gate/feed/plan.go
+++ b/internal/gate/feed/plan.go
@@ -116,6 +116,7 @@
 	for _, a := range f.o.Seeds() {
 		f.addSource(a)
 	}
+	f.watch(now, f.primary())
 	for _, s := range f.due(now) {
 		s.asking, s.asked = true, now
 		f.wg.Go(func() { f.follow(s) })
--- a/internal/gate/feed/text.go
+++ b/internal/gate/feed/text.go
@@ -104,7 +104,13 @@
 		f.rejected(p.Version, from, err)
 		return false, false
 	}
-	return f.takeDocument(p.Version, document, from), false
+	before := f.version
+	if !f.takeDocument(p.Version, document, from) {
+		return false, false
+	}
+	f.o.Events.Emit(event.ConfigInForce, event.F("revision", p.Version), event.F("peer", from), event.F("before", before),
+		event.F("known_ms", f.o.Clock.Now().Sub(f.newest.since).Milliseconds()), event.F("base", p.Base), event.F("bytes", p.Total))
+	return true, false
 }
 
 // takeDocument puts a configuration in force. It was checked before the group took it.
@@ -115,7 +121,6 @@
 		return false
 	}
 	f.table, f.version, f.document = conf.NewTable(cfg), version, document
-	f.o.Events.Emit(event.ConfigInForce, event.F("revision", version), event.F("peer", from))
 	return true
 }
 
--- /dev/null
+++ b/internal/gate/feed/watch.go
@@ -0,0 +1,56 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+)
+
+// lateAfter is how long a newer configuration may be known without being in force here before a line says so.
+const lateAfter = time.Second
+
+// newest is the newest configuration that a control node said it has.
+type newest struct {
+	version uint64
+	peer    string    // the control node that said so first
+	since   time.Time // when it did
+	logged  bool
+}
+
+// note takes the version of a control node's answer.
+func (n *newest) note(now time.Time, version uint64, peer string) {
+	if version > n.version {
+		*n = newest{version: version, peer: peer, since: now}
+	}
+}
+
+// watch logs which control node is followed when that changes, and a configuration that is late here.
+func (f *Feed) watch(now time.Time, primary *source) {
+	if primary != nil && primary.address != f.followed {
+		f.followed = primary.address
+		f.o.Events.Emit(event.ControlFollowed, event.F("control", primary.address), event.F("sure", primary.sure),
+			event.F("data_centre", primary.place.DataCentre), event.F("revision", primary.version))
+	}
+	n := &f.newest
+	if n.logged || n.version <= f.version || now.Sub(n.since) < lateAfter {
+		return
+	}
+	n.logged = true
+	has, sure := uint64(0), false
+	if primary != nil {
+		has, sure = primary.version, primary.sure
+	}
+	f.o.Events.Emit(event.ConfigLate, event.F("revision", n.version), event.F("in_force", f.version), event.F("age_ms", now.Sub(n.since).Milliseconds()),
+		event.F("peer", n.peer), event.F("control", f.followed), event.F("control_revision", has), event.F("sure", sure),
+		event.F("arrived", len(f.text.body)))
+}
+
+// Behind returns for how long a newer configuration than the one in force has been known here; 0 if none is.
+func (f *Feed) Behind() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest.version <= f.version {
+		return 0
+	}
+	return f.o.Clock.Now().Sub(f.newest.since)
+}
