Publish the metrics of gate through tally

Cause: gate wrote its counters and a histogram in the text format by hand, beside the meter of serve, which uses tally and its Prometheus reporter.

Change: package stats holds what both need; gate has a catalogue, from which docs/gate_metrics.md is made. Hooks in front count events, states are sampled once a second, and only where a port for metrics is set. Names of counters end in _total, times are in seconds.

Measured: TestProcessesPublishTheirMetrics, TestPageOfMetricsIsCurrent and the tests of meter and serve pass.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 docs: build ## write the generated pages
 	./bin/berylledge docs events > docs/events.md
 	./bin/berylledge docs metrics > docs/metrics.md
+	./bin/berylledge docs gate-metrics > docs/gate_metrics.md
 	./bin/berylledge docs schema > docs/config.schema.json
 	./bin/berylledge docs config > docs/config.md
 	./bin/berylledge docs settings > docs/settings.md
--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -18,6 +18,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/cli/pages"
+	"github.com/berylledge/berylledge/internal/node/gated"
 	"github.com/berylledge/berylledge/internal/node/meter"
 	"github.com/berylledge/berylledge/internal/node/setup"
 	"github.com/berylledge/berylledge/pkg/fleet"
@@ -106,6 +107,7 @@
 		Commands: []*cli.Command{
 			page("events", "the catalogue of events", event.Markdown),
 			page("metrics", "the catalogue of metrics", meter.Markdown),
+			page("gate-metrics", "the catalogue of metrics of gate", gated.MetricsPage),
 			page("schema", "the JSON Schema of the configuration", pages.Schema),
 			page("config", "the fields of the configuration", pages.Config),
 			page("settings", "the settings of serve", func() string { return pages.Settings(setup.Flags()) }),
--- a/internal/gate/front/front.go
+++ b/internal/gate/front/front.go
@@ -60,6 +60,7 @@
 	Hub        *peer.Hub
 	Budget     Budget
 	Blame      *blame.Board
+	Measure    Measure
 	Report     func() // called after a note on Blame that other nodes should hear of soon; it must not block
 	// Consult waits until Blame holds what a control node knew a moment ago, or until the context ends.
 	Consult func(context.Context)
@@ -74,7 +75,6 @@
 	wg       sync.WaitGroup
 	draining atomic.Bool
 	inFlight atomic.Int64
-	counters counters
 	regions  []string // sorted
 
 	mu      sync.Mutex
--- a/internal/gate/maker/state.go
+++ b/internal/gate/maker/state.go
@@ -39,32 +39,20 @@
 	return strings.Join(text, "/")
 }
 
-// WriteMetrics passes each counter of the queues on as name, labels and value.
-func (m *Maker) WriteMetrics(line func(name, labels string, value any)) {
+// QueueState is the state of a queue that this node keeps.
+type QueueState struct {
+	Service, Region string
+	stage.Snapshot
+}
+
+// Queues returns the state of each queue that this node keeps.
+func (m *Maker) Queues() []QueueState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.o.Clock.Now()
+	var out []QueueState
 	for p, q := range m.queues {
-		s := q.Snapshot(now)
-		put := func(name string, value any) {
-			line(name, fmt.Sprintf(`{service=%q,region=%q}`, p.service, p.area), value)
-		}
-		put("stage_waiting", q.Len())
-		put("stage_oldest_ms", s.Oldest.Milliseconds())
-		put("stage_calls", s.Tally.Calls)
-		put("stage_pieces", s.Tally.Pieces)
-		put("stage_room_bytes", s.Used)
-		put("stage_room_limit_bytes", s.Limit)
-		writeEnds(put, s.Tally)
+		out = append(out, QueueState{p.service, p.area, q.Snapshot(now)})
 	}
-}
-
-// writeEnds writes how pieces ended.
-func writeEnds(put func(name string, value any), t stage.Tally) {
-	put("stage_made", t.Made)
-	put("stage_no_room", t.NoRoom)
-	put("stage_late", t.Late)
-	put("stage_refused", t.Refused)
-	put("stage_failed", t.NotMade)
-	put("stage_unwanted", t.Unwanted)
+	return out
 }
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -19,6 +19,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/base/stats"
 	"github.com/berylledge/berylledge/internal/gate/blame"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/desk"
@@ -66,6 +67,7 @@
 	pool  *upcon.Pool
 	http  *http.Server
 
+	page     *stats.Page // metrics; nil without an address for them
 	servers  []*httpd.Server
 	draining atomic.Bool
 }
@@ -125,6 +127,11 @@
 	if err != nil {
 		return err
 	}
+	if p.s.Metrics > 0 {
+		if err := p.startMetrics(); err != nil {
+			return err
+		}
+	}
 	if p.s.Listen.Control != "" {
 		if err := p.startControl(address); err != nil {
 			return err
@@ -135,12 +142,10 @@
 			return err
 		}
 	}
-	if p.s.Metrics > 0 {
-		return p.serve("metrics", net.JoinHostPort(p.s.IP, strconv.Itoa(p.s.Metrics)), []rest.Route{
-			{Method: http.MethodGet, Path: "/metrics", Handler: p.metrics},
-		})
+	if p.page == nil {
+		return nil
 	}
-	return nil
+	return p.serve("metrics", net.JoinHostPort(p.s.IP, strconv.Itoa(p.s.Metrics)), []rest.Route{p.metricsRoute()})
 }
 
 // serve starts a server for go-zero routes.
@@ -228,7 +233,7 @@
 		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
 		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker, Hub: p.hub,
 		Budget: front.Budget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
-		Blame:  p.board, Report: p.feed.AskNow, Consult: p.feed.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
+		Blame:  p.board, Measure: p.measure(), Report: p.feed.AskNow, Consult: p.feed.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
 	p.http = &http.Server{Handler: p.front, ConnState: connState, ErrorLog: log.New(io.Discard, "", 0)}
 	callers := &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
@@ -368,6 +373,9 @@
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
+	if p.page != nil {
+		p.page.Close()
+	}
 	if p.desk != nil {
 		p.desk.Close()
 	}
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -47,6 +47,7 @@
 	callersPort   = 7203
 	readyPort     = 7204
 	peerPort      = 7205
+	metricsPort   = 7206
 	patience      = 20 * time.Second
 )
 
@@ -80,7 +81,7 @@
 	}
 	s := Settings{
 		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
-		PeerPort: peerPort, Seeds: f.seeds, FirstStart: first, BeatMS: 300, Losses: 1,
+		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: 300, Losses: 1,
 		Bounds: Bounds{StopS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
 	}
 	if node < 11 {
--- a/internal/node/gated/metrics.go
+++ b/internal/node/gated/metrics.go
@@ -1,39 +1,165 @@
 package gated
 
 import (
-	"fmt"
 	"net/http"
-	"strings"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/berylledge/berylledge/internal/base/stats"
+	"github.com/berylledge/berylledge/internal/gate/front"
+	"github.com/berylledge/berylledge/internal/gate/maker"
+)
+
+// Names of metrics.
+const (
+	answers       = "answers_total"
+	refusals      = "refusals_total"
+	answerTime    = "answer_seconds"
+	repeats       = "repeats_total"
+	inFlight      = "in_flight"
+	dialed        = "dialed_total"
+	peerBytes     = "peer_sent_bytes_total"
+	peerMessages  = "peer_sent_messages_total"
+	peerDropped   = "peer_dropped_messages_total"
+	groupTerm     = "group_term"
+	groupMembers  = "group_members"
+	configVersion = "config_version"
+	configBehind  = "config_behind_seconds"
+	upstreams     = "upstreams"
+	suspects      = "suspect_contents"
+	stageWaiting  = "stage_waiting"
+	stageOldest   = "stage_oldest_seconds"
+	stageCalls    = "stage_calls_total"
+	stagePieces   = "stage_pieces_total"
+	stageEnds     = "stage_ends_total"
+	stageRoom     = "stage_room_bytes"
+	stageLimit    = "stage_room_limit_bytes"
 )
 
-// metrics writes the counters of the process in the text format of Prometheus.
-func (p *Process) metrics(w http.ResponseWriter, _ *http.Request) {
-	var b strings.Builder
-	line := func(name, labels string, value any) { fmt.Fprintf(&b, "berylledge_%s%s %v\n", name, labels, value) }
+var (
+	byStatus = []string{"status"}
+	byKind   = []string{"kind"}
+	byQueue  = []string{"service", "region"}
+)
+
+var metrics = []stats.Metric{
+	{Name: answers, Type: stats.Counter, Labels: byStatus, Help: "Final answers of requests for which an upstream was tried, by status; 0: closed without a whole answer."},
+	{Name: refusals, Type: stats.Counter, Labels: byStatus, Help: "Answers that this node gave instead of an upstream, by status, also without having tried one."},
+	{Name: answerTime, Type: stats.Histogram, Help: "Time from the arrival of a request for which an upstream was tried to the end of its answer."},
+	{Name: repeats, Type: stats.Counter, Help: "Requests that were sent to an upstream again."},
+	{Name: inFlight, Type: stats.Gauge, Help: "Requests that have no final answer yet."},
+	{Name: dialed, Type: stats.Counter, Help: "Connections opened to upstreams."},
+	{Name: peerBytes, Type: stats.Counter, Labels: byKind, Help: "Bytes of messages sent to other processes, without framing. An answer counts under the kind of its question."},
+	{Name: peerMessages, Type: stats.Counter, Labels: byKind, Help: "Messages sent to other processes."},
+	{Name: peerDropped, Type: stats.Counter, Help: "Messages that found the queue full or the address unreachable."},
+	{Name: groupTerm, Type: stats.Gauge, Help: "Term of the control group as this member sees it."},
+	{Name: groupMembers, Type: stats.Gauge, Help: "Members of the control group as this member sees it."},
+	{Name: configVersion, Type: stats.Gauge, Help: "Version of the configuration: stored by a control node, in force on an entry node."},
+	{Name: configBehind, Type: stats.Gauge, Help: "For how long an entry node has known of a newer configuration than the one in force; 0 if of none."},
+	{Name: upstreams, Type: stats.Gauge, Labels: []string{"state"}, Help: "Registered upstreams by state: 1 ready, 2 leaving, 3 gone."},
+	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
+	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
+	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
+	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
+	{Name: stagePieces, Type: stats.Counter, Labels: byQueue, Help: "Pieces that these calls held."},
+	{Name: stageEnds, Type: stats.Counter, Labels: append([]string{"end"}, byQueue...), Help: "Pieces by their end: made, no_room, late, refused, failed, unwanted."},
+	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
+	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
+}
+
+// MetricsPage renders the catalogue as the page docs/gate_metrics.md.
+func MetricsPage() string {
+	return "# Metrics of `berylledge gate`\n\nMade by `make docs` from `internal/node/gated/metrics.go`. `GET /metrics` on `metrics_port` answers in the text\n" +
+		"format of Prometheus. Values are brought up to date once a second. Histograms count by buckets.\n\n" + stats.Table(metrics)
+}
+
+// startMetrics starts the page of metrics, which exists before the parts that it samples.
+func (p *Process) startMetrics() error {
+	var err error
+	p.page, err = stats.New(stats.Options{Clock: p.o.Clock, Metrics: metrics, Sample: p.sample})
+	return err
+}
+
+func (p *Process) metricsRoute() rest.Route {
+	return rest.Route{Method: http.MethodGet, Path: stats.Path, Handler: p.page.Handler().ServeHTTP}
+}
+
+// measure returns the hooks of the front; none without a page.
+func (p *Process) measure() front.Measure {
+	if p.page == nil {
+		return front.Measure{}
+	}
+	return front.Measure{
+		Answered: func(status int, took time.Duration) {
+			p.page.Add(answers, 1, stats.Tags{"status": strconv.Itoa(status)})
+			p.page.Observe(answerTime, took, nil)
+		},
+		Refused:  func(status int) { p.page.Add(refusals, 1, stats.Tags{"status": strconv.Itoa(status)}) },
+		Repeated: func() { p.page.Add(repeats, 1, nil) },
+	}
+}
+
+func (p *Process) sample(page *stats.Page) {
+	select {
+	case <-p.ready:
+	default:
+		return // not all parts exist yet
+	}
 	c := p.hub.Counters()
 	for _, v := range c.Kinds {
-		labels := fmt.Sprintf(`{kind="%s"}`, v.Kind)
-		line("peer_bytes_out", labels, v.Bytes)
-		line("peer_messages_out", labels, v.Messages)
+		tags := stats.Tags{"kind": v.Kind.String()}
+		page.Raise(peerBytes, v.Bytes, tags)
+		page.Raise(peerMessages, v.Messages, tags)
 	}
-	line("peer_dropped", "", c.Dropped)
+	page.Raise(peerDropped, c.Dropped, nil)
 	if p.member != nil {
-		s, _ := p.member.Status()
-		line("group_term", "", s.Raft.Term)
-		line("group_members", "", len(s.Raft.Members))
-		line("config_version", "", p.member.Latest().Version)
-		for state, n := range p.desk.Upstreams() {
-			line("upstreams", fmt.Sprintf(`{state="%d"}`, state), n)
-		}
-		line("suspect_contents", `{role="control"}`, p.desk.Suspects())
+		p.sampleControl(page)
 	}
 	if p.front != nil {
-		line("suspect_contents", `{role="entry"}`, p.board.Len())
-		line("config_version", "", p.feed.Version())
-		p.front.WriteMetrics(line)
-		p.maker.WriteMetrics(line)
-		line("dialed", "", p.pool.Dialed())
-	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_, _ = w.Write([]byte(b.String())) // the reader has gone; it asks again
+		p.sampleEntry(page)
+	}
+}
+
+func (p *Process) sampleControl(page *stats.Page) {
+	s, _ := p.member.Status() // zero values before the group is formed
+	page.Set(groupTerm, float64(s.Raft.Term), nil)
+	page.Set(groupMembers, float64(len(s.Raft.Members)), nil)
+	page.Set(configVersion, float64(p.member.Latest().Version), nil)
+	for state, n := range p.desk.Upstreams() {
+		page.Set(upstreams, float64(n), stats.Tags{"state": strconv.Itoa(int(state))})
+	}
+	page.Set(suspects, float64(p.desk.Suspects()), nil)
+}
+
+func (p *Process) sampleEntry(page *stats.Page) {
+	page.Set(inFlight, float64(p.front.InFlight()), nil)
+	page.Raise(dialed, p.pool.Dialed(), nil)
+	page.Set(configVersion, float64(p.feed.Version()), nil)
+	page.Set(configBehind, p.feed.Behind().Seconds(), nil)
+	page.Set(suspects, float64(p.board.Len()), nil)
+	for _, q := range p.maker.Queues() {
+		sampleQueue(page, &q)
+	}
+}
+
+func sampleQueue(page *stats.Page, q *maker.QueueState) {
+	tags := stats.Tags{"service": q.Service, "region": q.Region}
+	waiting := 0
+	for _, n := range q.Waiting {
+		waiting += n
+	}
+	page.Set(stageWaiting, float64(waiting), tags)
+	page.Set(stageOldest, q.Oldest.Seconds(), tags)
+	page.Set(stageRoom, float64(q.Used), tags)
+	page.Set(stageLimit, float64(q.Limit), tags)
+	page.Raise(stageCalls, int64(q.Tally.Calls), tags)
+	page.Raise(stagePieces, int64(q.Tally.Pieces), tags)
+	for end, n := range map[string]int{
+		"made": q.Tally.Made, "no_room": q.Tally.NoRoom, "late": q.Tally.Late, "refused": q.Tally.Refused, "failed": q.Tally.NotMade,
+		"unwanted": q.Tally.Unwanted,
+	} {
+		page.Raise(stageEnds, int64(n), stats.Tags{"service": q.Service, "region": q.Region, "end": end})
+	}
 }
--- /dev/null
+++ b/internal/node/gated/metrics_test.go
@@ -0,0 +1,50 @@
+package gated
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/stats"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// Guards against a page that differs from the metrics that are published.
+func TestPageOfMetricsIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/gate_metrics.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), MetricsPage(), "run `make docs`")
+}
+
+// Guards against metrics that are not published, or not those of what happened.
+func TestProcessesPublishTheirMetrics(t *testing.T) {
+	f := newFleet(t, 77)
+	f.start(1, true)
+	f.seeds = f.seeds[:1]
+	f.stop(1)
+	f.dirs[1] = ""
+	f.start(1, true)
+	p := f.start(11, true)
+	f.put(1, f.config(5, "/x/"))
+	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	assert.Equal(t, f.request(11, "/x/"), 200)
+	assert.Equal(t, f.request(11, "/y/"), 404)
+	for node, lines := range map[int][]string{
+		1: {`berylledge_config_version 5`, `berylledge_upstreams{state="1"} 1`, `berylledge_group_members 1`},
+		11: {
+			`berylledge_config_version 5`, `berylledge_answers_total{status="200"} 1`,
+			`berylledge_refusals_total{status="404"} 1`, `berylledge_answer_seconds_count 1`, `berylledge_dialed_total 1`,
+			`berylledge_config_behind_seconds 0`, `berylledge_peer_sent_messages_total{kind="follow"}`,
+		},
+	} {
+		for _, line := range lines {
+			f.eventually(line, func() bool {
+				status, text := f.do("GET", "http://"+f.at(node, metricsPort)+stats.Path, nil)
+				return status == 200 && strings.Contains(text, line)
+			})
+		}
+	}
+}
--- a/internal/node/meter/catalogue.go
+++ b/internal/node/meter/catalogue.go
@@ -3,30 +3,10 @@
 import (
 	"fmt"
 	"strings"
-)
-
-// Type is the type of a metric.
-type Type string
 
-// The types of metrics.
-const (
-	Counter   Type = "counter"
-	Gauge     Type = "gauge"
-	Histogram Type = "histogram"
+	"github.com/berylledge/berylledge/internal/base/stats"
 )
 
-// Metric describes one metric. The catalogue is the only place where names, labels and texts are given; docs/metrics.md is
-// made from it.
-type Metric struct {
-	Name   string
-	Type   Type
-	Labels []string
-	Help   string
-}
-
-// Prefix is in front of each name.
-const Prefix = "berylledge_"
-
 // Names of metrics.
 const (
 	requests      = "requests_total"
@@ -57,37 +37,37 @@
 	dropped       = "dropped_messages_total"
 )
 
-var catalogue = []Metric{
-	{requests, Counter, []string{"team", "rank", "outcome"}, "Requests by their end: on_time, late, failed or refused. Attainment is on_time divided by the sum."},
-	{refusals, Counter, []string{"rank", "code", "ran"}, "Requests that were refused before they were admitted, by code."},
-	{failures, Counter, []string{"rank", "code", "ran"}, "Admitted requests that ended without a whole answer, by code."},
-	{requestTime, Histogram, []string{"rank"}, "Time from admission to the end of a request."},
-	{queueTime, Histogram, []string{"rank"}, "Longest wait of a request in the queue of an upstream."},
-	{tokens, Counter, []string{"team", "rank"}, "Tokens delivered to callers."},
-	{stageCost, Counter, []string{"stage", "rank"}, "Cost of work at upstreams in thousandths of one generated token, failed stages included."},
-	{stageRuns, Counter, []string{"stage", "rank", "outcome"}, "Stages that ran, by their end: done or failed."},
-	{attempts, Counter, []string{"stage"}, "Attempts at upstreams, the first of each stage included."},
-	{retries, Counter, []string{"stage"}, "Attempts after the first of a stage, resumed streams included."},
-	{admitLimit, Gauge, nil, "Requests that may run at the same time on this node."},
-	{admitInFlight, Gauge, nil, "Admitted requests that have not ended."},
-	{admitQueued, Gauge, nil, "Requests that wait for admission."},
-	{admitPatient, Gauge, nil, "Of the admitted requests, long work."},
-	{draining, Gauge, nil, "1 after the planned stop has begun."},
-	{revision, Gauge, nil, "Revision of the configuration in force."},
-	{term, Gauge, nil, "Term of the control group as this member sees it."},
-	{commit, Gauge, nil, "Highest index of the log that this member knows to be committed."},
-	{leads, Gauge, nil, "1 while this member leads the control group."},
-	{hasLeader, Gauge, nil, "1 while this member knows a leader."},
-	{members, Gauge, []string{"state"}, "Processes by state: alive, draining, suspect, failed, left."},
-	{bytesIn, Counter, nil, "Bytes of messages received from other processes, without framing."},
-	{bytesOut, Counter, nil, "Bytes of messages sent to other processes, without framing."},
-	{messagesIn, Counter, nil, "Messages received from other processes."},
-	{messagesOut, Counter, nil, "Messages sent to other processes."},
-	{dropped, Counter, []string{"where"}, "Messages dropped because a queue was full or the peer not reachable: peer, agent or control."},
+var catalogue = []stats.Metric{
+	{Name: requests, Type: stats.Counter, Labels: []string{"team", "rank", "outcome"}, Help: "Requests by their end: on_time, late, failed or refused. Attainment is on_time divided by the sum."},
+	{Name: refusals, Type: stats.Counter, Labels: []string{"rank", "code", "ran"}, Help: "Requests that were refused before they were admitted, by code."},
+	{Name: failures, Type: stats.Counter, Labels: []string{"rank", "code", "ran"}, Help: "Admitted requests that ended without a whole answer, by code."},
+	{Name: requestTime, Type: stats.Histogram, Labels: []string{"rank"}, Help: "Time from admission to the end of a request."},
+	{Name: queueTime, Type: stats.Histogram, Labels: []string{"rank"}, Help: "Longest wait of a request in the queue of an upstream."},
+	{Name: tokens, Type: stats.Counter, Labels: []string{"team", "rank"}, Help: "Tokens delivered to callers."},
+	{Name: stageCost, Type: stats.Counter, Labels: []string{"stage", "rank"}, Help: "Cost of work at upstreams in thousandths of one generated token, failed stages included."},
+	{Name: stageRuns, Type: stats.Counter, Labels: []string{"stage", "rank", "outcome"}, Help: "Stages that ran, by their end: done or failed."},
+	{Name: attempts, Type: stats.Counter, Labels: []string{"stage"}, Help: "Attempts at upstreams, the first of each stage included."},
+	{Name: retries, Type: stats.Counter, Labels: []string{"stage"}, Help: "Attempts after the first of a stage, resumed streams included."},
+	{Name: admitLimit, Type: stats.Gauge, Help: "Requests that may run at the same time on this node."},
+	{Name: admitInFlight, Type: stats.Gauge, Help: "Admitted requests that have not ended."},
+	{Name: admitQueued, Type: stats.Gauge, Help: "Requests that wait for admission."},
+	{Name: admitPatient, Type: stats.Gauge, Help: "Of the admitted requests, long work."},
+	{Name: draining, Type: stats.Gauge, Help: "1 after the planned stop has begun."},
+	{Name: revision, Type: stats.Gauge, Help: "Revision of the configuration in force."},
+	{Name: term, Type: stats.Gauge, Help: "Term of the control group as this member sees it."},
+	{Name: commit, Type: stats.Gauge, Help: "Highest index of the log that this member knows to be committed."},
+	{Name: leads, Type: stats.Gauge, Help: "1 while this member leads the control group."},
+	{Name: hasLeader, Type: stats.Gauge, Help: "1 while this member knows a leader."},
+	{Name: members, Type: stats.Gauge, Labels: []string{"state"}, Help: "Processes by state: alive, draining, suspect, failed, left."},
+	{Name: bytesIn, Type: stats.Counter, Help: "Bytes of messages received from other processes, without framing."},
+	{Name: bytesOut, Type: stats.Counter, Help: "Bytes of messages sent to other processes, without framing."},
+	{Name: messagesIn, Type: stats.Counter, Help: "Messages received from other processes."},
+	{Name: messagesOut, Type: stats.Counter, Help: "Messages sent to other processes."},
+	{Name: dropped, Type: stats.Counter, Labels: []string{"where"}, Help: "Messages dropped because a queue was full or the peer not reachable: peer, agent or control."},
 }
 
 // Catalogue returns the metrics in the order of the documentation.
-func Catalogue() []Metric { return append([]Metric(nil), catalogue...) }
+func Catalogue() []stats.Metric { return append([]stats.Metric(nil), catalogue...) }
 
 // Markdown renders the catalogue as the page docs/metrics.md.
 func Markdown() string {
@@ -99,9 +79,6 @@
 	fmt.Fprintf(&b, "  make the number of series grow without bound; `rank` and `stage` are bounded alike, at %d and %d.\n", maxRanks, maxStages)
 	b.WriteString("- Histograms count by buckets. Their sums are those of the upper bounds of the buckets, not of the values.\n")
 	b.WriteString("- The metrics of requests and admission exist on entry nodes only, those of control on control nodes only.\n\n")
-	b.WriteString("| name | type | labels | meaning |\n|---|---|---|---|\n")
-	for _, m := range catalogue {
-		fmt.Fprintf(&b, "| `%s%s` | %s | %s | %s |\n", Prefix, m.Name, m.Type, strings.Join(m.Labels, ", "), m.Help)
-	}
+	b.WriteString(stats.Table(catalogue))
 	return b.String()
 }
--- a/internal/node/meter/meter_test.go
+++ b/internal/node/meter/meter_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/stats"
 	"github.com/berylledge/berylledge/internal/flow/admit"
 	"github.com/berylledge/berylledge/internal/node/entry"
 	"github.com/berylledge/berylledge/internal/node/meter"
@@ -41,7 +42,7 @@
 
 func scrape(m *meter.Meter) string {
 	w := httptest.NewRecorder()
-	m.Route().Handler(w, httptest.NewRequest(http.MethodGet, meter.Path, nil))
+	m.Route().Handler(w, httptest.NewRequest(http.MethodGet, stats.Path, nil))
 	return w.Body.String()
 }
 
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/stats"
 	"github.com/berylledge/berylledge/internal/node/meter"
 	"github.com/berylledge/berylledge/internal/node/serve"
 	"github.com/berylledge/berylledge/internal/node/setup"
@@ -80,7 +81,7 @@
 
 	var text string
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		resp, err := http.Get("http://" + p.Address() + meter.Path)
+		resp, err := http.Get("http://" + p.Address() + stats.Path)
 		assert.NilError(t, err)
 		defer resp.Body.Close()
 		body, err := io.ReadAll(resp.Body)
@@ -100,7 +101,7 @@
 
 	help := map[string]string{}
 	for _, m := range meter.Catalogue() {
-		help[meter.Prefix+m.Name] = m.Help + " " + string(m.Type)
+		help[stats.Prefix+m.Name] = m.Help + " " + string(m.Type)
 	}
 	published := regexp.MustCompile(`(?m)^# HELP (\S+) (.*)\n# TYPE \S+ (\S+)$`).FindAllStringSubmatch(text, -1)
 	assert.Assert(t, len(published) > 15, "%d metrics", len(published))
