--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -38,6 +38,7 @@
 	up    *rawup.Upstream
 	born  int64              // start of the upstream
 	place map[int]feed.Place // of nodes that are not in data centre "a" of region "north"
+	every conf.MS            // between two heartbeats
 	links *links.Net         // nil: the nodes reach each other at full speed
 }
 
@@ -52,7 +53,7 @@
 )
 
 func newFleet(t *testing.T, network int) *fleet {
-	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}, born: 5}
+	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}, born: 5, every: 300}
 	for i := 1; i <= 3; i++ {
 		f.seeds = append(f.seeds, f.at(i, controlPort))
 	}
@@ -81,7 +82,7 @@
 	}
 	s := Settings{
 		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
-		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: 300, Losses: 1,
+		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: f.every, Losses: 1,
 		Bounds: Bounds{StopS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
 	}
 	if node < 11 {
--- a/internal/node/gated/links_test.go
+++ b/internal/node/gated/links_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/feed"
+	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/test/links"
 )
 
@@ -142,3 +145,67 @@
 		})
 	}
 }
+
+// beatAll sends one heartbeat of each of some upstreams, to control nodes 1 to 5 in turn.
+func (f *fleet) beatAll(count int) {
+	f.t.Helper()
+	var wg sync.WaitGroup
+	for part := range 8 {
+		wg.Go(func() {
+			for i := part; i < count; i += 8 {
+				u := roster.Upstream{
+					Service: "desk", Address: fmt.Sprintf("10.9.%d.%d:8080", i/200, i%200), DataCentre: "a", State: roster.Ready,
+					Born: f.born, Sequence: 1,
+				}
+				url := fmt.Sprintf("http://%s/v1/traffic/upstreams/u%04d", f.at(1+i%5, controlPort), i)
+				if status, text := f.do("PUT", url, u); status != 200 {
+					f.t.Errorf("heartbeat of u%04d: %d %s", i, status, text)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a restart after which each entry node reads all records from each control node, over and over since none arrives in
+// time: "all VMs restart with 3,000 upstreams".
+func TestRestartWithManyUpstreamsFillsNoLink(t *testing.T) {
+	const upstreams = 3000
+	f := twoRegions(t, 78, 750_000)
+	f.every = 10_000
+	entries := []int{11, 12, 13, 14}
+	for _, n := range entries {
+		f.place[n] = feed.Place{DataCentre: "b", Region: "south"}
+	}
+	f.put(1, f.config(1, "/x/"))
+	for n := range f.nodes {
+		f.stop(n)
+	}
+	for n := 1; n <= 5; n++ {
+		f.start(n, false)
+	}
+	for _, n := range entries {
+		f.start(n, false)
+	}
+	f.eventually("the configuration is in force", f.inForce(1, entries...))
+	crossed := func() int64 { return f.links.Sent("north", "south") + f.links.Sent("south", "north") }
+	known := func() bool {
+		for _, n := range entries {
+			if len(f.nodes[n].feed.View().Services["desk"]) < upstreams {
+				return false
+			}
+		}
+		return true
+	}
+	before := crossed()
+	f.beatAll(upstreams)
+	f.within(inForceWithin, "each entry node knows all upstreams", known)
+	for _, n := range entries {
+		f.stop(n)
+		f.start(n, false)
+	}
+	f.within(inForceWithin, "each restarted entry node knows all upstreams", known)
+	// A record has some 100 bytes and crosses once for each control node of the other region.
+	const recordBytes, controlAcross = 150, 3
+	assert.Assert(t, crossed()-before < upstreams*recordBytes*controlAcross, "%d bytes crossed", crossed()-before)
+}
