Test that a control node goes on when its disk has room again

Change: the options of a member's store are asked for at each opening, so that a test can bound the file for a while.

--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -29,6 +29,7 @@
 	"github.com/berylledge/berylledge/internal/gate/maker"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/keep"
+	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
 	"github.com/berylledge/berylledge/internal/wire/peer"
@@ -41,6 +42,8 @@
 	Clock   clock.Clock
 	Logger  hclog.Logger
 	Path    string // settings file, read again when it changes
+	// Store configures the store of a control node each time it is opened; nil: the defaults.
+	Store func() store.Options
 	// Dial opens connections to the other processes of the system; nil: package dial does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -165,7 +168,7 @@
 	var err error
 	p.member, err = keep.New(keep.Options{
 		Address: address, Data: p.s.Data, First: p.s.FirstStart, Seeds: p.seedPeers, Voters: 2*p.s.Losses + 1 + spareVoters,
-		Clock: p.o.Clock, Events: p.events, Hub: p.hub, Seed: uint64(p.o.Clock.Now().UnixNano()), Notify: p.stored,
+		Clock: p.o.Clock, Events: p.events, Hub: p.hub, Seed: uint64(p.o.Clock.Now().UnixNano()), Store: p.o.Store, Notify: p.stored,
 	})
 	if err != nil {
 		return err
--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -24,6 +24,7 @@
 	"github.com/berylledge/berylledge/internal/gate/lingo"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/poison"
+	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/test/links"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
@@ -38,6 +39,7 @@
 	up    *rawup.Upstream
 	born  int64              // start of the upstream
 	place map[int]feed.Place // of nodes that are not in data centre "a" of region "north"
+	room  atomic.Int64       // bytes of a control node's data file, for nodes that open it from now on; 0: any number
 	every conf.MS            // between two heartbeats
 	links *links.Net         // nil: the nodes reach each other at full speed
 }
@@ -95,7 +97,7 @@
 		s.Listen = Listen{Callers: f.at(node, callersPort), Ready: f.at(node, readyPort)}
 	}
 	assert.Equal(f.t, len(s.check()), 0)
-	o := Options{Dialect: lingo.Own(), Clock: clock.Real()}
+	o := Options{Dialect: lingo.Own(), Clock: clock.Real(), Store: func() store.Options { return store.Options{MaxFileBytes: int(f.room.Load())} }}
 	if f.links != nil {
 		f.links.Place(f.ip(node), place.Region)
 		o.Dial = f.links.Dialer(f.ip(node))
--- a/internal/node/gated/growth_test.go
+++ b/internal/node/gated/growth_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 )
 
@@ -74,3 +75,28 @@
 	}
 	f.eventually("the last configuration is in force again", inForce(versions+1))
 }
+
+// Guards against a control node that ends, or stays out of its group, because its disk was full for a while, and against an order that
+// is acknowledged and lost there.
+func TestControlNodeGoesOnWhenItsDiskHasRoomAgain(t *testing.T) {
+	f := newFleet(t, 79)
+	for n := 1; n <= 2; n++ {
+		f.start(n, true)
+	}
+	f.room.Store(256 << 10)
+	f.start(3, true)
+	version := uint64(0)
+	f.eventually("the disk of one node is full", func() bool {
+		version++
+		f.put(1, f.largeConfig(version, 1000))
+		return len(f.nodes[3].events.Select(event.Filter{Name: "control_failed"})) > 0
+	})
+	version++
+	f.put(1, f.largeConfig(version, 1000))
+	f.room.Store(0)
+	f.eventually("the node has all versions again", func() bool { return f.read(3) == version })
+	f.stop(1)
+	version++
+	f.put(3, f.largeConfig(version, 1000))
+	assert.Equal(t, f.read(2), version)
+}
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -50,6 +50,8 @@
 	Events  *event.Log
 	Hub     *peer.Hub
 	Seed    uint64
+	// Store configures the folder's store each time it is opened; nil: the defaults.
+	Store func() store.Options
 	// Notify is called for each new document that the group has committed, from the group's goroutine.
 	Notify func(vdoc.Document)
 }
@@ -123,7 +125,11 @@
 }
 
 func (m *Member) openFolder() error {
-	s, err := store.OpenOrCreate(m.folder(), m.o.Address, m.o.Address, rand.Reader, store.Options{})
+	var o store.Options
+	if m.o.Store != nil {
+		o = m.o.Store()
+	}
+	s, err := store.OpenOrCreate(m.folder(), m.o.Address, m.o.Address, rand.Reader, o)
 	if err != nil {
 		return err
 	}
