--- a/internal/gate/maker/state.go
+++ b/internal/gate/maker/state.go
@@ -27,6 +27,7 @@
 			event.F("busy", s.Busy), event.F("calls", s.Tally.Calls-last.Calls), event.F("pieces", s.Tally.Pieces-last.Pieces),
 			event.F("made", s.Tally.Made-last.Made), event.F("no_room", s.Tally.NoRoom-last.NoRoom), event.F("late", s.Tally.Late-last.Late),
 			event.F("refused", s.Tally.Refused-last.Refused), event.F("unwanted", s.Tally.Unwanted-last.Unwanted),
+			event.F("away", s.Tally.Away-last.Away), event.F("away_kb", (s.Tally.AwayBytes-last.AwayBytes)/1000),
 			event.F("results", s.Results), event.F("used_kb", s.Used/1000), event.F("limit_kb", s.Limit/1000))
 	}
 }
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -343,6 +343,7 @@
 			out = outcomes[i]
 		}
 		if out.Handle != "" {
+			q.tally.place(j, t.DataCentre)
 			t.room[out.Handle] = held{j.Request, j.Bytes, now.Add(q.pool.HandleFor.Duration())}
 		} else {
 			t.used -= j.Bytes
--- a/internal/gate/stage/tally.go
+++ b/internal/gate/stage/tally.go
@@ -12,6 +12,9 @@
 	Refused  int // pieces given up because no upstream would take them in time
 	NotMade  int // pieces that failed for another reason
 	Unwanted int // results that no one wanted any more when they came
+
+	Away      int   // results made in another data centre than the one that needs them
+	AwayBytes int64 // of these
 }
 
 func (t *Tally) count(o Outcome) {
@@ -27,6 +30,14 @@
 	}
 }
 
+// place counts a result by where it was made.
+func (t *Tally) place(j Job, dataCentre string) {
+	if j.Home != dataCentre {
+		t.Away++
+		t.AwayBytes += j.Bytes
+	}
+}
+
 // Snapshot is the state of a queue at a moment.
 type Snapshot struct {
 	Tally     Tally
