Let pieces wait for the next call near their engine while calls have places left

Cause: each piece of a stage reads all results of the stage before. A third of the pieces ran in another data centre than their engine, because a piece went to the first upstream that was free unless its request had four full calls of time to spare.

Change: a piece is left to the data centre that needs it if an upstream there can take it now, or soon enough (a quarter of what its request can spare), while a quarter of the upstreams is idle or calls are less than half full. With fuller calls they are filled first, as before.

Test: TestPiecesWaitForTheNextCallNearTheirEngineUnderLightLoad.

--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
 )
 
 // Parameters of the order.
@@ -14,7 +16,11 @@
 	classesPerRank = 2               // the second one is for requests that have begun and will be late
 	lateRanks      = 2               // a piece whose request will be late counts as this much less urgent
 	slackCalls     = 4               // a job with this many full calls of time waits for an upstream near its engine
-	roundsHeld     = 2               // rounds of full calls that may wait; beyond, pieces that would be late are refused
+	idlePart       = 0.25            // of the places of the next calls: with less, and calls over half full, calls are filled first
+	halfFull       = 0.5
+	filledWeight   = 0.1  // of the newest call
+	slackPart      = 0.25 // of a job's spare time that it may wait for the next call near its engine
+	roundsHeld     = 2    // rounds of full calls that may wait; beyond, pieces that would be late are refused
 	rateSpan       = 500 * time.Millisecond
 	rateWeight     = 0.5  // of the newest span
 	inputsPart     = 0.8  // part of the time that results are kept after which inputs in the queue count as lost
@@ -147,8 +153,8 @@
 // While more jobs wait than the call takes, its last place goes to the first job of a less urgent rank that can still
 // be on time, so that no rank is without service.
 func (q *Queue) fill(t *target, now time.Time) []Job {
-	limit := min(t.limit, q.pool.RoomMB*bytesPerMB)
-	free := int64(limit) - t.used
+	limit := q.limit(t)
+	free := limit - t.used
 	waiting := map[string]int{}
 	for _, g := range q.groups {
 		waiting[g.first().Home] += len(g.jobs)
@@ -158,6 +164,7 @@
 		reserved = q.starved()
 	}
 	blocked := now.Before(t.blocked)
+	at, all := q.rooms(now)
 	var out []Job
 	for _, g := range q.groups {
 		places := q.pool.Batch - len(out)
@@ -171,11 +178,11 @@
 			break
 		}
 		j := g.first()
-		if places <= 0 || j.Bytes > 0 && blocked || q.leaveTo(*j, t, waiting, now) {
+		if places <= 0 || j.Bytes > 0 && blocked || q.leaveTo(*j, t, waiting, now, at[j.Home], all) {
 			continue
 		}
 		n := min(len(g.jobs), places)
-		if all := q.needs(j.Request); q.begun[j.Request] == 0 && float64(all) <= limit && all > free {
+		if all := q.needs(j.Request); q.begun[j.Request] == 0 && all <= limit && all > free {
 			continue
 		}
 		if j.Bytes > 0 {
@@ -195,6 +202,9 @@
 	return out
 }
 
+// limit is the memory that is counted on at an upstream.
+func (q *Queue) limit(t *target) int64 { return int64(min(t.limit, q.pool.RoomMB*bytesPerMB)) }
+
 // dropEmpty removes the groups from which all jobs were taken.
 func (q *Queue) dropEmpty(taken []Job) {
 	kept := q.groups[:0]
@@ -224,19 +234,75 @@
 	return all
 }
 
-// leaveTo reports whether a job should wait for an upstream in the data centre that needs its result: one there takes it with
-// its next calls, and the job is in no hurry. Large results that cross data centres are dear.
-func (q *Queue) leaveTo(j Job, t *target, waiting map[string]int, now time.Time) bool {
-	if j.Home == t.DataCentre || now.Add(slackCalls*q.callTime(q.pool.Batch)).After(j.Due) {
-		return false
+// room is what upstreams can take: those of one data centre, or all.
+type room struct {
+	idle   int       // places of calls that can begin now
+	bytes  int64     // largest memory that one of these upstreams has left
+	places int       // places of the next calls
+	free   time.Time // when the first of these can begin
+}
+
+// rooms returns what the upstreams of each data centre can take, and what all can.
+func (q *Queue) rooms(now time.Time) (at map[string]room, all room) {
+	ends := map[string]time.Time{}
+	for _, o := range q.open {
+		end := o.began.Add(q.callTime(len(o.jobs)))
+		if first, ok := ends[o.target]; !ok || end.Before(first) {
+			ends[o.target] = end
+		}
 	}
-	places := 0
-	for _, other := range q.targets {
-		if other.DataCentre == j.Home && other.present && !other.Avoid && !now.Before(other.pause) {
-			places += q.pool.Batch
+	at = map[string]room{}
+	for id, t := range q.targets {
+		if !q.usable(t, now) || now.Before(t.blocked) || t.pace >= slowPace {
+			continue
 		}
+		one := room{places: q.pool.Batch, free: now}
+		if t.calls < q.pool.Slots {
+			one.idle, one.bytes = q.pool.Batch, q.limit(t)-t.used
+		} else {
+			one.free = clock.Later(now, ends[id])
+		}
+		at[t.DataCentre] = at[t.DataCentre].and(one)
+		all = all.and(one)
+	}
+	return at, all
+}
+
+// and joins what two sets of upstreams can take.
+func (r room) and(other room) room {
+	if r.places == 0 {
+		return other
+	}
+	if other.free.Before(r.free) {
+		r.free = other.free
+	}
+	r.idle += other.idle
+	r.bytes = max(r.bytes, other.bytes)
+	r.places += other.places
+	return r
+}
+
+// leaveTo reports whether a job should wait for an upstream in the data centre that needs its result: each piece of a stage reads all
+// results of the stage before, so that one which runs elsewhere moves them all. One there takes it now, or with its next calls while
+// the job is in no hurry. While more waits than the upstreams can take, calls are filled instead.
+func (q *Queue) leaveTo(j Job, t *target, waiting map[string]int, now time.Time, home, all room) bool {
+	if j.Home == t.DataCentre || waiting[j.Home] > home.places {
+		return false
+	}
+	full := q.callTime(q.pool.Batch)
+	busy := float64(all.idle) < idlePart*float64(all.places)
+	switch {
+	case !now.Add(slackCalls * full).After(j.Due):
+		return true
+	case home.idle > 0 && q.needs(j.Request) > home.bytes:
+		return false // the upstreams there have no memory for its results
+	case q.waiting <= all.idle && waiting[j.Home] <= home.idle:
+		return true
+	case busy && q.filled > halfFull:
+		return false
 	}
-	return waiting[j.Home] <= places
+	spare := j.Due.Sub(now) - full
+	return home.free.Sub(now) <= time.Duration(slackPart*float64(spare))
 }
 
 // starved returns the group of a less urgent rank that can be on time and is due first; nil for none.
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -114,7 +114,8 @@
 	nextID    uint64
 	swept     time.Time // when results were last looked through for expired ones
 
-	tally Tally
+	tally  Tally
+	filled float64 // part of the places of a call that are used, as a mean of the latest calls
 
 	rate  float64   // pieces a second, made lately while others waited; 0: not known
 	made  int       // since then
@@ -309,6 +310,7 @@
 		q.tries[keyOf(j)]++
 	}
 	q.open[q.nextID] = open{t.ID, jobs, now}
+	q.filled += filledWeight * (float64(len(jobs))/float64(q.pool.Batch) - q.filled)
 	q.tally.Calls++
 	q.tally.Pieces += len(jobs)
 	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*patienceX/2 + patienceMore
--- a/internal/gate/stage/stage_test.go
+++ b/internal/gate/stage/stage_test.go
@@ -282,6 +282,50 @@
 	assert.DeepEqual(t, requests(calls[0].Jobs), []string{"urgent"})
 }
 
+// Load pattern: light load, with calls that are far from full. Guards against pieces that run away from their engine, and so read all
+// their inputs from another data centre, although an upstream near it is free in a moment; and against a piece that waits so while
+// calls are full, or longer than its request can spare.
+func TestPiecesWaitForTheNextCallNearTheirEngineUnderLightLoad(t *testing.T) {
+	const callTime = 166 * time.Millisecond // of one piece
+	for _, c := range []struct {
+		name   string
+		filled float64
+		due    time.Duration
+		left   time.Duration // of the call near the engine
+		away   bool
+	}{
+		{"calls are far from full", 0.2, 700 * time.Millisecond, 50 * time.Millisecond, false},
+		{"calls are full", 0.9, 700 * time.Millisecond, 50 * time.Millisecond, true},
+		{"its request has no time to spare", 0.2, 260 * time.Millisecond, 50 * time.Millisecond, true},
+		{"the upstream near it is busy for long", 0.2, 700 * time.Millisecond, 160 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := queue()
+			q.SetTargets([]Target{
+				{ID: "u1", DataCentre: "x"},
+				{ID: "u2", DataCentre: "y"},
+				{ID: "u3", DataCentre: "z"},
+				{ID: "u4", DataCentre: "w"},
+				{ID: "u5", DataCentre: "v"},
+			})
+			for _, home := range []string{"x", "z", "w", "v"} {
+				j := job("first"+home, 300*time.Millisecond, 1)
+				j.Home = home
+				q.Add(t0, j)
+			}
+			calls, _ := q.Next(t0)
+			assert.Equal(t, len(calls), 4, "u2 is idle")
+			q.filled = c.filled
+			now := t0.Add(callTime - c.left)
+			near := job("near", c.due, 1)
+			near.Home, near.Due = "x", now.Add(c.due)
+			q.Add(now, near)
+			calls, _ = q.Next(now)
+			assert.Equal(t, len(calls) > 0, c.away)
+		})
+	}
+}
+
 // Load pattern: memory for results that lets through less than full calls would. Guards against requests that learn only when
 // they are late that there is no place for them.
 func TestRefusalFollowsTheMeasuredRate(t *testing.T) {
