--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -108,6 +108,18 @@
 	return p
 }
 
+// startSmallest starts control node 1 as a group of its own and entry node 11, with a configuration and one upstream.
+func (f *fleet) startSmallest() *Process {
+	f.t.Helper()
+	f.seeds = f.seeds[:1]
+	f.start(1, true)
+	p := f.start(11, true)
+	f.put(1, f.config(5, "/x/"))
+	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	return p
+}
+
 // regions returns the region of each data centre.
 func (f *fleet) regions() map[string]string {
 	out := map[string]string{"a": "north"}
@@ -307,15 +319,7 @@
 		c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nBerylledge-Request: %s\r\nBerylledge-Signature: s\r\nContent-Length: 2\r\n\r\nok",
 			r.Header.Get("Berylledge-Request")))
 	})
-	f.start(1, true)
-	f.seeds = f.seeds[:1]
-	f.stop(1)
-	f.dirs[1] = ""
-	f.start(1, true)
-	p := f.start(11, true)
-	f.put(1, f.config(5, "/x/"))
-	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
-	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	p := f.startSmallest()
 	result := make(chan int)
 	go func() { result <- f.request(11, "/x/") }()
 	f.eventually("the request is under way", func() bool { return p.front.InFlight() == 1 })
--- a/internal/node/gated/metrics_test.go
+++ b/internal/node/gated/metrics_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/stats"
-	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
 // Guards against a page that differs from the metrics that are published.
@@ -21,15 +20,7 @@
 // Guards against metrics that are not published, or not those of what happened.
 func TestProcessesPublishTheirMetrics(t *testing.T) {
 	f := newFleet(t, 77)
-	f.start(1, true)
-	f.seeds = f.seeds[:1]
-	f.stop(1)
-	f.dirs[1] = ""
-	f.start(1, true)
-	p := f.start(11, true)
-	f.put(1, f.config(5, "/x/"))
-	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
-	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	f.startSmallest()
 	assert.Equal(t, f.request(11, "/x/"), 200)
 	assert.Equal(t, f.request(11, "/y/"), 404)
 	for node, lines := range map[int][]string{
