Test that a stalled disk stops the answers of its control node (fails)

Callers and upstreams see: while the disk of a control node answers nothing, the node answers no entry node, no heartbeat that an upstream leaves, and tells the others of no heartbeat.

Cause: group.Node.Status asks the goroutine that also writes, and desk asks for the status with each question and each message to the others.

--- a/internal/state/group/group_test.go
+++ b/internal/state/group/group_test.go
@@ -483,6 +483,57 @@
 	assert.Equal(t, sum, before+10)
 }
 
+// stalled is a storage whose disk answers nothing until end is closed. It says when a write has begun.
+type stalled struct {
+	group.Storage
+	on    *atomic.Bool
+	begun chan struct{}
+	end   chan struct{}
+}
+
+func (s stalled) Persist(p raft.Persist) error {
+	if s.on.Load() {
+		s.begun <- struct{}{}
+		<-s.end
+	}
+	return s.Storage.Persist(p)
+}
+
+// Guards against a control node that answers no question of entry nodes, and tells the others of no heartbeat, while its disk answers
+// nothing: neither needs the disk, but both ask for the state of the group.
+func TestStatusDoesNotWaitForTheDisk(t *testing.T) {
+	c := newCluster(t, 1)
+	disk := stalled{on: new(atomic.Bool), begun: make(chan struct{}, 9), end: make(chan struct{})}
+	c.wrap = func(s group.Storage) group.Storage {
+		disk.Storage = s
+		return disk
+	}
+	c.startAll()
+	leader := c.awaitLeader()
+	node := c.nodes[leader]
+	disk.on.Store(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = node.Propose(context.Background(), number(1)) // takes effect after the stall
+	}()
+	<-disk.begun
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		node.Status()
+	}()
+	select {
+	case <-answered:
+	case <-time.After(time.Second):
+		t.Error("no status while the disk answers nothing")
+	}
+	disk.on.Store(false)
+	close(disk.end)
+	<-answered
+	<-done
+}
+
 // Guards against a replaced member without the full state, and against a group that a restore from an export revives.
 func TestWipedMemberIsReplacedAndExportRestored(t *testing.T) {
 	c := newCluster(t, 3)
