Do not use a VM that stops in place of one that was lost

Change: a VM that stops says so in its answer; the caller asks the next seed then, and if all stop or are lost, it uses the VM that was named.

Measured: TestAVMThatStopsIsNotUsedInPlaceOfOneThatWasLost and TestTheAskedVMIsUsedWhileItNamesALostOne fail on the client before and pass.

--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -89,7 +89,9 @@
 		refuse(w, refusal(caller.CodeDraining, "no entry VM is available"))
 		return
 	}
-	httpd.WriteJSON(w, http.StatusOK, caller.Entry{Address: m.Address, ValidMS: n.o.EntryValid.Milliseconds()})
+	httpd.WriteJSON(w, http.StatusOK, caller.Entry{
+		Address: m.Address, ValidMS: n.o.EntryValid.Milliseconds(), Stopping: n.draining.Load(),
+	})
 }
 
 func (n *Node) serveSubmit(w http.ResponseWriter, r *http.Request) {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -26,6 +26,8 @@
 type Entry struct {
 	Address string `json:"address"`  // IP number and port
 	ValidMS int64  `json:"valid_ms"` // how long the answer may be kept
+	// Stopping says that the VM which answers stops as planned: it is not to be used, also where Address cannot be reached.
+	Stopping bool `json:"stopping,omitempty"`
 }
 
 // Submit is the body of POST /v1/requests.
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -92,6 +92,7 @@
 		return c.entry.Address, nil
 	}
 	last := errors.New("no seed is given")
+	var named *Entry // by a VM that stops
 	for _, seed := range c.o.Seeds {
 		if now.Before(c.lost[seed]) {
 			continue
@@ -101,16 +102,29 @@
 			c.lost[seed] = now.Add(avoidLost)
 			continue
 		}
-		if now.Before(c.lost[e.Address]) { // the asked node has not noticed yet; use the node itself
-			e = Entry{Address: seed}
+		if now.Before(c.lost[e.Address]) {
+			if e.Stopping {
+				named = &e
+				continue
+			}
+			e = Entry{Address: seed} // the asked node has not noticed yet; use the node itself
 		}
-		c.entry, c.until = e, now.Add(time.Duration(e.ValidMS)*time.Millisecond)
-		return e.Address, nil
+		return c.use(now, e), nil
+	}
+	if named != nil { // it may be back
+		return c.use(now, *named), nil
 	}
 	clear(c.lost) // all are avoided: try them all next time
 	return "", errors.Wrap(last, "no entry VM answers")
 }
 
+// use keeps an answer while it is valid. The lock is held.
+func (c *Client) use(now time.Time, e Entry) string {
+	c.entry, c.until = e, now.Add(time.Duration(e.ValidMS)*time.Millisecond)
+	delete(c.lost, e.Address)
+	return e.Address
+}
+
 func (c *Client) ask(ctx context.Context, seed string) (e Entry, err error) {
 	resp, err := c.send(ctx, http.MethodGet, seed, PathEntry, nil, nil)
 	if err != nil {
