Wait in a test for one leader that all know, also if it changes

Trace of a failing run: it waits for n1 while n0 leads in term 7 and all three members know it.

Change: the leader is read anew in each round. The check is as strict: one member leads, and all members name it.

--- a/internal/state/group/group_test.go
+++ b/internal/state/group/group_test.go
@@ -212,17 +212,18 @@
 	return ""
 }
 
+// awaitLeader waits until one member leads and all know it. The leader may change meanwhile.
 func (c *cluster) awaitLeader() string {
 	c.t.Helper()
-	c.until("leader", func() bool { return c.leader() != "" })
-	leader := c.leader()
-	c.until("followers know the leader", func() bool {
+	leader := ""
+	c.until("all know one leader", func() bool {
+		leader = c.leader()
 		for _, id := range c.ids() {
 			if c.nodes[id].Status().Raft.Leader != leader {
 				return false
 			}
 		}
-		return true
+		return leader != ""
 	})
 	return leader
 }
