Give each process of a test an address that nothing else can get

Cause: the harness asked the kernel for free ports and closed them again. The system's start did so twice, once for peers and once for callers, so that the second call could draw a port of the first one. The output shows it: n2 serves callers at 127.0.0.1:46565, and n3 should listen for peers at the same address. Besides, any listener without a port could take one before its node started. Neither the product nor the stop under load has a part in it.

Change: package test/hosts gives each test loopback IP numbers of its own, held by a listener on a reserved port, and fixed ports below those that the kernel chooses. All tests that closed a free port to use it later take theirs from it.

--- a/internal/node/admin/admin_test.go
+++ b/internal/node/admin/admin_test.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -27,6 +26,7 @@
 	"github.com/berylledge/berylledge/internal/node/setup"
 	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/test/fake"
+	"github.com/berylledge/berylledge/internal/test/hosts"
 	"github.com/berylledge/berylledge/internal/test/leak"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -63,10 +63,7 @@
 
 func start(t *testing.T) *system {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	s := &system{t: t, peer: l.Addr().String(), dataPath: t.TempDir()}
-	l.Close()
+	s := &system{t: t, peer: hosts.Address(t), dataPath: t.TempDir()}
 	file := filepath.Join(s.dataPath, "config.json")
 	assert.NilError(t, os.WriteFile(file, config("crew").Print(), 0o600))
 	s.control = newProcess(t, setup.Settings{
@@ -308,10 +305,7 @@
 	defer f.Close()
 	export, err := store.ReadExport(f)
 	assert.NilError(s.t, err)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(s.t, err)
-	address, dir := l.Addr().String(), filepath.Join(s.dataPath, "c9")
-	l.Close()
+	address, dir := hosts.Address(s.t), filepath.Join(s.dataPath, "c9")
 	_, err = store.Restore(dir, export, "c9", address, rand.Reader)
 	assert.NilError(s.t, err)
 	p := newProcess(s.t, setup.Settings{
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"github.com/berylledge/berylledge/internal/node/serve"
 	"github.com/berylledge/berylledge/internal/node/setup"
 	"github.com/berylledge/berylledge/internal/test/fake"
+	"github.com/berylledge/berylledge/internal/test/hosts"
 	"github.com/berylledge/berylledge/internal/test/leak"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
@@ -31,10 +31,7 @@
 
 func start(t *testing.T) *serve.Process {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address, dir := l.Addr().String(), t.TempDir()
-	l.Close()
+	address, dir := hosts.Address(t), t.TempDir()
 	cfg := fleet.Config{
 		FormatVersion: fleet.FormatVersion,
 		// The least limit that admission goes down to, so that it does not adapt when a request takes long on a busy machine.
--- a/internal/test/procs/harness_test.go
+++ b/internal/test/procs/harness_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 
 	"github.com/berylledge/berylledge/internal/test/built"
 	"github.com/berylledge/berylledge/internal/test/fake"
+	"github.com/berylledge/berylledge/internal/test/hosts"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
@@ -155,18 +155,6 @@
 	return c
 }
 
-func ports(t *testing.T, n int) []string {
-	t.Helper()
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out
-}
-
 const (
 	tokens     = 30
 	deadlineMS = 29_000 // below the deadline from which work counts as patient and is held to a part of the slots
@@ -206,7 +194,7 @@
 
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	dir, peers, listens := t.TempDir(), ports(t, 3), ports(t, 3)
+	dir, peers, listens := t.TempDir(), hosts.Addresses(t, 3), hosts.Addresses(t, 3)
 	config := filepath.Join(dir, "config.json")
 	assert.NilError(t, os.WriteFile(config, testConfig().Print(), 0o600))
 	control := fmt.Sprintf("n1=%s,n2=%s,n3=%s", peers[0], peers[1], peers[2])
--- a/internal/wire/upcon/upcon_test.go
+++ b/internal/wire/upcon/upcon_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/test/hosts"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
@@ -103,11 +104,7 @@
 // Guards against a second run of a request whose answer was lost: only a request of which no byte was sent is certain not to
 // have run.
 func TestOutcomeOfAFailedSend(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	nobody := l.Addr().String()
-	assert.NilError(t, l.Close())
-	_, err = send(t, newPool(), request(nobody, "a"))
+	_, err := send(t, newPool(), request(hosts.Address(t), "a"))
 	assert.Equal(t, outcome(t, err), NotSent)
 	var failed *SendError
 	assert.Assert(t, errors.As(err, &failed) && failed.Refused)
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/test/hosts"
 )
 
 // vm is an entry VM that answers which one to use.
@@ -22,19 +23,10 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// unreachable returns an address at which nothing listens.
-func unreachable(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // Guards against requests that are refused by a VM which stops as planned: it names another one that the caller could not reach a
 // moment ago, and was used itself instead.
 func TestAVMThatStopsIsNotUsedInPlaceOfOneThatWasLost(t *testing.T) {
-	lost := unreachable(t)
+	lost := hosts.Address(t)
 	stops := vm(t, func(string) Entry { return Entry{Address: lost, ValidMS: 2000, Stopping: true} })
 	other := vm(t, func(self string) Entry { return Entry{Address: self, ValidMS: 2000} })
 	c := New(Options{Seeds: []string{lost, stops, other}, Team: "crew"})
@@ -47,7 +39,7 @@
 // Guards against callers that fail because a VM which was just lost is still named by the others, and against those that have
 // nowhere to go because the only other VM stops.
 func TestTheAskedVMIsUsedWhileItNamesALostOne(t *testing.T) {
-	lost := unreachable(t)
+	lost := hosts.Address(t)
 	unaware := vm(t, func(string) Entry { return Entry{Address: lost, ValidMS: 2000} })
 	c := New(Options{Seeds: []string{lost, unaware}, Team: "crew"})
 	defer c.Close()
