Answer for the state of the group while a disk answers nothing

What callers saw: entry nodes of a control node with a stalled disk got no answer for 0.8 s before they turned to another one, and upstreams that report to it counted as silent after four missed heartbeats.

Cause: the state of a member was asked of the goroutine that also writes. Each answer to an entry node and each message to the other control nodes needs it.

Change: while a write lasts longer than 20 ms, Status returns the state before the write, marked Writing. The machine tells until when it trusts its leader (LeaderUntil: the election deadline; on the leader, the end of the quorum's last answers); after it the state names no leader and is not Current, so that an entry node learns that this control node is not sure. What acts on the other members' progress (repair, the beat of ctrl) waits as before.

The test uses the real clock now, since a stall takes time; its bound is the same. Packages state and node pass.

--- a/internal/node/ctrl/form.go
+++ b/internal/node/ctrl/form.go
@@ -148,7 +148,7 @@
 			n.o.Events.Emit(event.ControlFailed, event.F("reason", s.Err))
 			return
 		}
-		if now := n.o.Clock.Now(); !now.Before(beat) {
+		if now := n.o.Clock.Now(); !now.Before(beat) && !s.Writing {
 			beat = now.Add(beatEvery)
 			n.beat(s.Raft.Term)
 		}
--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -15,7 +15,8 @@
 //
 // A single goroutine owns the machine, the replica and the storage. Events that arrive while a write is in progress
 // are handled together after it, so that all their proposals share the next write. A disk that does not respond stops
-// the heartbeats as well; the others then elect a leader whose disk works.
+// the heartbeats as well; the others then elect a leader whose disk works. Status does not wait for such a disk: it
+// returns the state before the write, without the leader once the member would have given that up.
 //
 // # Outcomes
 //
@@ -52,6 +53,9 @@
 	DefaultForwardTimeout = 5 * time.Second
 )
 
+// statusWait is how long Status waits for a write to end.
+const statusWait = 20 * time.Millisecond
+
 // maxBatch bounds the events that one step handles, so that the heartbeats of a leader are not delayed by a long queue.
 const maxBatch = 1024
 
@@ -109,6 +113,14 @@
 	SnapshotErr error
 	// Dropped counts messages dropped because the inbox was full.
 	Dropped uint64
+	// Writing is true if the state is that before a write which has not ended yet.
+	Writing bool
+}
+
+// write is a write of the storage that has not ended yet.
+type write struct {
+	since  time.Time
+	before Status
 }
 
 // NotProposedError reports a request that has no effect and never will. It is also returned for reads and membership
@@ -151,7 +163,9 @@
 
 // Node is a running control node. Its methods may be called from any goroutine.
 type Node struct {
+	clock   clock.Clock
 	inbox   chan any
+	writing atomic.Pointer[write] // nil while no write is in progress
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
@@ -175,14 +189,15 @@
 	rc.ID, rc.Cluster, rc.Seed = cfg.Identity.Member.ID, cfg.Identity.Cluster, cfg.Seed
 	rc.Bootstrap = cfg.Identity.Bootstrap
 	n := &Node{
+		clock: cfg.Clock,
 		inbox: make(chan any, cfg.Inbox),
 		stop:  make(chan struct{}), done: make(chan struct{}),
 	}
-	l := newLoop(cfg, raft.New(rc, restored), restored.HardState.Term)
+	l := newLoop(cfg, raft.New(rc, restored), n, restored.HardState.Term)
 	go func() {
 		defer close(n.done)
-		l.run(n)
-		n.final = l.status(n)
+		l.run()
+		n.final = l.status()
 	}()
 	return n, nil
 }
@@ -261,16 +276,49 @@
 	return store.WriteExport(w, export)
 }
 
-// Status returns the state of the node. After the node has stopped it returns the last state.
+// Status returns the state of the node. After the node has stopped it returns the last state, during a long write the one before it.
 func (n *Node) Status() Status {
-	var s Status
+	for {
+		if s, ok := n.statusBeforeWrite(); ok {
+			return s
+		}
+		if s, ok := n.askStatus(); ok {
+			return s
+		}
+	}
+}
+
+// askStatus asks the goroutine of the node for the state. ok is false if it did not answer within statusWait.
+func (n *Node) askStatus() (s Status, ok bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer n.clock.AfterFunc(statusWait, cancel).Stop()
 	r := newRequest(kindInspect)
-	r.inspect = func(l *loop) error { s = l.status(n); return nil }
-	if _, err := n.do(context.Background(), r); err != nil {
+	r.inspect = func(l *loop) error { s = l.status(); return nil }
+	_, err := n.do(ctx, r)
+	switch {
+	case err == nil:
+		return s, true
+	case ctx.Err() != nil:
+		return Status{}, false
+	default:
 		<-n.done
-		return n.final
+		return n.final, true
+	}
+}
+
+// statusBeforeWrite returns the state before the write that is in progress; ok is false if there is none, or if it has just begun.
+func (n *Node) statusBeforeWrite() (s Status, ok bool) {
+	w, now := n.writing.Load(), n.clock.Now()
+	if w == nil || now.Sub(w.since) < statusWait {
+		return Status{}, false
+	}
+	s = w.before
+	s.Writing = true
+	if !now.Before(s.Raft.LeaderUntil) {
+		s.Raft.Leader, s.Raft.Role, s.Raft.Current = "", raft.Follower, false
 	}
-	return s
+	return s, true
 }
 
 // do hands a request to the goroutine and waits for its outcome.
--- a/internal/state/group/group_test.go
+++ b/internal/state/group/group_test.go
@@ -484,6 +484,9 @@
 	assert.Equal(t, sum, before+10)
 }
 
+// patience is far longer than an election timeout.
+const patience = 5 * time.Second
+
 // stalled is a storage whose disk answers nothing until end is closed. It says when a write has begun.
 type stalled struct {
 	group.Storage
@@ -501,9 +504,11 @@
 }
 
 // Guards against a control node that answers no question of entry nodes, and tells the others of no heartbeat, while its disk answers
-// nothing: neither needs the disk, but both ask for the state of the group.
+// nothing: neither needs the disk, but both ask for the state of the group. Guards as well against one that claims for the whole
+// stall to lead: the others have elected another leader by then.
 func TestStatusDoesNotWaitForTheDisk(t *testing.T) {
 	c := newCluster(t, 1)
+	c.real = true // the stall takes time
 	disk := stalled{on: new(atomic.Bool), begun: make(chan struct{}, 9), end: make(chan struct{})}
 	c.wrap = func(s group.Storage) group.Storage {
 		disk.Storage = s
@@ -519,20 +524,30 @@
 		_, _ = node.Propose(context.Background(), number(1)) // takes effect after the stall
 	}()
 	<-disk.begun
-	answered := make(chan struct{})
+	answered, doubted := make(chan group.Status, 1), make(chan struct{})
 	go func() {
-		defer close(answered)
-		node.Status()
+		answered <- node.Status()
+		for disk.on.Load() && node.Status().Raft.Current {
+			_ = clock.Sleep(t.Context(), clock.Real(), 10*time.Millisecond)
+		}
+		close(doubted)
 	}()
 	select {
-	case <-answered:
+	case s := <-answered:
+		assert.Check(t, s.Writing)
 	case <-time.After(time.Second):
 		t.Error("no status while the disk answers nothing")
 	}
+	select {
+	case <-doubted:
+	case <-time.After(patience):
+		t.Error("it claims to know the newest state for as long as the disk answers nothing")
+	}
 	disk.on.Store(false)
 	close(disk.end)
-	<-answered
+	<-doubted
 	<-done
+	assert.Check(t, !node.Status().Writing)
 }
 
 // Guards against a replaced member without the full state, and against a group that a restore from an export revives.
--- a/internal/state/group/loop.go
+++ b/internal/state/group/loop.go
@@ -12,6 +12,7 @@
 type loop struct {
 	cfg Config
 	m   *raft.Machine
+	n   *Node
 	err error
 
 	nextID  uint64
@@ -44,18 +45,19 @@
 	data  []byte
 }
 
-func newLoop(cfg Config, m *raft.Machine, startTerm uint64) *loop {
+func newLoop(cfg Config, m *raft.Machine, n *Node, startTerm uint64) *loop {
 	return &loop{
-		cfg: cfg, m: m, open: map[uint64]origin{},
+		cfg: cfg, m: m, n: n, open: map[uint64]origin{},
 		forwards: newForwardTable(startTerm, uint64(cfg.Clock.Now().UnixNano())),
 	}
 }
 
-func (l *loop) status(n *Node) Status {
-	return Status{Raft: l.m.Status(), Err: l.err, SnapshotErr: l.snapshotErr, Dropped: n.dropped.Load()}
+func (l *loop) status() Status {
+	return Status{Raft: l.m.Status(), Err: l.err, SnapshotErr: l.snapshotErr, Dropped: l.n.dropped.Load()}
 }
 
-func (l *loop) run(n *Node) {
+func (l *loop) run() {
+	n := l.n
 	l.events = []raft.Event{raft.Tick{}}
 	l.process(n.inbox)
 	timer := l.cfg.Clock.NewTimer(l.wait())
@@ -227,7 +229,10 @@
 func (l *loop) execute(a raft.Action) {
 	switch a := a.(type) {
 	case raft.Persist:
-		if l.err = l.cfg.Storage.Persist(a); l.err == nil {
+		l.n.writing.Store(&write{since: l.cfg.Clock.Now(), before: l.status()})
+		l.err = l.cfg.Storage.Persist(a)
+		l.n.writing.Store(nil)
+		if l.err == nil {
 			l.events = append(l.events, raft.Persisted{Seq: a.Seq})
 		}
 	case raft.Send:
--- a/internal/state/keep/form.go
+++ b/internal/state/keep/form.go
@@ -145,6 +145,9 @@
 		if s.Err != nil {
 			return s.Err
 		}
+		if s.Writing {
+			continue // what it says of the other members is too old to act on
+		}
 		m.learn(s.Raft.Members)
 		if s.Raft.Leader != lastLeader {
 			lastLeader = s.Raft.Leader
--- a/internal/state/raft/machine.go
+++ b/internal/state/raft/machine.go
@@ -112,12 +112,13 @@
 	s := Status{
 		ID: m.cfg.ID, Cluster: m.cfg.Cluster, Role: m.role, Term: m.hard.Term, Leader: m.leader,
 		First: m.log.base + 1, Last: m.log.last(), Commit: m.commit, Applied: m.applied,
-		SnapshotIndex: m.snap.Index, Members: slices.Clone(m.members()),
+		SnapshotIndex: m.snap.Index, Members: slices.Clone(m.members()), LeaderUntil: m.election,
 	}
 	if t, ok := m.log.term(m.applied); ok {
 		s.Current = m.leader != "" && t == m.hard.Term
 	}
 	if m.role == Leader {
+		s.LeaderUntil = m.quorumUntil(m.members())
 		s.Match = map[string]uint64{m.cfg.ID: m.persist.stable}
 		for id, pr := range m.peers {
 			s.Match[id] = pr.match
--- a/internal/state/raft/member.go
+++ b/internal/state/raft/member.go
@@ -1,6 +1,9 @@
 package raft
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // configAt is a configuration and the index of the entry that brought it about. A configuration is in force as soon
 // as its entry is in the log, committed or not.
@@ -45,6 +48,27 @@
 	return m.quorum(members, m.active)
 }
 
+// quorumUntil returns when quorumActive ends unless one of these voters answers before. The own vote counts from the last step.
+func (m *Machine) quorumUntil(members []Member) time.Time {
+	var acked []time.Time
+	for _, v := range members {
+		switch pr := m.peers[v.ID]; {
+		case v.Learner:
+		case v.ID == m.cfg.ID:
+			acked = append(acked, m.now)
+		case pr != nil:
+			acked = append(acked, pr.acked)
+		default:
+			acked = append(acked, time.Time{})
+		}
+	}
+	if len(acked) == 0 {
+		return m.now
+	}
+	slices.SortFunc(acked, func(a, b time.Time) int { return b.Compare(a) })
+	return acked[len(acked)/2].Add(m.cfg.ElectionTimeout)
+}
+
 func (m *Machine) active(id string) bool {
 	if id == m.cfg.ID {
 		return true
--- a/internal/state/raft/raft.go
+++ b/internal/state/raft/raft.go
@@ -455,6 +455,8 @@
 	// Current is true while a leader is known and this member has applied an entry of its term, and so all that was
 	// acknowledged before it was elected. What was acknowledged since may still be on its way.
 	Current bool
+	// LeaderUntil is when this member gives up its leader unless it hears from it before; on the leader, from a quorum.
+	LeaderUntil time.Time
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
 	Members       []Member
