Say in the line of a request whether a pause made it late

Cause: a stream is late when its first event is, or when it pauses for longer than its route allows. Only the first was logged, so that nobody could tell how many requests a long prompt on their engine costs.

Change: forward_finished has pause_ms (longest time between two events), late (before, stages, upstream or pause: the first cause that was enough by itself) and streams (requests at the engine that got events when its place was given).

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -296,6 +296,9 @@
 		if other.rank <= r.Rank {
 			f.Ahead += other.unread
 		}
+		if other.streaming() {
+			f.Streams++
+		}
 	}
 	return f
 }
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -42,6 +42,8 @@
 	// a more urgent one that were placed there before.
 	Unread int `cbor:"5,keyasint,omitempty"`
 	Ahead  int `cbor:"6,keyasint,omitempty"`
+	// Streams is the number of requests at the engine whose events are on their way, so that they pause while it reads the prompt.
+	Streams int `cbor:"10,keyasint,omitempty"`
 	// Likely is Total as such forecasts have turned out lately, and Engine what the engine will take after the stages.
 	Likely time.Duration `cbor:"7,keyasint,omitempty"`
 	Engine time.Duration `cbor:"8,keyasint,omitempty"`
--- a/internal/gate/front/exchange.go
+++ b/internal/gate/front/exchange.go
@@ -54,6 +54,7 @@
 	staged    time.Duration       // until the stages were done
 	lastSent  time.Duration       // until the last send to an upstream
 	first     time.Duration       // until the first event or the answer was passed on
+	pause     time.Duration       // longest time between two events that were passed on
 	failed    map[string]bool     // upstreams that failed this request
 	content   *poison.Fingerprint // nil until it was needed
 	informed  bool                // news of the content were waited for since its last crash
@@ -358,10 +359,35 @@
 		event.F("before_ms", x.split.Before.Milliseconds()), event.F("queued_ms", x.split.Queued.Milliseconds()),
 		event.F("called_ms", x.split.Called.Milliseconds()), event.F("handed_ms", x.split.Handed.Milliseconds()),
 		event.F("stage_ms", x.staged.Milliseconds()), event.F("sent_ms", x.lastSent.Milliseconds()), event.F("first_ms", x.first.Milliseconds()),
-		event.F("elapsed_ms", elapsed.Milliseconds()), event.F("unread", forecast.Unread), event.F("ahead", forecast.Ahead),
+		event.F("pause_ms", x.pause.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()), event.F("late", x.lateBy(elapsed)),
+		event.F("unread", forecast.Unread), event.F("ahead", forecast.Ahead), event.F("streams", forecast.Streams),
 		event.F("ran", x.ranText()), event.F("reason", reason))
 }
 
+// lateBy names what made the answer late, for a log line; empty for one that was on time. Of several causes it is the first one
+// that was enough by itself.
+func (x *exchange) lateBy(elapsed time.Duration) string {
+	if x.route == nil || x.due.IsZero() {
+		return ""
+	}
+	slack := x.due.Sub(x.began)
+	answered := elapsed
+	if x.first > 0 {
+		answered = x.first
+	}
+	switch {
+	case slack <= 0:
+		return "before"
+	case x.staged > slack:
+		return "stages"
+	case answered > slack:
+		return "upstream"
+	case x.route.Gap > 0 && x.pause > x.route.Gap.Duration():
+		return "pause"
+	}
+	return ""
+}
+
 func (x *exchange) ranText() string {
 	switch {
 	case x.maybeRan:
--- a/internal/gate/front/stream.go
+++ b/internal/gate/front/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -67,9 +68,10 @@
 
 type streaming struct {
 	x     *exchange
-	last  string // id of the last event that the caller has
-	first bool   // the first event was passed on
-	rest  []byte // bytes of an event that is not whole
+	last  string    // id of the last event that the caller has
+	first bool      // the first event was passed on
+	at    time.Time // when the last event was passed on
+	rest  []byte    // bytes of an event that is not whole
 }
 
 func (s *streaming) headers() http.Header {
@@ -172,6 +174,11 @@
 	}
 	whole := s.unseen(s.rest[:end])
 	s.begin(a)
+	now := s.x.f.o.Clock.Now()
+	if s.first {
+		s.x.pause = max(s.x.pause, now.Sub(s.at))
+	}
+	s.at = now
 	if !s.first {
 		s.first = true
 		s.x.f.noteRead(s.x.seat)
