Elect a leader soon after all control nodes were killed

What callers saw: after all machines lost power, entry nodes refused everything for two seconds more than the machines were away: they take work only when a control node is sure of the newest configuration, and none was without a leader.

Change: the first candidacies are spread over more time the more voters there are (the first of them comes no later on the mean), and a candidate that wins nothing tries again after two heartbeats, then four, then the election timeout. Followers that have heard a leader wait for as long as before.

--- a/internal/state/raft/elect.go
+++ b/internal/state/raft/elect.go
@@ -10,10 +10,30 @@
 // firstElection sets the timer of a member that has just started. It is shorter than later ones, so that a group whose members
 // all restarted has a leader soon: a leader at work is heard within a heartbeat, and otherwise the pre-vote is refused.
 func (m *Machine) firstElection() {
-	jitter := time.Duration(m.rng.Int64N(int64(m.cfg.Heartbeat)))
-	m.election = m.now.Add(m.cfg.Heartbeat + jitter)
+	m.election = m.now.Add(m.cfg.Heartbeat + m.spread())
 }
 
+// retryElection sets the timer of a candidate. Candidates that split the votes try again soon; those that get no answers in time, because
+// disks or links are slow, wait longer each time, up to an election timeout.
+func (m *Machine) retryElection() {
+	wait := min(m.cfg.Heartbeat<<m.tries, m.cfg.ElectionTimeout)
+	m.election = m.now.Add(wait + m.spread())
+}
+
+// spread is a random time that parts the candidacies of restarted members: the more voters there are, the more would coincide.
+func (m *Machine) spread() time.Duration {
+	voters := 0
+	for _, v := range m.members() {
+		if !v.Learner {
+			voters++
+		}
+	}
+	return time.Duration(m.rng.Int64N(int64(m.cfg.Heartbeat) * int64(max(voters/2, 1))))
+}
+
+// maxTries bounds how often the wait of a candidate is doubled.
+const maxTries = 8
+
 // follow makes this member a follower in term. Proposals that it has appended as leader stay pending, because a later
 // leader may still commit them.
 func (m *Machine) follow(term uint64, leader string) {
@@ -32,19 +52,19 @@
 	if leader == m.leader {
 		return
 	}
-	m.leader = leader
+	m.leader, m.tries = leader, 0
 	m.emit(LeaderChanged{Term: m.hard.Term, Leader: leader})
 }
 
 // campaign asks for pre-votes. A member without a vote only waits.
 func (m *Machine) campaign() {
-	m.resetElection()
+	m.setLeader("")
+	m.tries = min(m.tries+1, maxTries)
+	m.retryElection()
 	if !m.mayCampaign() {
-		m.setLeader("")
 		return
 	}
 	m.role, m.votes = PreCandidate, map[string]bool{m.cfg.ID: true}
-	m.setLeader("")
 	m.requestVotes(KindPreVote, m.hard.Term+1)
 	m.countPreVotes()
 }
@@ -130,7 +150,7 @@
 	}
 	m.role, m.votes = Candidate, map[string]bool{}
 	m.setHard(m.hard.Term+1, m.cfg.ID)
-	m.resetElection()
+	m.retryElection()
 	m.requestVotes(KindVote, m.hard.Term)
 	// The own vote counts once it is durable, like the others.
 	m.send(m.message(KindVoteReply, m.cfg.ID), m.needAll())
--- a/internal/state/raft/machine.go
+++ b/internal/state/raft/machine.go
@@ -24,6 +24,7 @@
 	leader   string
 	contact  time.Time // last message of the leader of this term
 	election time.Time // when to start an election
+	tries    int       // candidacies since a leader was known
 	beat     time.Time // when the leader sends the next heartbeats
 	elected  time.Time // when this member became leader
 	votes    map[string]bool
--- a/internal/state/raft/raft.go
+++ b/internal/state/raft/raft.go
@@ -27,7 +27,8 @@
 //
 // A member asks for pre-votes before it raises its term, so that a returning member does not depose a working leader.
 // A member that has heard from a leader within ElectionTimeout refuses both kinds of vote. A leader that has not heard
-// from a quorum for ElectionTimeout steps down.
+// from a quorum for ElectionTimeout steps down. A candidate that wins nothing tries again sooner than that, since candidacies that
+// coincide split the votes, and waits longer each time.
 //
 // # Formation and identity
 //
--- a/internal/state/raft/raft_test.go
+++ b/internal/state/raft/raft_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -217,3 +219,21 @@
 		s.check(follower.applied == uint64(len(s.committed)), "follower lags: %+v", s.state())
 	})
 }
+
+// Load pattern: all control nodes are killed at once and start again, while everybody asks them. Guards against members whose
+// candidacies coincide, so that each has some votes and nobody leads before another election timeout is over.
+func TestARestartedGroupHasALeaderWithinAnElectionTimeout(t *testing.T) {
+	for _, size := range []int{3, 5, 7, 9} {
+		t.Run(fmt.Sprint("members=", size), func(t *testing.T) {
+			restarts, late := 0, 0
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, size, rapid.Uint64().Draw(t, "seed"))
+				restarts++
+				if s.restartAll() > DefaultElectionTimeout {
+					late++
+				}
+			})
+			assert.Assert(t, late*20 <= restarts, "%d of %d groups have no leader by then", late, restarts)
+		})
+	}
+}
