Place prompts where their reading makes no stream late

Cause: an engine reads a prompt in one go, and its streams wait. The route's longest pause was read by nothing; the placer weighed tokens to read before the first event, and spread chats over all engines, so that each long prompt met some.

Change: the placer learns how long engines take for a prompt token. A prompt costs more at an engine the more streams run there and the nearer its reading time comes to their longest pause; a request avoids an engine at which a long prompt arrives in a moment; and where prompts do make streams late, a request with a short one joins streams, which leaves other engines for the long ones. How strongly follows from the prompts placed lately, not from a setting.

Tests: three load patterns in engine_test.go; each fails with its term of the cost taken out.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -20,8 +20,12 @@
 // The cost of an engine is the number of prompt tokens that it has to read before the request's first token: those of the
 // requests placed there before, and those of the request's own prompt that it does not have. Urgent requests do not count
 // less urgent ones, which engines put behind. Tokens of shared parts count more, since a part that is read again also takes
-// the place of another one. The streams of an engine pause while it reads a prompt, so that a long prompt costs more where
-// many run.
+// the place of another one.
+//
+// An engine reads a prompt in one go, and its streams pause meanwhile. A stream that pauses for longer than its route allows
+// is late, as one whose first event is late. So a prompt costs more the more streams run at the engine and the nearer its reading
+// time comes to their longest pause; and where prompts do make streams late, a request whose own prompt is short goes to an engine
+// that has streams already, which leaves others without streams for the long prompts.
 package engine
 
 import (
@@ -48,6 +52,8 @@
 	Needs   []Need   `cbor:"7,keyasint,omitempty"` // stages that it has to pass before
 	// Due is the time that is left until the request is late.
 	Due time.Duration `cbor:"8,keyasint,omitempty"`
+	// Gap is the longest pause between two events that is on time; 0: any.
+	Gap time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Target is an engine.
@@ -71,16 +77,12 @@
 
 // Parameters of the choice.
 const (
-	sharedCost   = 2.2             // of a token of a shared part, against a token that must be read anyway
-	stagedWeight = 0.3             // of the prompt of a request whose stages still run
-	streamCost   = 0.05            // of a token that must be read, for each stream that pauses meanwhile
-	runCost      = 40              // tokens for each running request, which all slow each other down
-	firstPause   = time.Second     // after a failure
-	mostPause    = 8 * time.Second // after several
-	fullPause    = 200 * time.Millisecond
-	ticketFor    = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
-	sweepEvery   = 200 * time.Millisecond
-	cacheMargin  = 0.8 // part of an engine's memory that is taken to hold parts of prompts
+	firstPause  = time.Second     // after a failure
+	mostPause   = 8 * time.Second // after several
+	fullPause   = 200 * time.Millisecond
+	ticketFor   = 20 * time.Second // a ticket that was not ended is dropped, since its node may have died
+	sweepEvery  = 200 * time.Millisecond
+	cacheMargin = 0.8 // part of an engine's memory that is taken to hold parts of prompts
 )
 
 type ticket struct {
@@ -91,6 +93,7 @@
 	tokens int
 	at     time.Time
 	due    time.Time
+	gap    time.Duration // longest pause between two events that is on time; 0: any
 	needs  []Need        // pieces that are still to be made
 	own    int           // prompt tokens that had to be read when the place was given
 	begun  bool          // a stage is done
@@ -121,8 +124,10 @@
 	tickets map[uint64]*ticket
 	next    uint64
 	pools   map[string]Pool
-	engine  times // from the end of a request's stages to its first event, by prompt tokens to read
-	stages  times // of a request's stages, by the time that they were expected to take
+	engine  times   // from the end of a request's stages to its first event, by prompt tokens to read
+	stages  times   // of a request's stages, by the time that they were expected to take
+	reads   line    // nanoseconds from the end of a request's stages to its first event, by prompt tokens to read, of all ranks
+	share   float64 // of streams that are late because of a prompt, on the mean of the prompts placed lately
 	unmet   unmet
 	swept   time.Time // when tickets were last looked through for forgotten ones
 }
@@ -176,12 +181,13 @@
 	due := p.unmet.due(own, now.Add(r.Due))
 	r.Due = due.Sub(now)
 	p.next++
-	t := &ticket{part: own, target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: due}
+	t := &ticket{part: own, target: best.ID, unread: best.unread(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, at: now, due: due, gap: r.Gap}
 	t.needs = slices.Clone(r.Needs)
 	if !t.staging() {
 		t.ready = now
 	}
 	forecast := p.judge(now, r, best, t.unread)
+	p.learnPauses(t.unread, r.Gap)
 	t.own, t.total, t.late = t.unread, forecast.Total, forecast.Late
 	p.tickets[p.next] = t
 	best.tickets[p.next] = t
@@ -193,6 +199,7 @@
 func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
 	var out *target
 	var least float64
+	known := p.pauses()
 	for _, t := range p.targets {
 		if !t.present || slices.Contains(r.Exclude, t.ID) {
 			continue
@@ -201,7 +208,7 @@
 		if !usable && !paused {
 			continue
 		}
-		cost := t.cost(r, chains)
+		cost := t.cost(r, chains, known)
 		if out == nil || cost < least || cost == least && prefers(t.ID, out.ID, chains) {
 			out, least = t, cost
 		}
@@ -241,35 +248,6 @@
 	return max(unread, 0)
 }
 
-func (t *target) cost(r Request, chains []string) float64 {
-	own := float64(t.unread(r, chains))
-	cost := own
-	for i, x := range r.Parts[:max(len(r.Parts)-1, 0)] {
-		if t.parts[chains[i]] == nil {
-			cost += (sharedCost - 1) * float64(x.Tokens)
-		}
-	}
-	for _, other := range t.tickets {
-		cost += runCost
-		if other.streaming() {
-			cost += streamCost * own
-		}
-		if other.rank <= r.Rank {
-			cost += other.weight() * float64(other.unread)
-		}
-	}
-	return cost
-}
-
-// weight is the part of a request's unread prompt that stands before another one: a request whose stages still run reaches its
-// engine later, and the engine reads other prompts until then.
-func (t *ticket) weight() float64 {
-	if t.staging() {
-		return stagedWeight
-	}
-	return 1
-}
-
 // staging reports whether the request still has stages to pass.
 func (t *ticket) staging() bool {
 	return slices.ContainsFunc(t.needs, func(n Need) bool { return n.Pieces > 0 })
@@ -343,7 +321,9 @@
 		return
 	}
 	if !t.ready.IsZero() {
-		p.engine.add(t.rank, float64(t.own), now.Sub(t.ready))
+		took := now.Sub(t.ready)
+		p.engine.add(t.rank, float64(t.own), took)
+		p.reads.add(float64(t.own), float64(took))
 	}
 	t.unread = 0
 }
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -50,6 +50,68 @@
 	assert.Equal(t, id, "e0", "a short prompt hardly delays them")
 }
 
+const (
+	gap   = 300 * time.Millisecond
+	token = 25 * time.Microsecond // reading time
+)
+
+// learned returns a placer that has seen how long engines read.
+func learned(t *testing.T, engines int) *Placer {
+	t.Helper()
+	p := placer(engines)
+	for i := range 20 {
+		r := review(fmt.Sprint("learn", i), 500*i)
+		r.Gap = gap
+		ticket, _ := place(t, p, r)
+		p.First(t0.Add(time.Duration(13_000+500*i)*token), ticket)
+		p.End(t0, ticket, Served)
+	}
+	return p
+}
+
+// chats starts streams of requests with short prompts and returns the number at each engine.
+func chats(t *testing.T, p *Placer, n int) map[string]int {
+	t.Helper()
+	at := map[string]int{}
+	for i := range n {
+		ticket, id := place(t, p, Request{Parts: []Part{{fmt.Sprint("chat", i), 700}}, Prompt: 700, Output: 300, Rank: 2, Gap: gap})
+		at[id]++
+		p.First(t0.Add(700*token), ticket)
+	}
+	return at
+}
+
+// Load pattern: long digests beside chats, on a calm day. Guards against a prompt whose reading makes the streams of its engine late,
+// because no other prompt waits there.
+func TestAPromptThatIsReadForLongerThanAPauseAvoidsStreams(t *testing.T) {
+	p := learned(t, 2)
+	for busy := range chats(t, p, 1) {
+		place(t, p, Request{Parts: []Part{{"waits", 4000}}, Prompt: 4000, Exclude: []string{busy}})
+		_, id := place(t, p, Request{Parts: []Part{{"brief", 1500}}, Prompt: 1500, Gap: gap})
+		assert.Equal(t, id, busy, "37 ms are no pause")
+		_, id = place(t, p, Request{Parts: []Part{{"digest", 12_500}}, Prompt: 12_500, Gap: gap})
+		assert.Assert(t, id != busy, "the chat would pause for 312 ms of 300")
+	}
+}
+
+// Load pattern: chats beside long digests, on a calm day. Guards against chats that are spread over all engines, so that none is left
+// where a long prompt makes nobody late.
+func TestChatsShareAFewEngines(t *testing.T) {
+	p := learned(t, 8)
+	at := chats(t, p, 16)
+	assert.Assert(t, len(at) <= 4, "%v", at)
+}
+
+// Guards against a chat that joins streams at an engine at which a long prompt arrives in a moment.
+func TestAChatAvoidsAPromptWhoseStagesStillRun(t *testing.T) {
+	p := learned(t, 2)
+	_, id := place(t, p, Request{
+		Parts: []Part{{"digest", 12_500}}, Prompt: 12_500, Rank: 3, Gap: gap, Needs: []Need{{Service: "s", Pieces: 1}},
+	})
+	place(t, p, Request{Parts: []Part{{"waits", 1500}}, Prompt: 1500, Rank: 2, Exclude: []string{id}})
+	assert.Equal(t, chats(t, p, 1)[id], 0)
+}
+
 // Load pattern: requests about a few long documents, one after the other. Guards against a document that each engine reads.
 func TestRequestsReturnToTheEngineThatReadTheirDocument(t *testing.T) {
 	p := placer(3)
--- a/internal/gate/engine/learn.go
+++ b/internal/gate/engine/learn.go
@@ -19,18 +19,22 @@
 	l.xy = l.xy*forget + x*y
 }
 
-// at returns the value that is expected at x; false before enough samples came. A slope below 0 counts as 0.
+// at returns the value that is expected at x; false before enough samples came.
 func (l *line) at(x float64) (float64, bool) {
 	if l.n < leastSamples {
 		return 0, false
 	}
+	return max(l.y/l.n+l.slope()*(x-l.x/l.n), 0), true
+}
+
+// slope returns by how much the quantity grows with the other one; 0 before enough samples came, and instead of less.
+func (l *line) slope() float64 {
 	meanX, meanY := l.x/l.n, l.y/l.n
 	spread := l.xx/l.n - meanX*meanX
-	slope := 0.0
-	if spread > 0 {
-		slope = max((l.xy/l.n-meanX*meanY)/spread, 0)
+	if l.n < leastSamples || spread <= 0 {
+		return 0
 	}
-	return max(meanY+slope*(x-meanX), 0), true
+	return max((l.xy/l.n-meanX*meanY)/spread, 0)
 }
 
 // leastSamples is the weight of samples from which on a line is used.
--- a/internal/gate/front/placing.go
+++ b/internal/gate/front/placing.go
@@ -176,7 +176,7 @@
 func (x *exchange) engineRequest() engine.Request {
 	names := x.f.o.Dialect.Headers
 	r := engine.Request{Model: x.r.Header.Get(names.Model), Rank: x.rank()}
-	r.Due = x.slack()
+	r.Due, r.Gap = x.slack(), x.route.Gap.Duration()
 	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
 	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
