Refuse seeds that are no addresses, also when the settings change

What was seen: a settings file whose seeds had a host name was taken at a reload, and the process went on without any seed.

Cause: seeds were not among the checked settings, and what could not be read as an address was left out.

--- a/internal/node/gated/gated_test.go
+++ b/internal/node/gated/gated_test.go
@@ -42,6 +42,7 @@
 	room  atomic.Int64       // bytes of a control node's data file, for nodes that open it from now on; 0: any number
 	every conf.MS            // between two heartbeats
 	links *links.Net         // nil: the nodes reach each other at full speed
+	files map[int]string     // settings files that the nodes watch; nil: they watch none
 }
 
 const (
@@ -102,12 +103,25 @@
 		f.links.Place(f.ip(node), place.Region)
 		o.Dial = f.links.Dialer(f.ip(node))
 	}
+	if f.files != nil {
+		f.files[node] = filepath.Join(f.t.TempDir(), "settings.json")
+		f.write(node, s)
+		o.Path = f.files[node]
+	}
 	p, err := New(s, o)
 	assert.NilError(f.t, err)
 	f.nodes[node] = p
 	return p
 }
 
+// write writes the settings file of a node.
+func (f *fleet) write(node int, s Settings) {
+	f.t.Helper()
+	data, err := json.Marshal(s)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, os.WriteFile(f.files[node], data, 0o600))
+}
+
 // startSmallest starts control node 1 as a group of its own and entry node 11, with a configuration and one upstream.
 func (f *fleet) startSmallest() *Process {
 	f.t.Helper()
@@ -411,7 +425,7 @@
 	for old, bad := range map[string]string{
 		`"ip":"10.0.0.1"`: `"ip":"host"`, `"peer_port":7000`: `"peer_port":0`, `"node":"e1"`: `"node":""`,
 		`"callers":"10.0.0.1:80"`: `"callers":"10.0.0.1"`, `{"callers":"10.0.0.1:80"}`: `{"control":"10.0.0.1:80"}`,
-		`"new_field":1}`: `"new_field":`,
+		`"new_field":1}`: `"new_field":`, `"peer_port":7000,`: `"peer_port":7000,"seeds":["10.0.0.2:80","control-1:80"],`,
 	} {
 		err := write(strings.Replace(good, old, bad, 1))
 		assert.ErrorContains(t, err, "settings", bad)
--- a/internal/node/gated/settings.go
+++ b/internal/node/gated/settings.go
@@ -118,6 +118,10 @@
 		_, _, err := net.SplitHostPort(address)
 		need(address == "" || err == nil, field, address, "an IP number and a port are required")
 	}
+	for _, seed := range s.Seeds {
+		_, err := netip.ParseAddrPort(seed)
+		need(err == nil, "seeds", seed, "an IP number and a port are required")
+	}
 	need(s.Listen.Callers != "" || s.Listen.Control != "", "listen", "", "callers or control is required")
 	need(s.Listen.Control == "" || s.Data != "", "data", s.Data, "a control node needs a folder")
 	need(s.BeatMS >= 0, "heartbeat_ms", fmt.Sprint(s.BeatMS), "0 or more is allowed")
@@ -149,8 +153,8 @@
 func (s *Settings) seedPeers() []string {
 	var out []string
 	for _, seed := range s.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			out = append(out, s.peerAddress(host))
+		if at, err := netip.ParseAddrPort(seed); err == nil { // check has refused others
+			out = append(out, s.peerAddress(at.Addr().String()))
 		}
 	}
 	return out
