Carry the messages of a group's members in one place

Cause: the control nodes of pipelines (node/ctrl) and of forwarding (state/keep) each kept the addresses of members, sent and decoded consensus messages; one of them decoded without the project's limits, the other dropped a message that cannot be encoded in silence.

Change: package state/post does it for both, within limits. Questions of operators are decoded by wire/codec. No message changes.

TestTheAddressOfASenderIsLearned and TestMalformedMessagesAreRefused test what both relied on.

--- a/internal/node/ctrl/ctrl.go
+++ b/internal/node/ctrl/ctrl.go
@@ -28,6 +28,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/state/group"
+	"github.com/berylledge/berylledge/internal/state/post"
 	"github.com/berylledge/berylledge/internal/state/raft"
 	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/state/table"
@@ -65,15 +66,15 @@
 	o      Options
 	store  *store.Store
 	table  *table.Log
+	post   *post.Post
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	group   *group.Node // nil until the group is formed
-	address map[string]string
-	known   uint64 // revision that was last handed to Commit
-	leader  string
+	mu     sync.Mutex
+	group  *group.Node // nil until the group is formed
+	known  uint64      // revision that was last handed to Commit
+	leader string
 
 	identity atomic.Pointer[store.Identity]
 
@@ -88,15 +89,11 @@
 	Initial []raft.Member `cbor:"3,keyasint,omitempty"`
 }
 
-// message is a consensus message with the address of its sender, which a member that was just added does not know.
-type message struct {
-	Address string       `cbor:"1,keyasint"`
-	Raft    raft.Message `cbor:"2,keyasint"`
-}
-
 // New opens the data folder, or makes one, and starts the node.
 func New(o Options) (*Node, error) {
-	n := &Node{o: o, table: table.NewLog(table.Limits{}), address: map[string]string{}, changed: make(chan struct{}, 1)}
+	n := &Node{
+		o: o, table: table.NewLog(table.Limits{}), post: post.New(o.Address, o.Hub, o.Events), changed: make(chan struct{}, 1),
+	}
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -129,11 +126,9 @@
 func (n *Node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, m := range n.store.Identity.Bootstrap {
-		n.address[m.ID] = m.Address
-	}
+	n.post.Learn(n.store.Identity.Bootstrap...)
 	g, err := group.New(group.Config{
-		Identity: n.store.Identity, Storage: n.store, Replica: replica{n}, Transport: n, Clock: n.o.Clock, Seed: n.o.Seed,
+		Identity: n.store.Identity, Storage: n.store, Replica: replica{n}, Transport: n.post, Clock: n.o.Clock, Seed: n.o.Seed,
 	})
 	if err != nil {
 		return err
@@ -171,19 +166,6 @@
 	return g.Status(), true
 }
 
-// Send implements group.Transport.
-func (n *Node) Send(to string, msg raft.Message) {
-	n.mu.Lock()
-	address := n.address[to]
-	n.mu.Unlock()
-	if address == "" {
-		return
-	}
-	if body, err := cbor.Marshal(message{n.o.Address, msg}); err == nil {
-		n.o.Hub.Send(address, peer.KindRaft, body)
-	}
-}
-
 // Handle takes a message of another process; ok is false if its kind does not belong to this package.
 func (n *Node) Handle(ctx context.Context, kind peer.Kind, body []byte) (reply []byte, ok bool, err error) {
 	switch kind {
@@ -210,31 +192,16 @@
 }
 
 func (n *Node) receive(body []byte) error {
-	var m message
-	if err := decMode.Unmarshal(body, &m); err != nil {
-		n.o.Events.Emit(event.PeerMessageRefused, event.F("peer", "control"), event.F("reason", err))
+	msg, err := n.post.Decode(body)
+	if err != nil {
 		return err
 	}
-	n.mu.Lock()
-	if n.address[m.Raft.From] == "" {
-		n.address[m.Raft.From] = m.Address
-	}
-	g := n.group
-	n.mu.Unlock()
-	if g != nil {
-		g.Receive(m.Raft)
+	if g := n.running(); g != nil {
+		g.Receive(msg)
 	}
 	return nil
 }
 
-var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 17, MaxMapPairs: 64}.DecMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return m
-}()
-
 // DriftError refuses a command whose sender's clock differs too much: it would move the time of the replicated state.
 type DriftError struct{ Ahead time.Duration }
 
@@ -267,9 +234,7 @@
 		return errors.New("the control group is not formed yet")
 	}
 	if c.Kind == raft.AddLearner {
-		n.mu.Lock()
-		n.address[c.Member.ID] = c.Member.Address
-		n.mu.Unlock()
+		n.post.Learn(c.Member)
 	}
 	return g.ChangeMembers(ctx, c)
 }
--- a/internal/node/ctrl/form.go
+++ b/internal/node/ctrl/form.go
@@ -142,7 +142,7 @@
 	var beat time.Time
 	for {
 		s := n.running().Status()
-		n.learn(s.Raft.Members)
+		n.post.Learn(s.Raft.Members...)
 		n.noteLeader(s.Raft)
 		if s.Err != nil {
 			n.o.Events.Emit(event.ControlFailed, event.F("reason", s.Err))
@@ -158,16 +158,6 @@
 	}
 }
 
-func (n *Node) learn(members []raft.Member) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, m := range members {
-		if m.Address != "" {
-			n.address[m.ID] = m.Address
-		}
-	}
-}
-
 func (n *Node) noteLeader(s raft.Status) {
 	if s.Leader == n.leader {
 		return
--- a/internal/node/ctrl/query.go
+++ b/internal/node/ctrl/query.go
@@ -13,6 +13,8 @@
 	"github.com/berylledge/berylledge/internal/state/group"
 	"github.com/berylledge/berylledge/internal/state/raft"
 	"github.com/berylledge/berylledge/internal/state/table"
+	"github.com/berylledge/berylledge/internal/wire/codec"
+	"github.com/berylledge/berylledge/internal/wire/peer"
 )
 
 // What a Query asks for.
@@ -86,8 +88,8 @@
 }
 
 func (n *Node) serveQuery(ctx context.Context, body []byte) ([]byte, error) {
-	var q Query
-	if err := decMode.Unmarshal(body, &q); err != nil {
+	q, err := codec.Decode[Query](body, peer.MaxMessage, "question")
+	if err != nil {
 		return nil, err
 	}
 	a, err := n.Query(ctx, q)
--- a/internal/state/keep/keep.go
+++ b/internal/state/keep/keep.go
@@ -33,6 +33,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/state/group"
+	"github.com/berylledge/berylledge/internal/state/post"
 	"github.com/berylledge/berylledge/internal/state/raft"
 	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
@@ -73,6 +74,7 @@
 	o       Options
 	store   *store.Store
 	replica *vdoc.Replica
+	post    *post.Post
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
@@ -80,9 +82,8 @@
 	identity atomic.Pointer[store.Identity]
 	group    atomic.Pointer[group.Node] // nil until the group is formed
 
-	mu      sync.Mutex
-	address map[string]string // by member id
-	known   []string          // addresses of members that were heard of
+	mu    sync.Mutex
+	known []string // addresses of members that were heard of
 }
 
 // Hello is the answer to a question for the identity of a member.
@@ -94,14 +95,9 @@
 	Leader  string        `cbor:"5,keyasint,omitempty"` // id
 }
 
-type message struct {
-	Address string       `cbor:"1,keyasint"` // of the sender, which a new member does not know yet
-	Raft    raft.Message `cbor:"2,keyasint"`
-}
-
 // New opens the data folder, or makes one, and starts the member.
 func New(o Options) (*Member, error) {
-	m := &Member{o: o, replica: vdoc.New(o.Notify), address: map[string]string{}}
+	m := &Member{o: o, replica: vdoc.New(o.Notify), post: post.New(o.Address, o.Hub, o.Events)}
 	if err := m.open(); err != nil {
 		return nil, err
 	}
@@ -165,7 +161,7 @@
 func (m *Member) start() error {
 	m.learn(m.store.Identity.Bootstrap)
 	g, err := group.New(group.Config{
-		Identity: m.store.Identity, Storage: m.store, Replica: m.replica, Transport: m, Clock: m.o.Clock, Seed: m.o.Seed,
+		Identity: m.store.Identity, Storage: m.store, Replica: m.replica, Transport: m.post, Clock: m.o.Clock, Seed: m.o.Seed,
 		SnapshotEvery: snapshotEvery, Raft: raft.Config{KeepEntries: keepEntries},
 	})
 	if err != nil {
@@ -255,21 +251,6 @@
 	return slices.DeleteFunc(out, func(a string) bool { return a == "" || a == m.o.Address })
 }
 
-// Send implements group.Transport.
-func (m *Member) Send(to string, msg raft.Message) {
-	m.mu.Lock()
-	address := m.address[to]
-	m.mu.Unlock()
-	if address == "" {
-		return
-	}
-	body, err := cbor.Marshal(message{m.o.Address, msg})
-	if err != nil { // raft messages hold plain values only
-		panic(err)
-	}
-	m.o.Hub.Send(address, peer.KindRaft, body)
-}
-
 // Handle takes a message of another process; ok is false if its kind does not belong to this package.
 func (m *Member) Handle(ctx context.Context, kind peer.Kind, body []byte) (reply []byte, ok bool, err error) {
 	switch kind {
@@ -298,31 +279,25 @@
 }
 
 func (m *Member) receive(body []byte) error {
-	var in message
-	if err := cbor.Unmarshal(body, &in); err != nil {
-		m.o.Events.Emit(event.PeerMessageRefused, event.F("peer", "control"), event.F("reason", err))
+	msg, err := m.post.Decode(body)
+	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	if m.address[in.Raft.From] == "" {
-		m.address[in.Raft.From] = in.Address
-	}
-	m.mu.Unlock()
 	if g := m.group.Load(); g != nil {
-		g.Receive(in.Raft)
+		g.Receive(msg)
 	}
 	return nil
 }
 
 // learn keeps the addresses of members.
 func (m *Member) learn(members []raft.Member) {
+	m.post.Learn(members...)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, v := range members {
 		if v.Address == "" {
 			continue
 		}
-		m.address[v.ID] = v.Address
 		if !slices.Contains(m.known, v.Address) && len(m.known) < maxKnown {
 			m.known = append(m.known, v.Address)
 		}
--- /dev/null
+++ b/internal/state/post/post_test.go
@@ -0,0 +1,72 @@
+package post_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/state/post"
+	"github.com/berylledge/berylledge/internal/state/raft"
+	"github.com/berylledge/berylledge/internal/wire/peer"
+)
+
+// member returns the transport of a member, and the messages that arrive there.
+func member(t *testing.T, id string) (*post.Post, string, <-chan raft.Message) {
+	t.Helper()
+	events := event.New(event.Options{Node: id, Clock: clock.Real()})
+	arrived := make(chan raft.Message, 9)
+	var p *post.Post
+	ready := make(chan struct{})
+	hub, err := peer.New(peer.Options{
+		ID: id, Address: "127.0.0.1:0", Clock: clock.Real(), Events: events,
+		Handle: func(_ context.Context, _ string, _ peer.Kind, body []byte) ([]byte, error) {
+			<-ready
+			msg, err := p.Decode(body)
+			if err == nil {
+				arrived <- msg
+			}
+			return nil, err
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(hub.Close)
+	p = post.New(hub.Address(), hub, events)
+	close(ready)
+	return p, hub.Address(), arrived
+}
+
+func next(t *testing.T, arrived <-chan raft.Message) raft.Message {
+	t.Helper()
+	select {
+	case msg := <-arrived:
+		return msg
+	case <-time.After(10 * time.Second):
+		t.Fatal("no message")
+		return raft.Message{}
+	}
+}
+
+// Guards against a member that was just added and cannot answer its leader, since it knows no address but its own.
+func TestTheAddressOfASenderIsLearned(t *testing.T) {
+	a, _, atA := member(t, "a")
+	b, addressB, atB := member(t, "b")
+	a.Learn(raft.Member{ID: "b", Address: addressB}, raft.Member{ID: "c"})
+	a.Send("c", raft.Message{From: "a", To: "c"}) // lost: its address is not known
+	a.Send("b", raft.Message{From: "a", To: "b", Term: 7})
+	assert.Equal(t, next(t, atB).Term, uint64(7))
+	b.Send("a", raft.Message{From: "b", To: "a", Term: 8})
+	assert.Equal(t, next(t, atA).Term, uint64(8))
+}
+
+// Guards against a malformed message that ends a control node.
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	p, _, _ := member(t, "a")
+	for _, body := range [][]byte{nil, {0xff}, {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, []byte("text")} {
+		_, err := p.Decode(body)
+		assert.Assert(t, err != nil, "%x", body)
+	}
+}
