Read the configuration file of a command in one place

Cause: three commands took the argument FILE and read it, each by itself.

Change: configArg does it, as revisionArg does for revisions.

Measured: packages cli pass.

--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -56,14 +56,10 @@
 		Name: "check", Usage: "list all problems of a configuration file", ArgsUsage: "FILE",
 		Description: "Needs no running process. FILE - is standard input.\n\n   berylledge config check config.json",
 		Action: func(_ context.Context, c *cli.Command) error {
-			file, err := arg(c, "FILE")
-			if err != nil {
-				return err
-			}
-			if _, err := readConfigFile(file); err != nil {
+			if _, err := configArg(c); err != nil {
 				return err
 			}
-			fmt.Fprintln(c.Root().Writer, file+": no problems")
+			fmt.Fprintln(c.Root().Writer, c.Args().First()+": no problems")
 			return nil
 		},
 	}
@@ -76,11 +72,7 @@
 			"   berylledge config diff config.json --address 10.0.0.5:7001",
 		Flags: remoteFlags(),
 		Action: withRemote(func(ctx context.Context, c *cli.Command, r *remote) error {
-			file, err := arg(c, "FILE")
-			if err != nil {
-				return err
-			}
-			cfg, err := readConfigFile(file)
+			cfg, err := configArg(c)
 			if err != nil {
 				return err
 			}
@@ -130,11 +122,7 @@
 			"   berylledge config apply config.json --address 10.0.0.5:7001 --operator ann --expect 6 --note \"more for crew\" --wait",
 		Flags: putFlags(),
 		Action: withRemote(func(ctx context.Context, c *cli.Command, r *remote) error {
-			file, err := arg(c, "FILE")
-			if err != nil {
-				return err
-			}
-			cfg, err := readConfigFile(file)
+			cfg, err := configArg(c)
 			if err != nil {
 				return err
 			}
@@ -167,6 +155,15 @@
 	}
 }
 
+// configArg reads the configuration file that the argument FILE names.
+func configArg(c *cli.Command) (*fleet.Config, error) {
+	file, err := arg(c, "FILE")
+	if err != nil {
+		return nil, err
+	}
+	return readConfigFile(file)
+}
+
 func revisionArg(c *cli.Command) (uint64, error) {
 	text, err := arg(c, "REVISION")
 	if err != nil {
