Leave pieces to the next node when the queue's node stops

What callers saw: when an entry node that keeps a queue stops, requests of other nodes with pieces there may be refused ("a piece of a stage was not made: late"), though time is left and another node could keep the queue.

A hub ends the work on questions before it closes its connections; the queue then gave up the pieces and called them late, and that answer could still be written. The node that had asked took it for the outcome.

Change: a node whose work on a question was ended answers that it stops. The node that asked then turns to the next one, as after a broken connection. Results that were made already are freed as before, when the connection ends.

Test: TestANodeThatStopsDoesNotSayThatPiecesAreLate fails without the change ("error is nil"). The test that had failed now ends its upstream also when it fails: it hung for four minutes.

Conclusion: traced by its output and by the code; the failure itself was not seen again.

--- a/internal/gate/maker/fence_test.go
+++ b/internal/gate/maker/fence_test.go
@@ -1,22 +1,50 @@
 package maker
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
+// Guards against a request that is refused because the node that keeps a queue stops: it answered that the pieces were late, while its
+// connections were still open, in place of leaving them to the next node.
+func TestANodeThatStopsDoesNotSayThatPiecesAreLate(t *testing.T) {
+	release := make(chan bool)
+	called := make(chan bool)
+	_, b, _ := pair(t, func(*rawup.Conn, *rawup.Request) {
+		close(called)
+		<-release
+	})
+	defer close(release)
+	q := ask{Service: "s", Area: "n"}
+	q.pack(jobs(1), time.Now())
+	body, err := cbor.Marshal(q)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() {
+		<-called
+		stop()
+	}()
+	_, err = b.Handle(ctx, body)
+	assert.ErrorIs(t, err, errStops)
+}
+
 // Report of others: around a hand-over between two processes, both acted for a moment. The node that keeps a queue is cut off while a call
 // is under way, and another one takes the queue over. The pieces are made twice, which their protocol allows; the request must get each
 // result once, and what the old owner made must not keep the upstream's memory.
 func TestTheLateCallOfAnOldOwnerIsFreed(t *testing.T) {
-	release := make(chan bool)
+	hold := make(chan bool)
+	release := sync.OnceFunc(func() { close(hold) })
+	defer release() // also when the test fails, so that the upstream ends
 	var mu sync.Mutex
 	calls, freed := 0, map[string]bool{}
 	a, b, _ := pair(t, func(c *rawup.Conn, r *rawup.Request) {
@@ -36,7 +64,7 @@
 			return
 		}
 		if call == 1 { // the old owner's
-			<-release
+			<-hold
 		}
 		text := `{"items":[`
 		for i := range items(r) {
@@ -69,7 +97,7 @@
 	}
 	slices.Sort(handles)
 	assert.DeepEqual(t, handles, []string{"call2-0", "call2-1", "call2-2", "call2-3"})
-	close(release)
+	release()
 	waitFor(t, "the late results are freed", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/gate/maker/send.go
+++ b/internal/gate/maker/send.go
@@ -272,9 +272,15 @@
 	if q.From != "" {
 		m.uses(p, q.From, made)
 	}
+	if ctx.Err() != nil || m.ctx.Err() != nil {
+		return nil, errStops
+	}
 	return encodeMade(made)
 }
 
+// errStops is the answer of a node that stops before the pieces are made. The node that asked turns to another one.
+var errStops = errors.New("this node stops")
+
 // makeFor makes jobs of another node, for as long as one of them is of use.
 func (m *Maker) makeFor(ctx context.Context, p place, jobs []stage.Job, held []Held, last time.Duration) []Made {
 	ctx, cancel := context.WithCancel(ctx)
