--- a/review/stand/blank.go
+++ b/review/stand/blank.go
@@ -50,7 +50,7 @@
 	}()
 	fl.startAll(func(doc map[string]any) {
 		route := doc["routes"].([]any)[0].(map[string]any)
-		route["stages"], route["timeoutMs"] = []any{}, storyTimeout.Milliseconds()
+		route["stages"], route[wire["route_timeout"]] = []any{}, storyTimeout.Milliseconds()
 	})
 	fl.waitReady()
 	time.Sleep(contactTime)
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -203,7 +203,7 @@
 	u.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": u.slots, "state": u.state,
-		"coldRemainingMs": 0, "sequence": u.sequence, "born": u.born, "stage": "both",
+		wire["cold"]: 0, "sequence": u.sequence, "born": u.born, "stage": "both",
 		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
 	})
 	to := u.beatTo
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -77,7 +77,7 @@
 	}()
 	fl.startAll(func(doc map[string]any) {
 		route := doc["routes"].([]any)[0].(map[string]any)
-		route["timeoutMs"], route["targetLatencyMs"] = storyPatience.Milliseconds(), storyAim.Milliseconds()
+		route[wire["route_timeout"]], route[wire["route_target"]] = storyPatience.Milliseconds(), storyAim.Milliseconds()
 		refine := map[string]any{"service": "refine", "after": []int{0}, "bytes": 8000}
 		route["stages"] = append(route["stages"].([]any), refine)
 		services := doc["services"].([]any)
