--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+# Runs the case; see claim.txt. It writes what was sent, answered and run to record.txt in this folder. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/berylledge ] && [ -x review/bin/stand ] || exit 2
-exec review/bin/stand cut-off review/2
+exec review/bin/stand cut-off review/2/record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of all cases. It needs the Go tool chain only, no module and no network.
-cd "$(dirname "$0")/stand" || exit 2
-exec env GOFLAGS= GOPROXY=off CGO_ENABLED=0 go build -trimpath -o ../bin/stand .
+# Builds the stand-ins of all cases. They use the standard library and the project's clock only; no network is needed after the build of
+# the deploy file.
+cd "$(dirname "$0")/.." || exit 2
+exec env GOFLAGS= GOPROXY=off CGO_ENABLED=0 go build -trimpath -buildvcs=false -o review/bin/stand ./review/stand
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -62,13 +62,13 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	return &record{f: f, start: time.Now()}
+	return &record{f: f, start: now()}
 }
 
 func (r *record) say(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.f, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.f, "%8.3f  %s\n", since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // broken records that the rule was broken.
@@ -144,7 +144,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).Port
 }
 
@@ -322,14 +322,14 @@
 		change(doc)
 	}
 	body, _ := json.Marshal(doc)
-	end := time.Now().Add(20 * time.Second)
-	for i := 0; time.Now().Before(end); i++ {
+	end := now().Add(20 * time.Second)
+	for i := 0; now().Before(end); i++ {
 		status, _, err := fl.call(http.MethodPut, "http://"+fl.address(fl.cores[i%len(fl.cores)], "control")+"/config", body)
 		if err == nil && status == http.StatusOK {
 			fl.rec.say("configuration %d acknowledged", fl.version)
 			return
 		}
-		time.Sleep(150 * time.Millisecond)
+		sleep(150 * time.Millisecond)
 	}
 	cannotRun("no control node acknowledged the configuration")
 }
@@ -352,17 +352,17 @@
 
 // waitReady waits until all entry nodes are ready.
 func (fl *fleet) waitReady() {
-	end := time.Now().Add(15 * time.Second)
+	end := now().Add(15 * time.Second)
 	for _, m := range fl.fronts {
 		for {
 			status, _, err := fl.call(http.MethodGet, "http://"+fl.address(m, "ready")+wire["ready"], nil)
 			if err == nil && status == http.StatusOK {
 				break
 			}
-			if time.Now().After(end) {
+			if now().After(end) {
 				cannotRun("%s is not ready", m.name)
 			}
-			time.Sleep(100 * time.Millisecond)
+			sleep(100 * time.Millisecond)
 		}
 	}
 }
--- a/review/stand/late.go
+++ b/review/stand/late.go
@@ -62,7 +62,7 @@
 	}()
 	fl.startAll(nil)
 	fl.waitReady()
-	time.Sleep(contactTime)
+	sleep(contactTime)
 	rec.say("clients start")
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -80,15 +80,15 @@
 			}
 		})
 	}
-	time.Sleep(3 * time.Second)
+	sleep(3 * time.Second)
 	for i := range garbleRounds {
 		rec.say("round %d: extra late answers begin: %v", i, trouble)
 		garbling.Store(trouble)
-		time.Sleep(garbleFor)
+		sleep(garbleFor)
 		garbling.Store(false)
 		rec.say("round %d ends: %d calls, %d extra answers, %d runs, clients: %d served, %d refused, %d failed", i, calls.Load(), extra.Load(),
 			runs.Load(), served.Load(), refused.Load(), failed.Load())
-		time.Sleep(garbleEvery - garbleFor)
+		sleep(garbleEvery - garbleFor)
 	}
 	close(stop)
 	wg.Wait()
@@ -112,10 +112,10 @@
 		}
 	case a.status == 503 || a.status == 429:
 		refused.Add(1)
-		time.Sleep(300 * time.Millisecond)
+		sleep(300 * time.Millisecond)
 	default:
 		failed.Add(1)
-		time.Sleep(100 * time.Millisecond)
+		sleep(100 * time.Millisecond)
 	}
 }
 
@@ -147,7 +147,7 @@
 		}
 		calls.Add(1)
 		turn.Lock()
-		time.Sleep(150*time.Millisecond + time.Duration(len(in.Items))*16*time.Millisecond)
+		sleep(150*time.Millisecond + time.Duration(len(in.Items))*16*time.Millisecond)
 		turn.Unlock()
 		type item struct {
 			Handle string `json:"handle"`
--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -24,19 +24,19 @@
 func lostLeave(rec *record, trouble bool) {
 	fl := newFleet(rec, 5, 3)
 	defer fl.end()
-	var served, other, after atomic.Int64
+	var served, other, reached atomic.Int64
 	var judgeFrom atomic.Pointer[time.Time]
 	var leaving *runner
 	var runners []*runner
 	for i := range 3 {
 		var u *runner
 		u = fl.newRunner("desk", zones[i%2], 6, func(c *runnerConn, r *http.Request, _ []byte) bool {
-			if from := judgeFrom.Load(); from != nil && u == leaving && time.Now().After(*from) {
-				after.Add(1)
+			if from := judgeFrom.Load(); from != nil && u == leaving && now().After(*from) {
+				reached.Add(1)
 				rec.broken("DRAIN: request %s reaches runner %s %.1f s after the time from which none may", r.Header.Get(wire["request_id"]), u.id,
-					time.Since(*from).Seconds())
+					since(*from).Seconds())
 			}
-			time.Sleep(30 * time.Millisecond)
+			sleep(30 * time.Millisecond)
 			return c.reply(r, 200, signed(), []byte("read by "+u.id)) == nil
 		})
 		runners = append(runners, u)
@@ -48,7 +48,7 @@
 	}()
 	fl.startAll(nil)
 	fl.waitReady()
-	time.Sleep(contactTime)
+	sleep(contactTime)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for range readClients {
@@ -59,7 +59,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
+				case <-after(time.Duration(50+rand.IntN(100)) * time.Millisecond):
 				}
 				a := c.do(http.MethodGet, "desk.example", fmt.Sprintf("/read/%x", rand.Uint32()), nil, nil, 3*time.Second)
 				if a.status == http.StatusOK {
@@ -70,7 +70,7 @@
 			}
 		})
 	}
-	time.Sleep(5 * time.Second)
+	sleep(5 * time.Second)
 	leaving = runners[0]
 	leaving.mu.Lock()
 	to := leaving.beatTo
@@ -80,29 +80,29 @@
 	if !leave(leaving, to) {
 		cannotRun("no control node acknowledged the leave")
 	}
-	acked := time.Now()
+	acked := now()
 	rec.say("the leave is acknowledged")
 	from := acked.Add(drainTimeout + judgeSlack)
 	if trouble {
-		time.Sleep(killAfterAck)
+		sleep(killAfterAck)
 		for _, m := range fl.cores {
 			m.signal(syscall.SIGKILL)
 		}
 		for _, m := range fl.cores {
 			m.wait()
 		}
-		time.Sleep(coreDownFor - time.Since(acked.Add(killAfterAck)))
+		sleep(coreDownFor - since(acked.Add(killAfterAck)))
 		for _, m := range fl.cores {
 			m.start(false)
 		}
-		rec.say("all core processes were killed %v after the acknowledgement and were started again by %.2f s after it", killAfterAck, time.Since(acked).Seconds())
-		if touch := time.Now().Add(contactTime + judgeSlack); touch.After(from) {
+		rec.say("all core processes were killed %v after the acknowledgement and were started again by %.2f s after it", killAfterAck, since(acked).Seconds())
+		if touch := now().Add(contactTime + judgeSlack); touch.After(from) {
 			from = touch
 		}
 	}
 	judgeFrom.Store(&from)
-	time.Sleep(time.Until(acked.Add(lingerFor)))
-	rec.say("the runner exits; %d requests reached it after the time from which none may; clients: %d served, %d others", after.Load(), served.Load(), other.Load())
+	sleep(until(acked.Add(lingerFor)))
+	rec.say("the runner exits; %d requests reached it after the time from which none may; clients: %d served, %d others", reached.Load(), served.Load(), other.Load())
 	_ = leaving.listener.Close()
 	close(stop)
 	wg.Wait()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1,15 +1,14 @@
 // Command stand runs one case of the review: it starts the project's processes and the stand-ins around them, plays the disruption
 // and judges the rule by what clients and servers have seen.
 //
-//	stand CASE FOLDER
+//	stand CASE RECORD
 //
-// It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+// RECORD is the file that gets a line for what was sent, answered and run. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 package main
 
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -27,14 +26,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(2)
 	}
 	os.Exit(runCase(cases[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
-func runCase(play func(*record, bool), folder string, trouble bool) (code int) {
-	rec := newRecord(filepath.Join(folder, "record.txt"))
+func runCase(play func(*record, bool), path string, trouble bool) (code int) {
+	rec := newRecord(path)
 	defer func() {
 		if cause := recover(); cause != nil {
 			e, ok := cause.(errCannotRun)
@@ -46,7 +45,7 @@
 			code = 2
 		}
 	}()
-	time.AfterFunc(longest, func() {
+	wall.AfterFunc(longest, func() {
 		fmt.Println("could not run: it takes too long")
 		os.Exit(2) // the processes end with this one
 	})
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -13,7 +13,7 @@
 
 // Times of the case.
 const (
-	crashFor      = 4 * time.Second // until a crashed runner is back
+	crashFor      = 3500 * time.Millisecond // until a crashed runner is back
 	poisonEvery   = 1200 * time.Millisecond
 	poisonFor     = 60 * time.Second
 	poisonClients = 1
@@ -42,24 +42,24 @@
 	down := d.down
 	d.mu.Unlock()
 	if down {
-		time.Sleep(crashFor) // a dark runner reads nothing and answers nothing
+		sleep(crashFor) // a dark runner reads nothing and answers nothing
 		return false
 	}
 	if strings.HasPrefix(r.URL.Path, "/order/poison") {
 		d.note(r.Header.Get(wire["request_id"]))
-		d.crash(c)
+		d.crash()
 		return false
 	}
-	time.Sleep(20 * time.Millisecond)
+	sleep(20 * time.Millisecond)
 	return c.reply(r, 200, signed(), []byte("done by "+d.u.id)) == nil
 }
 
 // crash ends this incarnation. The next one starts at the same address after some seconds.
-func (d *desk) crash(c *runnerConn) {
+func (d *desk) crash() {
 	d.mu.Lock()
 	if d.down {
 		d.mu.Unlock()
-		time.Sleep(crashFor)
+		sleep(crashFor)
 		return
 	}
 	d.down = true
@@ -67,7 +67,7 @@
 	d.mu.Unlock()
 	if d.silent {
 		close(u.stop)
-		time.Sleep(crashFor)
+		sleep(crashFor)
 		_ = u.listener.Close()
 	} else {
 		u.mu.Lock()
@@ -76,7 +76,7 @@
 		}
 		u.mu.Unlock()
 		u.end()
-		time.Sleep(crashFor)
+		sleep(crashFor)
 	}
 	u.mu.Lock()
 	for nc := range u.conns {
@@ -103,13 +103,13 @@
 	note := func(id string) {
 		mu.Lock()
 		defer mu.Unlock()
-		now := time.Now()
-		crashes = append(crashes, now)
+		at := now()
+		crashes = append(crashes, at)
 		rec.say("request %s crashes runner number %d", id, len(crashes))
-		if len(crashes) > 3 && now.After(crashes[2].Add(contactTime+judgeSlack)) {
+		if len(crashes) > 3 && at.After(crashes[2].Add(contactTime+judgeSlack)) {
 			late++
 			if late > 3 {
-				rec.broken("BUDGET: retry %d of the request reaches a runner %.1f s after it has crashed the third", late, now.Sub(crashes[2]).Seconds())
+				rec.broken("BUDGET: retry %d of the request reaches a runner %.1f s after it has crashed the third", late, at.Sub(crashes[2]).Seconds())
 			}
 		}
 	}
@@ -128,7 +128,7 @@
 	}()
 	fl.startAll(nil)
 	fl.waitReady()
-	time.Sleep(contactTime)
+	sleep(contactTime)
 	var served, other atomic.Int64
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -140,7 +140,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(every + time.Duration(rand.IntN(100))*time.Millisecond):
+				case <-after(every + time.Duration(rand.IntN(100))*time.Millisecond):
 				}
 				a := c.do(http.MethodPost, "desk.example", path(), nil, []byte("an order"), 2500*time.Millisecond)
 				if a.status == http.StatusOK {
@@ -158,13 +158,13 @@
 	for range 4 {
 		ask(100*time.Millisecond, func() string { return fmt.Sprintf("/order/%x", rand.Uint32()) })
 	}
-	time.Sleep(2 * time.Second)
+	sleep(2 * time.Second)
 	if trouble {
 		for range poisonClients {
 			ask(poisonEvery, func() string { return "/order/poison" })
 		}
 	}
-	time.Sleep(poisonFor)
+	sleep(poisonFor)
 	close(stop)
 	wg.Wait()
 	rec.say("%d crashes, %d retries reached runners late; clients: %d served, %d others", len(crashes), late, served.Load(), other.Load())
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -64,9 +64,9 @@
 		runners = append(runners, fl.newRunner("prepare", zones[i%2], 1, slowStage(w)))
 		runners = append(runners, fl.newRunner("refine", zones[i%2], 1, slowStage(w)))
 		runners = append(runners, fl.newRunner("models", zones[i%2], 64, func(c *runnerConn, r *http.Request, _ []byte) bool {
-			began := time.Now()
+			began := now()
 			err := c.stream(r, []string{"a", "b", "c", "d", "e"}, 20*time.Millisecond)
-			w.add(r.Header.Get(wire["request_id"]), began, time.Now())
+			w.add(r.Header.Get(wire["request_id"]), began, now())
 			return err == nil
 		}))
 	}
@@ -90,7 +90,7 @@
 		doc["services"] = append(services, pool)
 	})
 	fl.waitReady()
-	time.Sleep(contactTime)
+	sleep(contactTime)
 	var agents []*agent
 	for i := range 20 {
 		agents = append(agents, &agent{c: client{fl: fl}, longer: i%3 == 0})
@@ -104,7 +104,7 @@
 		wg.Go(func() {
 			// Callers keep the directory's response for its time, some of them three times as long.
 			agent := agents[rand.IntN(len(agents))]
-			c := &client{fl: fl, list: agent.addresses(), till: time.Now().Add(time.Minute)}
+			c := &client{fl: fl, list: agent.addresses(), till: now().Add(time.Minute)}
 			defer c.drop()
 			key := fmt.Sprintf("%012x", rand.Uint64()&0xffffffffffff)
 			a := c.do(http.MethodPost, "story.example", "/story/"+key, map[string]string{
@@ -114,7 +114,7 @@
 			a.left = storyPatience
 			mu.Lock()
 			defer mu.Unlock()
-			answers, ends = append(answers, a), append(ends, time.Now())
+			answers, ends = append(answers, a), append(ends, now())
 		})
 	}
 	wg.Go(func() {
@@ -122,19 +122,19 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second))):
+			case <-after(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second))):
 				send()
 			}
 		}
 	})
-	time.Sleep(usualFor)
+	sleep(usualFor)
 	var termed time.Time
 	if trouble {
-		termed = time.Now()
+		termed = now()
 		rec.say("SIGTERM to %s", fl.fronts[1].name)
 		fl.fronts[1].signal(syscall.SIGTERM)
 	}
-	time.Sleep(graceTime + time.Second)
+	sleep(graceTime + time.Second)
 	close(stop)
 	wg.Wait()
 	judgeStop(rec, fl, w, answers, ends, termed, trouble)
@@ -199,7 +199,7 @@
 	before := a.c.till
 	a.c.resolve()
 	if a.longer && a.c.till != before {
-		a.c.till = time.Now().Add(3 * time.Until(a.c.till))
+		a.c.till = now().Add(3 * until(a.c.till))
 	}
 	return a.c.list
 }
@@ -220,8 +220,8 @@
 			return c.reply(r, 404, nil, nil) == nil
 		}
 		turn.Lock()
-		began := time.Now()
-		time.Sleep(150*time.Millisecond + time.Duration(len(in.Items))*16*time.Millisecond)
+		began := now()
+		sleep(150*time.Millisecond + time.Duration(len(in.Items))*16*time.Millisecond)
 		turn.Unlock()
 		type item struct {
 			Handle string `json:"handle"`
@@ -230,7 +230,7 @@
 			Items []item `json:"items"`
 		}
 		for _, x := range in.Items {
-			w.add(x.ID, began, time.Now())
+			w.add(x.ID, began, now())
 			out.Items = append(out.Items, item{fmt.Sprintf("%s/%012x", c.LocalAddr(), rand.Uint64()&0xffffffffffff)})
 		}
 		text, _ := json.Marshal(out)
