Forward extra empty lines of a stream instead of looping on them

Cause: the proxy looked for the end of an event from both ends of its buffer. In "\n\n\n" the search from the end matched the second and third byte, the one from the start the first two, and the single "\n" between them was cut off with length 0 forever.

Change: one function, eventLength, decides where an event ends, line by line; a loop ends when it finds none. Empty lines that end no event are forwarded with the event beside them, and one at the end of a stream without framing is no truncated event.

The other paths (staged streams share the code; serve and the client library read events with a library) have no such search.

--- a/internal/gate/proxy/stream.go
+++ b/internal/gate/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -142,7 +141,7 @@
 // finish ends the response. Bytes after the last complete event are part of it, unless closing the connection is
 // the only way for the upstream to mark the end: then the stream may be truncated.
 func (s *eventStream) finish(resp *response) error {
-	if len(s.partial) > 0 && resp.Unframed {
+	if resp.Unframed && !isBlank(s.partial) {
 		return errIncomplete
 	}
 	s.writeHead(resp)
@@ -168,11 +167,10 @@
 // forwardEvents forwards the complete events.
 func (s *eventStream) forwardEvents(resp *response, data []byte) error {
 	s.partial = append(s.partial, data...)
-	end := lastBoundary(s.partial)
-	if end == 0 {
+	whole, rest := s.takeEvents(s.partial)
+	if len(rest) == len(s.partial) {
 		return nil
 	}
-	whole := s.dropSeen(s.partial[:end])
 	s.writeHead(resp)
 	now := s.x.f.o.Clock.Now()
 	if s.firstSent {
@@ -190,16 +188,18 @@
 	if err == nil {
 		err = http.NewResponseController(s.x.w).Flush()
 	}
-	s.partial = append(s.partial[:0], s.partial[end:]...)
+	s.partial = append(s.partial[:0], rest...)
 	return err
 }
 
-// dropSeen removes events that the caller already has, and records the id of the last event. data must consist
-// of complete events.
-func (s *eventStream) dropSeen(data []byte) []byte {
-	var out []byte
-	for len(data) > 0 {
-		end := firstBoundary(data)
+// takeEvents splits data into its complete events and the rest. It removes events that the caller already has and records
+// the id of the last event.
+func (s *eventStream) takeEvents(data []byte) (out, rest []byte) {
+	for {
+		end := eventLength(data)
+		if end == 0 {
+			return out, data
+		}
 		one := data[:end]
 		data = data[end:]
 		id := eventID(one)
@@ -211,48 +211,6 @@
 		}
 		out = append(out, one...)
 	}
-	return out
-}
-
-// isNewer compares event ids, which are increasing numbers. Ids that are not numbers count as newer.
-func isNewer(id, last string) bool {
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	return errA != nil || errB != nil || a > b
-}
-
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-// eventBoundaries are the byte sequences that end an event.
-var eventBoundaries = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
-// firstBoundary returns the length of the first event, and lastBoundary that of all complete events; 0 if there
-// is none.
-func firstBoundary(data []byte) int {
-	best := 0
-	for _, b := range eventBoundaries {
-		if i := bytes.Index(data, b); i >= 0 && (best == 0 || i+len(b) < best) {
-			best = i + len(b)
-		}
-	}
-	return best
-}
-
-func lastBoundary(data []byte) int {
-	best := 0
-	for _, b := range eventBoundaries {
-		if i := bytes.LastIndex(data, b); i >= 0 {
-			best = max(best, i+len(b))
-		}
-	}
-	return best
 }
 
 // affinityKey identifies requests that share a prompt prefix. It consists of all parts of the prefix except the
