Store the departure of an upstream before it is acknowledged

Cause: a departure was acknowledged once a majority of the control nodes held it in memory. After the restart nobody knew of it, and the upstream sends nothing more. An entry node that had not asked meanwhile keeps the record for a minute.

Change: the control group stores each departure, also that of a draining heartbeat, as a notice in its replicated state, before the acknowledgement; every member applies the notices from its log. Without a leader no departure is acknowledged; before, a majority sufficed.

--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -18,9 +18,8 @@
 //
 // # Acknowledgements
 //
-// A configuration is acknowledged once the control group has committed it, or a higher version. The departure of
-// an upstream is acknowledged once a majority of the group knows it: an entry node polls several control nodes,
-// so it learns of the departure even if this node is partitioned a moment later. Other heartbeats are
+// A configuration is acknowledged once the control group has committed it, or a higher version. So is the departure of
+// an upstream (leave.go), which must also be known to a majority of the group by then. Other heartbeats are
 // acknowledged at once.
 package ctlsrv
 
@@ -92,6 +91,8 @@
 	sharedVersion uint64          // roster version up to which changes were sent to the other nodes
 	fetching      map[string]bool // control nodes that all records are being requested from, by address
 
+	noticesSeen uint64 // number of the last notice that was applied; owned by run
+
 	statusMu sync.Mutex
 	statusAt time.Time
 	current  bool
@@ -120,11 +121,12 @@
 	s.wg.Wait()
 }
 
-// run sends local changes to the other control nodes and marks silent upstreams.
+// run applies the group's notices, sends local changes to the other control nodes and marks silent upstreams.
 func (s *Server) run() {
 	var synced time.Time
 	for clock.Sleep(s.ctx, s.o.Clock, shareInterval) == nil {
 		now := s.o.Clock.Now()
+		s.applyNotices(now)
 		due := now.Sub(synced) >= syncInterval
 		if due {
 			synced = now
@@ -164,12 +166,6 @@
 	Crashes []deny.Record      `cbor:"2,keyasint,omitempty"` // crash records that this node has just received from an entry node
 }
 
-// leavingMessage is the body of a KindLeaving message.
-type leavingMessage struct {
-	From     string          `cbor:"1,keyasint"` // peer address
-	Upstream roster.Upstream `cbor:"2,keyasint"`
-}
-
 func encode(v any) []byte {
 	body, err := cbor.Marshal(v)
 	if err != nil { // cannot happen: messages contain plain values only
@@ -185,39 +181,6 @@
 	}
 }
 
-// notifyMajority tells the other members that an upstream is leaving, and reports whether a majority of the
-// group knows it. The remaining calls continue in the background.
-func (s *Server) notifyMajority(u roster.Upstream) bool {
-	_, others, voters := s.status()
-	need := voters / 2 // in addition to this node
-	if need == 0 {
-		return voters > 0
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, leaveTimeout)
-	body := encode(leavingMessage{s.o.Address, u})
-	acks := make(chan bool, len(others))
-	var calls sync.WaitGroup
-	for _, address := range others {
-		calls.Go(func() {
-			_, err := s.o.Hub.Call(ctx, address, peer.KindLeaving, body)
-			acks <- err == nil
-		})
-	}
-	s.wg.Go(func() {
-		calls.Wait()
-		cancel()
-	})
-	for range others {
-		if <-acks {
-			need--
-		}
-		if need == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // status returns whether this member has everything that was acknowledged before its group's leader was elected,
 // the peer addresses of the other voters, and the number of voters. It is cached for statusInterval.
 func (s *Server) status() (current bool, others []string, voters int) {
@@ -317,17 +280,6 @@
 	}
 }
 
-func (s *Server) handleLeaving(body []byte) error {
-	var m leavingMessage
-	if err := cbor.Unmarshal(body, &m); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.Merge(s.o.Clock.Now(), m.From, roster.Batch{Upstreams: []roster.Upstream{m.Upstream}})
-	return nil
-}
-
 func (s *Server) mergeCrashes(now time.Time, notes []deny.Record, from string) {
 	for _, c := range s.crashes.Merge(now, notes) {
 		s.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", from))
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -104,9 +104,11 @@
 		writeText(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if s.applyHeartbeat(u) && !s.notifyMajority(u) {
-		writeText(w, http.StatusServiceUnavailable, "a majority of the control nodes could not be notified")
-		return
+	if s.applyHeartbeat(u) {
+		if err := s.announceLeave(u); err != nil {
+			writeText(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
 	}
 	reply, err := s.o.Dialect.EncodeHeartbeatReply(s.o.HeartbeatAddress)
 	if err != nil {
@@ -134,8 +136,8 @@
 func (s *Server) deleteUpstream(w http.ResponseWriter, r *http.Request) {
 	u := s.applyLeave(pathvar.Vars(r)["id"])
 	poller.LogUpstream(s.o.Events, u)
-	if !s.notifyMajority(u) {
-		writeText(w, http.StatusServiceUnavailable, "a majority of the control nodes could not be notified")
+	if err := s.announceLeave(u); err != nil {
+		writeText(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	writeJSON(w, []byte("{}"))
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -27,6 +27,9 @@
 			}
 		}
 		next.AgeMs, next.Silent = 0, false
+		if have == nil && next.State == roster.Gone {
+			next.logged = seenAs(next.Upstream) // never used here, so its departure is no news
+		}
 		changed = next.hear(from, !u.Silent) || changed || have == nil || have.Upstream != next.Upstream
 		f.upstreams[u.ID] = next
 	}
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -143,6 +143,19 @@
 	return u, true
 }
 
+// ApplyNotice merges a record that the control group has stored, so that this node need not have heard the upstream. It reports
+// whether the record changed.
+func (reg *Registry) ApplyNotice(now time.Time, u Upstream) bool {
+	owner := ""
+	if r := reg.upstreams[u.ID]; r != nil {
+		if !supersedes(u, r.Upstream) {
+			return false
+		}
+		owner = r.owner
+	}
+	return reg.mergeUpstream(now, u, owner)
+}
+
 // mergeUpstream merges a record received from the control node that hears the upstream.
 func (reg *Registry) mergeUpstream(heard time.Time, u Upstream, from string) bool {
 	r := reg.upstreams[u.ID]
--- /dev/null
+++ b/internal/node/gwnode/leave_test.go
@@ -0,0 +1,89 @@
+package gwnode
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// restartControl stops all control nodes at once and starts them again with their folders.
+func (f *fleet) restartControl() {
+	f.t.Helper()
+	var wg sync.WaitGroup
+	for n := 1; n <= 3; n++ {
+		wg.Go(f.nodes[n].Close)
+	}
+	wg.Wait()
+	for n := 1; n <= 3; n++ {
+		f.start(n, false)
+	}
+}
+
+func (f *fleet) knows(node int, state roster.State) func() bool {
+	return func() bool { return f.nodes[node].desk.Upstreams()[state] == 1 }
+}
+
+// Guards against an acknowledged departure that a restart of all control nodes forgets: the upstream sends no more heartbeats and
+// serves on for a while, and entry nodes that had not asked yet would send it work until it exits.
+func TestDepartureSurvivesARestartOfAllControlNodes(t *testing.T) {
+	leave := map[roster.State]func(f *fleet) int{
+		roster.Gone: func(f *fleet) int {
+			status, _ := f.do("DELETE", "http://"+f.at(1, controlPort)+"/v1/traffic/upstreams/u1", nil)
+			return status
+		},
+		roster.Draining: func(f *fleet) int { return f.beat(1, roster.Draining, 2) },
+	}
+	for state, send := range leave {
+		t.Run(map[roster.State]string{roster.Gone: "gone", roster.Draining: "draining"}[state], func(t *testing.T) {
+			f := newFleet(t, 67)
+			for n := 1; n <= 3; n++ {
+				f.start(n, true)
+			}
+			f.put(1, f.config(5, "/x/"))
+			f.start(11, true)
+			f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+			f.eventually("the entry node serves", func() bool { return f.request(11, "/x/") == 200 })
+			f.eventually("the departure is acknowledged", func() bool { return send(f) == 200 })
+			f.restartControl()
+			for n := 1; n <= 3; n++ {
+				f.eventually("each control node knows the departure", f.knows(n, state))
+			}
+			f.eventually("the entry node sends it no more work", func() bool { return f.request(11, "/x/") == 503 })
+			assert.Equal(t, f.beat(2, roster.Ready, 1), 200, "a late heartbeat is acknowledged")
+			f.eventually("and changes nothing", f.knows(2, state))
+		})
+	}
+}
+
+// Guards against a control node that never learns of a departure which was acknowledged while it was away, because the node that
+// heard it is lost before it could tell: the entry nodes that follow it would send work to the upstream.
+func TestDepartureReachesAControlNodeThatWasAway(t *testing.T) {
+	f := newFleet(t, 68)
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	f.put(1, f.config(5, "/x/"))
+	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	f.eventually("the third node knows it", f.knows(3, roster.Ready))
+	f.stop(3)
+	f.eventually("the departure is acknowledged", func() bool { return f.beat(1, roster.Draining, 2) == 200 })
+	f.stop(1)
+	f.start(3, false)
+	f.eventually("the third node knows the departure", f.knows(3, roster.Draining))
+}
+
+// Guards against a new run of an upstream that is kept from work by the stored departure of the run before.
+func TestNewRunIsNotBoundByAStoredDeparture(t *testing.T) {
+	f := newFleet(t, 69)
+	p := f.startSmallest()
+	f.eventually("the departure is acknowledged", func() bool { return f.beat(1, roster.Draining, 2) == 200 })
+	f.stop(1)
+	f.start(1, false)
+	f.eventually("the control node knows it", f.knows(1, roster.Draining))
+	f.born++
+	f.eventually("the new run is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	f.eventually("the entry node serves", func() bool { return p.isReady() && f.request(11, "/x/") == 200 })
+}
--- a/internal/state/quorum/quorum.go
+++ b/internal/state/quorum/quorum.go
@@ -203,21 +203,44 @@
 
 // Propose stores a document if its version is the highest. After an error the document may or may not take effect.
 func (m *Member) Propose(ctx context.Context, d vdoc.Document) (vdoc.Result, error) {
-	g := m.node.Load()
-	if g == nil {
-		return vdoc.Result{}, errNotFormed
-	}
 	body, err := vdoc.Encode(d)
 	if err != nil {
 		return vdoc.Result{}, err
 	}
-	reply, err := g.Propose(ctx, body)
+	return m.propose(ctx, body)
+}
+
+// ProposeNotice stores a notice; once it returns nil, the notice survives a restart of all members. After an error the notice may
+// or may not take effect.
+func (m *Member) ProposeNotice(ctx context.Context, n vdoc.Notice) error {
+	body, err := vdoc.EncodeNotice(n)
+	if err != nil {
+		return err
+	}
+	_, err = m.propose(ctx, body)
+	return err
+}
+
+func (m *Member) propose(ctx context.Context, command []byte) (vdoc.Result, error) {
+	g := m.node.Load()
+	if g == nil {
+		return vdoc.Result{}, errNotFormed
+	}
+	reply, err := g.Propose(ctx, command)
 	if err != nil {
 		return vdoc.Result{}, err
 	}
 	return vdoc.DecodeResult(reply)
 }
 
+// Notice returns the latest notice under a key that this member has applied.
+func (m *Member) Notice(key string) (vdoc.Notice, bool) { return m.replica.Notice(key) }
+
+// Notices returns the notices that this member has applied after the one with a number, and the number of the last one.
+func (m *Member) Notices(after uint64) (list []vdoc.Notice, last uint64) {
+	return m.replica.Notices(after)
+}
+
 // Read is a linearizable read: it returns the newest document acknowledged by any member before the call, or an error if
 // this member cannot confirm that.
 func (m *Member) Read(ctx context.Context) (vdoc.Document, error) {
--- /dev/null
+++ b/internal/state/vdoc/notice_test.go
@@ -0,0 +1,70 @@
+package vdoc
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func storeNotice(t *testing.T, r *Replica, key, body string) {
+	t.Helper()
+	data, err := EncodeNotice(Notice{key, []byte(body)})
+	assert.NilError(t, err)
+	r.Apply(1, data)
+}
+
+func texts(list []Notice) []string {
+	var out []string
+	for _, n := range list {
+		out = append(out, n.Key+"="+string(n.Body))
+	}
+	return out
+}
+
+// Guards against a reader that misses a notice, or that gets one again with each call.
+func TestEachNoticeIsReadOnce(t *testing.T) {
+	r := New(func(Document) {})
+	storeNotice(t, r, "a", "1")
+	storeNotice(t, r, "b", "1")
+	list, last := r.Notices(0)
+	assert.DeepEqual(t, texts(list), []string{"a=1", "b=1"})
+	list, _ = r.Notices(last)
+	assert.Equal(t, len(list), 0)
+	storeNotice(t, r, "a", "2")
+	list, last = r.Notices(last)
+	assert.DeepEqual(t, texts(list), []string{"a=2"})
+	list, _ = r.Notices(0)
+	assert.DeepEqual(t, texts(list), []string{"b=1", "a=2"})
+	list, _ = r.Notices(last)
+	assert.Equal(t, len(list), 0)
+}
+
+// Guards against a notice that is lost when the log is compacted, and against one that changes the document.
+func TestSnapshotHoldsTheNotices(t *testing.T) {
+	r := New(func(Document) {})
+	apply(t, r, 4, "x")
+	storeNotice(t, r, "a", "1")
+	assert.Equal(t, r.Latest().Version, uint64(4))
+	snapshot, err := r.Snapshot()
+	assert.NilError(t, err)
+	again := New(func(Document) {})
+	assert.NilError(t, again.Restore(snapshot))
+	list, _ := again.Notices(0)
+	assert.DeepEqual(t, texts(list), []string{"a=1"})
+	assert.Equal(t, string(again.Latest().Body), "x")
+}
+
+// Guards against a state that grows with each departure, and against members that keep different notices.
+func TestOnlyTheNewestNoticesAreKept(t *testing.T) {
+	r := New(func(Document) {})
+	for i := range maxNotices + 5 {
+		storeNotice(t, r, fmt.Sprint(i), "")
+	}
+	list, last := r.Notices(0)
+	assert.Equal(t, len(list), maxNotices)
+	assert.Equal(t, list[0].Key, "5")
+	assert.Equal(t, last, uint64(maxNotices+5))
+	list, _ = r.Notices(last - 2)
+	assert.Equal(t, len(list), 2)
+}
--- a/internal/state/vdoc/vdoc.go
+++ b/internal/state/vdoc/vdoc.go
@@ -1,15 +1,24 @@
-// Package vdoc implements a replicated state machine that stores the document with the highest version.
+// Package vdoc implements a replicated state machine that stores the document with the highest version, and the latest
+// notice under each key.
 //
 // A control group uses it to replicate whole configurations. Each command carries a document and its version, and takes
 // effect only if its version is higher than the stored one. A duplicate or reordered command changes nothing, so it is
 // always safe to acknowledge. If two commands carry the same version, the one that is earlier in the log wins.
 //
+// Notices are short messages that must survive a restart of all members, such as the departure of an upstream. They do not
+// depend on the document. Only the newest maxNotices are kept.
+//
 // Usage:
 //
 //	r := vdoc.New(func(d vdoc.Document) { ... }) // called for each new version, from the group's goroutine
 //	body, err := vdoc.Encode(vdoc.Document{Version: 7, Body: text})
 //	reply, err := group.Propose(ctx, body)
 //	result, err := vdoc.DecodeResult(reply)
+//
+//	body, err = vdoc.EncodeNotice(vdoc.Notice{Key: "u1", Body: text})
+//	_, err = group.Propose(ctx, body)
+//	list, last := r.Notices(0)    // all of them
+//	list, last = r.Notices(last)  // those stored since
 package vdoc
 
 import (
@@ -27,11 +36,13 @@
 	Body    []byte `cbor:"2,keyasint"`
 }
 
-// command is the encoding of a Document in the log and in snapshots.
+// command is the encoding of a Document in the log, of a Notice in the log, and of the whole state in snapshots. Members of
+// releases without notices take a Notice for a document of version 0, which has no effect.
 type command struct {
-	Version    uint64 `cbor:"1,keyasint"`
-	Body       []byte `cbor:"2,keyasint"`
-	Compressed bool   `cbor:"3,keyasint,omitempty"` // Body is compressed with package pack
+	Version    uint64   `cbor:"1,keyasint"`
+	Body       []byte   `cbor:"2,keyasint"`
+	Compressed bool     `cbor:"3,keyasint,omitempty"` // Body is compressed with package pack
+	Notices    []Notice `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is the outcome of a command.
@@ -44,8 +55,9 @@
 type Replica struct {
 	notify func(Document)
 
-	mu     sync.Mutex
-	latest Document
+	mu      sync.Mutex
+	latest  Document
+	notices noticeList
 }
 
 // New returns an empty replica. notify is called after each change with the new document, which must not be modified.
@@ -60,12 +72,13 @@
 
 // Apply applies one command and returns an encoded Result. A malformed command changes nothing.
 func (r *Replica) Apply(_ uint64, data []byte) []byte {
-	d, err := decodeCommand(data)
+	c, err := decodeCommand(data)
 	if err != nil {
 		// Every member applies the same bytes, so all of them reject the command alike and their states stay equal.
 		return encodeResult(Result{Version: r.Latest().Version})
 	}
-	changed := r.storeIfNewer(d)
+	changed := r.storeIfNewer(c.document())
+	r.storeNotices(c.Notices)
 	return encodeResult(Result{Changed: changed, Version: r.Latest().Version})
 }
 
@@ -83,41 +96,53 @@
 	return changed
 }
 
-// Snapshot returns the stored document, encoded like a command.
-func (r *Replica) Snapshot() ([]byte, error) { return Encode(r.Latest()) }
+// Snapshot returns the stored document and the notices, encoded like a command.
+func (r *Replica) Snapshot() ([]byte, error) {
+	c := newCommand(r.Latest())
+	c.Notices, _ = r.Notices(0)
+	return cbor.Marshal(c)
+}
 
-// Restore stores the document of a snapshot unless the stored one is at least as new.
+// Restore stores the document of a snapshot unless the stored one is at least as new, and its notices.
 func (r *Replica) Restore(data []byte) error {
-	d, err := decodeCommand(data)
+	c, err := decodeCommand(data)
 	if err != nil {
 		return errors.Wrap(err, "decode document snapshot")
 	}
-	r.storeIfNewer(d)
+	r.storeIfNewer(c.document())
+	r.storeNotices(c.Notices)
 	return nil
 }
 
-// Encode returns the command that stores a document. The body is compressed if that makes it shorter, because every member of
-// the group receives the whole document over links that it shares with other traffic.
-func Encode(d Document) ([]byte, error) {
+// Encode returns the command that stores a document.
+func Encode(d Document) ([]byte, error) { return cbor.Marshal(newCommand(d)) }
+
+// newCommand compresses the body if that makes it shorter, because every member of the group receives the whole document over
+// links that it shares with other traffic.
+func newCommand(d Document) command {
 	c := command{Version: d.Version, Body: d.Body}
 	if compressed := pack.Compress(d.Body, nil); len(compressed) < len(d.Body) {
 		c.Body, c.Compressed = compressed, true
 	}
-	return cbor.Marshal(c)
+	return c
 }
 
-func decodeCommand(data []byte) (Document, error) {
+// decodeCommand decodes a command and expands its body.
+func decodeCommand(data []byte) (command, error) {
 	var c command
 	if err := cbor.Unmarshal(data, &c); err != nil {
-		return Document{}, err
+		return command{}, err
 	}
 	if !c.Compressed {
-		return Document{Version: c.Version, Body: c.Body}, nil
+		return c, nil
 	}
 	body, err := pack.Expand(c.Body, nil, pack.MostBytes)
-	return Document{Version: c.Version, Body: body}, err
+	c.Body, c.Compressed = body, false
+	return c, err
 }
 
+func (c command) document() Document { return Document{Version: c.Version, Body: c.Body} }
+
 // DecodeResult decodes a Result that Apply returned.
 func DecodeResult(data []byte) (Result, error) {
 	var r Result
