Answer each request that a planned stop leaves unfinished

Requests whose body ended late in the grace were still passed on, to be cut at its end.

Cause: the stop waited for all requests alike and then closed the server, whose contexts ended; that was taken for callers that had left, who get no answer.

Evidence: the log said "caller disconnected" for them, though the clients' records show that the node closed the connections after 7.7 of 15 s, which rules out callers that gave up and deadlines. The line now names the side that closed.

Change: a planned stop has phases. Late arrivals are refused first; at 60% of the grace time nothing more is sent to an upstream, and what waits for that gets a 503 with a spread Retry-After; at 92% requests at an upstream get 502, and begun streams are broken off.

Failed before: TestPlannedStopAnswersEachRequest. The tests of the phases in the proxy need the new calls.

--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -37,7 +37,7 @@
 	// attempt if that is known.
 	due time.Time
 
-	ctx    context.Context // cancelled when the caller disconnects, or at the deadline
+	ctx    context.Context // cancelled when the caller disconnects, at the deadline, or when this node stops
 	cancel context.CancelFunc
 
 	stages    *stageRun
@@ -84,6 +84,10 @@
 	if !x.readBody() {
 		return
 	}
+	if refused := x.checkArrival(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
 	x.f.countRequest(x.service)
 	if refused := x.checkBlocked(); refused != nil {
 		x.refuse(*refused)
@@ -172,12 +176,14 @@
 		left = min(left, time.Duration(ms*float64(time.Millisecond)))
 	}
 	x.deadline = x.start.Add(left)
-	var cancel context.CancelFunc
-	x.ctx, cancel = context.WithCancel(x.r.Context())
-	timer := x.f.o.Clock.AfterFunc(x.remaining(), cancel)
+	var cancel context.CancelCauseFunc
+	x.ctx, cancel = context.WithCancelCause(x.r.Context())
+	timer := x.f.o.Clock.AfterFunc(x.remaining(), func() { cancel(errDeadline) })
+	stay := context.AfterFunc(x.f.drain.ending, func() { cancel(errNodeStops) })
 	x.cancel = func() {
 		timer.Stop()
-		cancel()
+		stay()
+		cancel(nil)
 	}
 }
 
@@ -192,7 +198,9 @@
 func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
 
 // expired reports whether the deadline has passed while the caller was still connected.
-func (x *exchange) expired() bool { return !x.callerGone() && x.ctx.Err() != nil }
+func (x *exchange) expired() bool {
+	return !x.callerGone() && errors.Is(context.Cause(x.ctx), errDeadline)
+}
 
 // forward runs the stages and then sends the request to an upstream.
 func (x *exchange) forward() {
@@ -245,7 +253,7 @@
 // refuse responds with an error of this node.
 func (x *exchange) refuse(f refusal) {
 	if x.callerGone() {
-		x.logFinished(0, "caller disconnected")
+		x.logFinished(0, x.disconnectReason())
 		panic(http.ErrAbortHandler) // nobody reads a response
 	}
 	if x.responseStarted {
@@ -255,6 +263,14 @@
 	x.writeRefusal(f)
 }
 
+// disconnectReason names the side that closed the connection. At the end of a planned stop that is this node.
+func (x *exchange) disconnectReason() string {
+	if x.f.reached(Ending) {
+		return "this node closed the connection"
+	}
+	return "caller disconnected"
+}
+
 func (x *exchange) writeRefusal(f refusal) {
 	h := x.w.Header()
 	if x.id != "" {
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -4,7 +4,7 @@
 //
 //	f := proxy.New(proxy.Options{Dialect: proto.Own(), View: feed.View, Pool: pool, Maker: maker, ...})
 //	http.Serve(listener, f)
-//	f.Drain() // from now on, responses carry Connection: close
+//	f.Drain(proxy.Draining) // the first phase of a planned stop
 //	f.Close()
 //
 // # Retries
@@ -76,7 +76,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
-	draining atomic.Bool
+	drain    *drainState
 	inFlight atomic.Int64
 	regions  []string // sorted
 
@@ -98,7 +98,7 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{
 		o: o, chooser: pick.New(), retries: newRetryLimiter(o.RetryBudget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
-		placers: map[placeKey]*engine.Placer{}, unreachableUntil: map[string]time.Time{},
+		placers: map[placeKey]*engine.Placer{}, unreachableUntil: map[string]time.Time{}, drain: newDrainState(),
 	}
 	for _, region := range o.RegionOf {
 		if !slices.Contains(f.regions, region) {
@@ -120,13 +120,11 @@
 
 // Close stops the background work and waits for it.
 func (f *Forwarder) Close() {
+	f.Drain(Ending)
 	f.cancel()
 	f.wg.Wait()
 }
 
-// Drain makes callers disconnect: each further response closes its connection.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
-
 // InFlight returns the number of requests whose response is not complete.
 func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
 
@@ -233,9 +231,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.closeWhenDraining(w)
 	x := &exchange{f: f, w: newCallerWriter(w, f.o.Clock), r: r, start: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID)}
 	x.serve()
 }
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -69,10 +69,11 @@
 	d := proto.Own()
 	pool := upcon.New(upcon.Options{Clock: c, IDHeader: d.Headers.RequestID})
 	load := func() *poller.View { return view }
-	mk := batch.New(batch.Options{Node: "e1", Peer: "self", Dialect: d, Clock: c, Events: events, View: load, Pool: pool})
+	regions := map[string]string{"a": "n"}
+	mk := batch.New(batch.Options{Node: "e1", Peer: "self", RegionOf: regions, Dialect: d, Clock: c, Events: events, View: load, Pool: pool})
 	asked := new(atomic.Int32)
 	f := New(Options{
-		Node: "e1", DataCentre: "a", Region: "n", RegionOf: map[string]string{"a": "n"}, Dialect: d, Clock: c, Events: events,
+		Node: "e1", DataCentre: "a", Region: "n", RegionOf: regions, Dialect: d, Clock: c, Events: events,
 		View: load, Pool: pool, Maker: mk, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
 		Crashes: deny.New(), ReportCrashes: func() {}, RefreshCrashes: func(context.Context) { asked.Add(1) },
 	})
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -120,6 +120,8 @@
 	switch {
 	case x.callerGone():
 		r = x.gatewayError("caller disconnected", 0)
+	case x.f.reached(Finishing):
+		return x.stopRefusal()
 	case x.ctx.Err() != nil:
 		r = x.gatewayError("the time of the request is over", retrySoon)
 	case x.maybeRan && !x.route.Idempotent():
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -79,6 +79,8 @@
 				return s.failure()
 			}
 			s.startReady()
+		case <-s.x.f.drain.finishing.Done():
+			return s.x.stopRefusal()
 		case <-s.x.ctx.Done():
 			return s.failure()
 		}
@@ -99,6 +101,7 @@
 	x.placement.forecast.Hold = 0
 	select {
 	case <-timer.C():
+	case <-x.f.drain.finishing.Done():
 	case <-x.ctx.Done():
 	}
 }
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -330,26 +330,38 @@
 // Times of a planned stop, as parts of the time until the process is killed.
 const (
 	lingerPart = 0.3  // callers that know the address may still connect
+	sendPart   = 0.6  // what is sent to an upstream later could not end in time
 	finishPart = 0.92 // requests in flight are finished until then
+	closePart  = 0.97 // their answers are written until then
 )
 
+// replyTime is the time to write answers when a second signal ends a planned stop.
+const replyTime = 200 * time.Millisecond
+
 // Drain stops the process as planned. It returns the number of requests that were cut off.
 func (p *Process) Drain(ctx context.Context) int {
-	stop := seconds(p.s.Bounds.StopS, defaultStop)
-	began := p.o.Clock.Now()
 	if p.front == nil {
 		return 0
 	}
+	stop := seconds(p.s.Bounds.StopS, defaultStop)
+	after := func(part float64, f func()) clock.Timer {
+		return p.o.Clock.AfterFunc(time.Duration(part*float64(stop)), f)
+	}
 	p.draining.Store(true)
 	p.feed.SetReady(false)
-	p.front.Drain()
+	p.front.Drain(proxy.Draining)
 	p.events.Emit(event.DrainStarted, event.F("in_flight", p.front.InFlight()), event.F("wait_ms", stop.Milliseconds()))
-	_ = clock.Sleep(ctx, p.o.Clock, time.Duration(lingerPart*float64(stop))) // a second signal ends the wait
-	left := time.Duration(finishPart*float64(stop)) - p.o.Clock.Now().Sub(began)
-	finish, cancel := context.WithCancel(ctx)
+	finish, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	timer := p.o.Clock.AfterFunc(left, cancel)
-	defer timer.Stop()
+	defer after(sendPart, func() { p.front.Drain(proxy.Finishing) }).Stop()
+	defer after(finishPart, func() { p.front.Drain(proxy.Ending) }).Stop()
+	defer after(closePart, cancel).Stop()
+	defer context.AfterFunc(ctx, func() { // a second signal ends the wait
+		p.front.Drain(proxy.Ending)
+		p.o.Clock.AfterFunc(replyTime, cancel)
+	})()
+	_ = clock.Sleep(ctx, p.o.Clock, time.Duration(lingerPart*float64(stop)))
+	p.front.Drain(proxy.Refusing)
 	_ = p.http.Shutdown(finish) // what is left is counted below
 	cut := p.front.InFlight()
 	p.events.Emit(event.DrainFinished, event.F("cut_off", cut))
