Refuse heartbeats that describe no upstream that can be used

A stage upstream's handle with a comma counted as two handles.

Cause: heartbeats were checked for the presence of three fields only. Each field that is used is now checked, also the id of a departure and the port of an upstream that announces itself to serve; a call with a handle that cannot be sent has failed.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,20 @@
 	a.Close()
 	<-ended
 }
+
+// Guards against a handle of a faulty upstream that would be sent as a list of handles, or as another header.
+func TestCallWithAnOddHandleHasFailed(t *testing.T) {
+	var calls atomic.Int64
+	a, _, up := newPair(t, func(c *rawup.Conn, r *rawup.Request) {
+		if calls.Add(1) > 1 {
+			answerWithHandles(c, r)
+			return
+		}
+		body := `{"items":[{"handle":"h0,h1"}]}`
+		c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	})
+	made, err := a.Run(t.Context(), "s", "n", jobs(1))
+	assert.NilError(t, err)
+	assert.Equal(t, made[0].Handle, "h0")
+	assert.Equal(t, len(up.Requests()), 2)
+}
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/wire/peer"
@@ -65,6 +66,11 @@
 	if len(outcomes) != len(items) {
 		return stage.CallFailed, nil, errors.Newf("response has %d results for %d pieces", len(outcomes), len(items))
 	}
+	for i := range outcomes {
+		if outcomes[i].Handle != "" && !proto.ValidHandle(outcomes[i].Handle) {
+			return stage.CallFailed, nil, errors.Newf("response has a handle that cannot be sent: %.40q", outcomes[i].Handle)
+		}
+	}
 	return stage.Answered, outcomes, nil
 }
 
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -12,6 +12,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/poller"
+	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
@@ -134,7 +135,12 @@
 
 // deleteUpstream handles the message of an upstream that has stopped or will stop soon.
 func (s *Server) deleteUpstream(w http.ResponseWriter, r *http.Request) {
-	u := s.applyLeave(pathvar.Vars(r)["id"])
+	id := pathvar.Vars(r)["id"]
+	if err := proto.ValidateID(id); err != nil {
+		writeText(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	u := s.applyLeave(id)
 	poller.LogUpstream(s.o.Events, u)
 	if err := s.announceLeave(u); err != nil {
 		writeText(w, http.StatusServiceUnavailable, err.Error())
--- a/internal/gate/proto/proto.go
+++ b/internal/gate/proto/proto.go
@@ -13,8 +13,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
@@ -120,17 +118,6 @@
 	return u, ValidateHeartbeat(u)
 }
 
-// ValidateHeartbeat returns an error if the heartbeat does not describe a usable upstream.
-func ValidateHeartbeat(u roster.Upstream) error {
-	switch {
-	case u.ID == "" || u.Service == "" || u.Address == "":
-		return errors.New("id, service and address are required")
-	case u.State != roster.Ready && u.State != roster.Draining:
-		return errors.New("the state must be ready or draining")
-	}
-	return nil
-}
-
 type callItem struct {
 	Request string   `json:"request"`
 	Stage   int      `json:"stage"`
--- a/internal/node/entry/upstreams.go
+++ b/internal/node/entry/upstreams.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -90,12 +89,9 @@
 }
 
 func checkAnnounce(a upapi.Announce) string {
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil {
-		return "address: " + err.Error()
-	}
-	if _, err := netip.ParseAddr(host); err != nil {
-		return "address: not an IP number: " + host
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil || address.Port() == 0 {
+		return "address: not an IP number with a port: " + a.Address
 	}
 	switch a.Kind {
 	case upapi.KindEncoder, upapi.KindRetriever, upapi.KindReranker, upapi.KindEngine, upapi.KindService:
