Bound the memory of all unfinished answers together

The HTTP clients of serve took heads of 10 MB each.

Beyond 64 kB, the unfinished answers of a node now share 16 MB: a body that gets no more is passed on as it arrives, an event that gets no more ends its stream. A call's answer is bounded by its number of pieces, the heads in HTTP clients by 256 kB.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,3 +186,28 @@
 	assert.Equal(t, made[0].Handle, "h0")
 	assert.Equal(t, len(up.Requests()), 2)
 }
+
+// Guards against an upstream in trouble whose answer to a call never ends and is kept in memory.
+func TestCallAnswerWithoutEndIsGivenUp(t *testing.T) {
+	const tooMuch = 32 << 20 // bytes; exceeds the limit plus the buffers of two sockets
+	var taken, calls atomic.Int64
+	a, _, _ := newPair(t, func(c *rawup.Conn, r *rawup.Request) {
+		if calls.Add(1) > 1 {
+			answerWithHandles(c, r)
+			return
+		}
+		c.WriteString("HTTP/1.1 200 OK\r\n\r\n{\"items\":[{\"handle\":\"")
+		for part := []byte(strings.Repeat("a", 64<<10)); taken.Load() < tooMuch; {
+			n, err := c.Write(part)
+			taken.Add(int64(n))
+			if err != nil {
+				break
+			}
+		}
+		c.End()
+	})
+	made, err := a.Run(t.Context(), "s", "n", jobs(1))
+	assert.NilError(t, err)
+	assert.Equal(t, made[0].Handle, "h0")
+	assert.Assert(t, taken.Load() < tooMuch, "%d bytes were taken", taken.Load())
+}
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -18,8 +18,11 @@
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
 
-// maxResponseBytes limits the response of a stage upstream.
-const maxResponseBytes = 1 << 20
+// Limits of the response of a stage upstream. Many calls may be in progress at the same time.
+const (
+	maxResponseBytes = 16 << 10
+	maxItemBytes     = 1 << 10 // for each piece, in addition
+)
 
 // send sends one call to a stage upstream and decodes its response.
 func (m *Batcher) send(c stage.Call) (stage.CallResult, []stage.Outcome, error) {
@@ -48,7 +51,7 @@
 		return stage.CallFailed, nil, err
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseBytes+len(items)*maxItemBytes)))
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return stage.AddressReused, nil, errors.New("the address now belongs to another upstream")
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -77,6 +77,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	drain    *drainState
+	buffers  bufferBudget
 	inFlight atomic.Int64
 	regions  []string // sorted
 
@@ -232,6 +233,10 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	f.closeWhenDraining(w)
-	x := &exchange{f: f, w: newCallerWriter(w, f.o.Clock), r: r, start: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID)}
+	x := &exchange{
+		f: f, w: newCallerWriter(w, f.o.Clock), r: r, start: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID),
+		buffers: reservation{budget: &f.buffers},
+	}
+	defer x.buffers.release()
 	x.serve()
 }
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -24,10 +24,6 @@
 // maxFailedUpstreams is the number of failed upstreams after which a request is given up.
 const maxFailedUpstreams = 4
 
-// maxBufferedBytes is the size up to which a response is read completely before it is forwarded, so that a
-// truncated one can be retried.
-const maxBufferedBytes = 1 << 20
-
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -306,7 +302,7 @@
 		if resp == nil {
 			continue
 		}
-		body, whole, err := readUpTo(resp.Body, maxBufferedBytes)
+		body, whole, err := x.buffers.readBody(resp)
 		if err != nil {
 			x.sent-- // handleSendError counts it again
 			if refused := x.handleBadResponse(resp, err); refused != nil {
@@ -344,7 +340,7 @@
 		x.writeBuffered(first, body)
 		return false
 	}
-	second, whole, err := readUpTo(resp.Body, maxBufferedBytes)
+	second, whole, err := x.buffers.readBody(resp)
 	if err != nil || !whole || resp.Status >= 500 {
 		_ = resp.Body.Close()
 		result := pick.ErrorResponse
@@ -416,9 +412,3 @@
 	x.copyTrailer(resp)
 	x.logFinished(resp.Status, "")
 }
-
-// readUpTo reads a body up to a limit. If the body is longer, whole is false.
-func readUpTo(r io.Reader, limit int64) (body []byte, whole bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, limit+1))
-	return body, int64(len(body)) <= limit, err
-}
--- a/internal/gate/proxy/stream.go
+++ b/internal/gate/proxy/stream.go
@@ -23,9 +23,6 @@
 	errEventTooLarge = errors.New("stream event is too large")
 )
 
-// maxEventBytes limits how much of an incomplete event is buffered.
-const maxEventBytes = 1 << 20
-
 // forwardStream forwards a request whose response is a stream of server-sent events.
 //
 // Only complete events are forwarded. If the route allows it, a broken stream is then resumed at another
@@ -92,7 +89,7 @@
 // forwardFailure forwards a response with another status than 200.
 func (s *eventStream) forwardFailure(resp *response) {
 	x := s.x
-	body, whole, err := readUpTo(resp.Body, maxBufferedBytes)
+	body, whole, err := x.buffers.readBody(resp)
 	if err != nil || x.responseStarted {
 		_ = resp.Body.Close()
 		x.finishAttempt(resp, pick.NoResponse)
@@ -106,7 +103,7 @@
 // prepareResume recomputes the stages' results, which were freed when the first event arrived.
 func (s *eventStream) prepareResume() *refusal {
 	x := s.x
-	s.partial = nil
+	s.keep(nil)
 	if x.stages == nil || x.stages.plan.Finished() {
 		return nil
 	}
@@ -134,6 +131,8 @@
 			return err
 		case len(s.partial) > maxEventBytes:
 			return errEventTooLarge
+		case !x.buffers.cover(len(s.partial)):
+			return errBuffersInUse
 		}
 	}
 }
@@ -188,13 +187,23 @@
 	if err == nil {
 		err = http.NewResponseController(s.x.w).Flush()
 	}
-	s.partial = append(s.partial[:0], rest...)
+	s.keep(rest)
 	return err
 }
 
+// keep replaces the incomplete event. The buffer of a large one is given up.
+func (s *eventStream) keep(rest []byte) {
+	if cap(s.partial) > ownBufferBytes {
+		s.partial = nil
+		s.x.buffers.release()
+	}
+	s.partial = append(s.partial[:0], rest...)
+}
+
 // takeEvents splits data into its complete events and the rest. It removes events that the caller already has and records
-// the id of the last event.
+// the id of the last event. Both results are parts of data, which is changed.
 func (s *eventStream) takeEvents(data []byte) (out, rest []byte) {
+	out = data[:0]
 	for {
 		end := eventLength(data)
 		if end == 0 {
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -201,10 +201,15 @@
 		DialContext:         dial.Dialer{Clock: clock.Real(), Timeout: dialTimeout}.DialContext,
 		TLSClientConfig:     tlsConf,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return httpc.NewServiceWithClient(name, &http.Client{Transport: t}), t
 }
 
+// maxResponseHeaderBytes bounds what a server in trouble can make a client keep; the default of net/http is 10 MB.
+const maxResponseHeaderBytes = 256 << 10
+
 // dialTimeout is well above the round trip between regions and well below any deadline.
 const dialTimeout = 2 * time.Second
 
--- a/internal/wire/httpd/httpd_test.go
+++ b/internal/wire/httpd/httpd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -123,3 +124,31 @@
 		assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
 	}
 }
+
+// Guards against a server in trouble that sends a head without end, which the client would keep.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	const tooMuch = 64 << 20 // bytes; exceeds the limit plus the buffers of two sockets
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	taken := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		n, _ := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for field := strings.Repeat("X-Fill: aaaaaaaa\r\n", 4<<10); n < tooMuch && err == nil; {
+			var m int
+			m, err = io.WriteString(c, field)
+			n += m
+		}
+		taken <- n
+	}()
+	defer l.Close()
+	client, transport := httpd.NewClient("head", 1, nil)
+	defer transport.CloseIdleConnections()
+	_, err = httpd.Post(t.Context(), client.DoRequest, "http://"+l.Addr().String()+"/", nil)
+	assert.ErrorContains(t, err, "exceeded")
+	assert.Assert(t, <-taken < 8<<20)
+}
