Refuse a late second answer to a call for pieces

Cause: the answer to a call was assigned by its place on the connection.

Change: handles are unique, so the first handle of each answer is remembered with the piece that it was given to. An answer whose first handle was given to another piece is refused and its connection closed; upcon holds a connection until such an answer was judged.

--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -78,6 +78,7 @@
 	unresponsive  map[string]time.Time // end of the unresponsive period, by peer address
 	localResults  resultTracker
 	remoteUsers   resultUsers
+	answers       answerLog
 }
 
 type queueKey struct{ service, region string }
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,3 +213,34 @@
 	assert.Equal(t, made[0].Handle, "h0")
 	assert.Assert(t, taken.Load() < tooMuch, "%d bytes were taken", taken.Load())
 }
+
+// Guards against a late second copy of an answer that is taken for the answer to the next call on the connection: requests would run
+// with the results of others.
+func TestRepeatedAnswerIsNotTakenForTheNextCalls(t *testing.T) {
+	var calls atomic.Int64
+	var mu sync.Mutex
+	last := map[net.Conn]string{}
+	a, _, up := newPair(t, func(c *rawup.Conn, r *rawup.Request) {
+		n := calls.Add(1)
+		body := fmt.Sprintf(`{"items":[{"handle":"h%d"}]}`, n)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		mu.Lock()
+		copied := last[c.Conn]
+		last[c.Conn] = answer
+		mu.Unlock()
+		c.WriteString(copied)
+		time.Sleep(20 * time.Millisecond) // the copy is read before the answer arrives
+		c.WriteString(answer)
+	})
+	seen := map[string]bool{}
+	for i := range 6 {
+		one := jobs(1)
+		one[0].Request = fmt.Sprint("r", i)
+		made, err := a.Run(t.Context(), "s", "n", one)
+		assert.NilError(t, err)
+		assert.Assert(t, made[0].Handle != "")
+		assert.Assert(t, !seen[made[0].Handle], "%s is the result of another request", made[0].Handle)
+		seen[made[0].Handle] = true
+	}
+	assert.Assert(t, len(up.Requests()) > 6, "no copy was sent")
+}
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -45,13 +45,29 @@
 	header := m.header(c.Upstream)
 	header.Set(m.o.Dialect.Headers.Deadline, strconv.FormatInt(maxTimeLeft.Milliseconds(), 10))
 	resp, err := m.o.Pool.Send(ctx, upcon.Request{
-		Address: c.Address, Method: http.MethodPost, Target: m.o.Dialect.Paths.Call, Host: c.Address, Header: header, Body: body,
+		Address: c.Address, Method: http.MethodPost, Target: m.o.Dialect.Paths.Call, Host: c.Address, Header: header, Body: body, Hold: true,
 	})
 	if err != nil {
 		return stage.CallFailed, nil, err
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseBytes+len(items)*maxItemBytes)))
+	result, outcomes, err := m.decodeAnswer(resp, answer, err, items)
+	if err == nil && result == stage.Answered {
+		err = m.checkOwnAnswer(c, outcomes)
+	}
+	if err != nil {
+		resp.Discard() // what follows on the connection may belong to another call as well
+		if result == stage.Answered {
+			result = stage.CallFailed
+		}
+		return result, nil, err
+	}
+	return result, outcomes, nil
+}
+
+// decodeAnswer decodes the response to a call. readErr is the error of reading its body.
+func (m *Batcher) decodeAnswer(resp *upcon.Response, answer []byte, readErr error, items []stage.Item) (stage.CallResult, []stage.Outcome, error) {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return stage.AddressReused, nil, errors.New("the address now belongs to another upstream")
@@ -59,8 +75,8 @@
 		return stage.QueueFull, nil, nil
 	case resp.Status != http.StatusOK:
 		return stage.CallFailed, nil, errors.Newf("unexpected status %d", resp.Status)
-	case err != nil:
-		return stage.CallFailed, nil, err
+	case readErr != nil:
+		return stage.CallFailed, nil, readErr
 	}
 	outcomes, err := m.o.Dialect.DecodeCall(answer)
 	if err != nil {
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -146,6 +146,9 @@
 	HasBody bool        // a length is sent even if the body is empty
 	ID      string      // must be repeated in the answer; empty: not checked
 	Limit   int         // most connections to the address; 0: no limit
+	// Hold keeps the connection from other requests until Body is closed, so that an answer whose content shows that it belongs to
+	// another request can be refused with Response.Discard.
+	Hold bool
 }
 
 // Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body.
@@ -161,6 +164,9 @@
 	head *http.Response
 }
 
+// Discard makes Body.Close close the connection of a request with Hold.
+func (r *Response) Discard() { r.Body.(*body).reusable = false }
+
 // Trailer returns the fields that came after the body, once the body has been read whole.
 func (r *Response) Trailer() http.Header { return r.head.Trailer }
 
@@ -375,7 +381,7 @@
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, head: hr}
 	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
-	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor)}
+	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor), hold: r.Hold}
 	return resp, nil
 }
 
@@ -457,6 +463,7 @@
 	in       io.ReadCloser
 	reusable bool
 	keep     time.Duration
+	hold     bool // the connection is given back by Close
 	ended    bool
 }
 
@@ -467,7 +474,9 @@
 	n, err := b.in.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.ended = true
-		b.finish()
+		if !b.hold {
+			b.finish()
+		}
 		return n, io.EOF
 	}
 	return n, err
@@ -475,11 +484,15 @@
 
 // Close gives up the rest of the answer, and the connection with it.
 func (b *body) Close() error {
-	if !b.ended {
+	switch {
+	case !b.ended:
 		b.ended = true
 		b.c.stop()
 		b.c.close()
+	case b.hold:
+		b.finish()
 	}
+	b.hold = false
 	return nil
 }
 
