Count a request that silences its upstream as a crash once the upstream is replaced

Change: requests that end at an upstream without an answer or a disconnect are kept for 20 s, and count as crashes if that start of the upstream is gone by then. An announced departure, and an answer to the same content, end the suspicion.

TestContentThatSilencesUpstreamsIsBlocked needs the new calls.

--- a/internal/gate/proxy/crashes.go
+++ b/internal/gate/proxy/crashes.go
@@ -50,14 +50,19 @@
 // recordCrash records that an upstream closed the connection while it was running the request.
 func (x *exchange) recordCrash(u roster.Upstream) {
 	x.crashesRefreshed = false
-	now, c := x.f.o.Clock.Now(), x.contentFingerprint()
-	crashes := x.f.o.Crashes.RecordCrash(now, c, deny.IncarnationID(u.ID, u.StartedMs))
-	x.f.o.Events.Emit(event.ContentCrashed, event.F("request", x.id), event.F("content", c), event.F("upstream", u.ID),
+	x.f.recordCrash(x.id, x.contentFingerprint(), u)
+}
+
+// recordCrash records that an upstream ended while it was running a request with some content.
+func (f *Forwarder) recordCrash(request string, content poison.Fingerprint, u roster.Upstream) {
+	now := f.o.Clock.Now()
+	crashes := f.o.Crashes.RecordCrash(now, content, deny.IncarnationID(u.ID, u.StartedMs))
+	f.o.Events.Emit(event.ContentCrashed, event.F("request", request), event.F("content", content), event.F("upstream", u.ID),
 		event.F("born_ms", u.StartedMs), event.F("crashes", crashes))
 	if crashes == deny.MaxCrashes {
-		x.f.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", x.f.o.Node))
+		f.o.Events.Emit(event.ContentBlocked, event.F("content", content), event.F("peer", f.o.Node))
 	}
-	x.f.reportCrash(now)
+	f.reportCrash(now)
 }
 
 // crashReportInterval limits reports outside the regular poll, since a dying upstream can fail many requests at
@@ -76,8 +81,11 @@
 	}
 }
 
-// recordSuccess clears the crash record of the request's content after an upstream responded to it.
+// recordSuccess clears the crash record of the request's content and the suspicions against it, after an upstream responded to it.
 func (x *exchange) recordSuccess() {
+	if x.f.hasSilentRuns.Load() {
+		x.f.dropSilentRuns(x.contentFingerprint())
+	}
 	if x.f.o.Crashes.Len() == 0 || !x.f.o.Crashes.RecordSuccess(x.f.o.Clock.Now(), x.contentFingerprint()) {
 		return
 	}
@@ -85,7 +93,7 @@
 }
 
 // isDisconnect reports whether err means that the upstream closed the connection, as it does when its process
-// dies. An upstream that stops responding runs into the request's deadline instead.
+// dies. A request at an upstream that stops responding ends at its deadline instead (noteSilentRun).
 func isDisconnect(err error) bool {
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errIncomplete} {
 		if errors.Is(err, cause) {
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -89,6 +89,8 @@
 	// unreachableUntil holds the time until which no request is placed in a region, because its placers timed
 	// out.
 	unreachableUntil map[string]time.Time
+	silentRuns       []silentRun // oldest first
+	hasSilentRuns    atomic.Bool
 	// lastCrashReport is when crashes were last reported outside the regular poll.
 	lastCrashReport time.Time
 }
@@ -111,6 +113,7 @@
 	f.wg.Go(func() {
 		for clock.Sleep(f.ctx, o.Clock, sweepInterval) == nil {
 			o.Pool.Sweep()
+			f.checkSilentRuns(o.Clock.Now())
 			f.mu.Lock()
 			f.chooser.Sweep(o.Clock.Now())
 			f.mu.Unlock()
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -164,7 +164,11 @@
 	if outcome == upcon.MaybeRan {
 		x.sent++
 		x.maybeRan = true
-		if x.ctx.Err() == nil && isDisconnect(err) {
+		switch {
+		case x.f.reached(Ending): // this node broke off
+		case x.ctx.Err() != nil:
+			x.noteSilentRun(resp.upstream)
+		case isDisconnect(err):
 			x.recordCrash(resp.upstream)
 		}
 	}
