--- /dev/null
+++ b/internal/wire/upcon/conn.go
@@ -0,0 +1,118 @@
+package upcon
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// conn is one connection. It belongs to one request at a time.
+type conn struct {
+	pool    *Pool
+	host    *host
+	address string
+	nc      net.Conn
+	in      *meter // between nc and br
+	br      *bufio.Reader
+	until   time.Time // when it may no longer be used
+	stop    func() bool
+	wrote   bool // a byte of the present request was written
+	written chan error
+	once    sync.Once
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.nc.Close()
+		c.pool.mu.Lock()
+		c.host.open--
+		c.pool.mu.Unlock()
+	})
+}
+
+// abort ends a request whose context has ended. It only closes the socket, which makes the reader and writer return.
+func (c *conn) abort() { _ = c.nc.Close() }
+
+// clean reports whether nothing has arrived on an idle connection and it is open.
+func (c *conn) clean() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(fd), one[:])
+		idle = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && idle
+}
+
+// exchange writes the request and reads the head of the answer.
+func (c *conn) exchange(r Request, idHeader string) (*Response, error) {
+	c.wrote, c.written = false, make(chan error, 1)
+	head, payload := encodeHead(r), encodeBody(r)
+	if len(payload) <= asideBytes {
+		c.written <- c.write(append(head, payload...))
+	} else {
+		// The head goes out here, so that wrote is settled before the answer is awaited.
+		if err := c.write(head); err != nil {
+			c.written <- err
+		} else {
+			body, written := payload, c.written
+			go func() {
+				_, err := c.nc.Write(body)
+				written <- err
+			}()
+		}
+	}
+	if !c.wrote {
+		return nil, <-c.written
+	}
+	hr, err := c.readHead(r.Method)
+	if err != nil {
+		return nil, err
+	}
+	if r.ID != "" && hr.Header.Get(idHeader) != r.ID {
+		return nil, ErrForeign
+	}
+	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, head: hr}
+	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
+	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor), hold: r.Hold}
+	return resp, nil
+}
+
+func (c *conn) write(data []byte) error {
+	n, err := c.nc.Write(data)
+	c.wrote = n > 0
+	return err
+}
+
+// readHead reads the head of an answer and skips informational ones before it. All of them together are bounded: a faulty upstream
+// may send bytes without end.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.in.left = maxHead
+	defer func() { c.in.left = unlimited }()
+	for {
+		hr, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if hr.StatusCode >= http.StatusOK {
+			return hr, nil
+		}
+	}
+}
