--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -288,14 +288,14 @@
 
 // follow replies to the poll of an entry node.
 func (s *Server) follow(body []byte) ([]byte, error) {
-	var poll poller.Ask
+	var poll poller.Query
 	if err := cbor.Unmarshal(body, &poll); err != nil {
 		return nil, err
 	}
 	current, _, _ := s.status()
 	control := s.o.Member.Addresses()
 	latest := s.o.Member.Latest()
-	reply := poller.Tell{Epoch: s.epoch, Sure: current, Version: latest.Version, Place: s.o.Place}
+	reply := poller.Reply{Epoch: s.epoch, Sure: current, Version: latest.Version, Place: s.o.Place}
 	if poller.ControlSum(append(control, s.o.Address)) != poll.Control {
 		reply.Control = append(control, s.o.Address)
 	}
@@ -319,7 +319,7 @@
 
 // records returns the records that a poll asks for. For an entry node that follows this node, it also returns
 // the control nodes that this node does not hear from.
-func (s *Server) records(now time.Time, poll *poller.Ask, control []string) (roster.Delta, []roster.SyncPosition) {
+func (s *Server) records(now time.Time, poll *poller.Query, control []string) (roster.Delta, []roster.SyncPosition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/internal/gate/poller/config_pieces.go
+++ b/internal/gate/poller/config_pieces.go
@@ -92,38 +92,38 @@
 
 // takePiece takes a piece of a configuration. It reports whether a configuration came in force, and whether to ask for the next
 // piece.
-func (f *Feed) takePiece(from string, p *Piece) (used, more bool) {
-	if p.Version <= f.version || p.Base != 0 && p.Base != f.version {
+func (p *Poller) takePiece(from string, piece *Piece) (used, more bool) {
+	if piece.Version <= p.version || piece.Base != 0 && piece.Base != p.version {
 		return false, false
 	}
-	if !f.text.add(from, p) {
-		return false, f.text.from == from && len(p.Body) > 0
+	if !p.text.add(from, piece) {
+		return false, p.text.from == from && len(piece.Body) > 0
 	}
-	document, err := f.text.unpack(f.document)
+	document, err := p.text.unpack(p.document)
 	if err != nil {
-		f.rejected(p.Version, from, err)
+		p.rejected(piece.Version, from, err)
 		return false, false
 	}
-	before := f.version
-	if !f.takeDocument(p.Version, document, from) {
+	before := p.version
+	if !p.takeDocument(piece.Version, document, from) {
 		return false, false
 	}
-	f.o.Events.Emit(event.ConfigInForce, event.F("revision", p.Version), event.F("peer", from), event.F("before", before),
-		event.F("known_ms", f.o.Clock.Now().Sub(f.newest.since).Milliseconds()), event.F("base", p.Base), event.F("bytes", p.Total))
+	p.o.Events.Emit(event.ConfigInForce, event.F("revision", piece.Version), event.F("peer", from), event.F("before", before),
+		event.F("known_ms", p.o.Clock.Now().Sub(p.newest.since).Milliseconds()), event.F("base", piece.Base), event.F("bytes", piece.Total))
 	return true, false
 }
 
 // takeDocument puts a configuration in force. It was checked before the group took it.
-func (f *Feed) takeDocument(version uint64, document []byte, from string) bool {
-	cfg, err := f.o.Dialect.DecodeConfig(document)
+func (p *Poller) takeDocument(version uint64, document []byte, from string) bool {
+	cfg, err := p.o.Dialect.DecodeConfig(document)
 	if err != nil {
-		f.rejected(version, from, err)
+		p.rejected(version, from, err)
 		return false
 	}
-	f.table, f.version, f.document = conf.NewTable(cfg), version, document
+	p.table, p.version, p.document = conf.NewTable(cfg), version, document
 	return true
 }
 
-func (f *Feed) rejected(version uint64, from string, err error) {
-	f.o.Events.Emit(event.ConfigRejected, event.F("revision", version), event.F("peer", from), event.F("reason", err))
+func (p *Poller) rejected(version uint64, from string, err error) {
+	p.o.Events.Emit(event.ConfigRejected, event.F("revision", version), event.F("peer", from), event.F("reason", err))
 }
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -17,8 +17,8 @@
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
 
-// Ask is the question of an entry node.
-type Ask struct {
+// Query is the question of an entry node.
+type Query struct {
 	// Entry is the entry node's report to the control node that it follows. Without it, and without Held, the answer tells
 	// no records.
 	Entry   *roster.Entry `cbor:"1,keyasint,omitempty"`
@@ -33,8 +33,8 @@
 	Text         *Want         `cbor:"9,keyasint,omitempty"` // asks for a newer configuration
 }
 
-// Tell is the answer.
-type Tell struct {
+// Reply is the answer.
+type Reply struct {
 	Epoch   uint64       `cbor:"1,keyasint"`
 	Sure    bool         `cbor:"2,keyasint"` // the control node has all that was acknowledged before its group's leader was elected
 	Delta   roster.Delta `cbor:"3,keyasint"`
@@ -59,7 +59,7 @@
 const packFrom = 16
 
 // Encode returns an answer as it is sent.
-func (t Tell) Encode() ([]byte, error) {
+func (t Reply) Encode() ([]byte, error) {
 	if len(t.Delta.Upstreams)+len(t.Delta.Entries) >= packFrom {
 		delta, err := cbor.Marshal(t.Delta)
 		if err != nil {
@@ -70,9 +70,9 @@
 	return cbor.Marshal(t)
 }
 
-// DecodeTell reads what Encode returned.
-func DecodeTell(body []byte) (Tell, error) {
-	var t Tell
+// DecodeReply reads what Encode returned.
+func DecodeReply(body []byte) (Reply, error) {
+	var t Reply
 	if err := cbor.Unmarshal(body, &t); err != nil || len(t.Packed) == 0 {
 		return t, err
 	}
@@ -99,149 +99,149 @@
 )
 
 // follow asks a control node, and again while it has more to tell.
-func (f *Feed) follow(s *source) {
-	for f.ask(s) {
+func (p *Poller) follow(s *source) {
+	for p.ask(s) {
 		continue
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	s.asking = false
 }
 
 // ask asks once, and reports whether the next question should follow at once.
-func (f *Feed) ask(s *source) bool {
-	f.mu.Lock()
-	as, q := f.question(s)
+func (p *Poller) ask(s *source) bool {
+	p.mu.Lock()
+	as, q := p.question(s)
 	told, timeout := s.crashes, min(askTimeout*time.Duration(1+s.failed), mostTimeout)
-	f.mu.Unlock()
-	q.Crashes, told = f.o.Blame.LocalChanges(f.o.Clock.Now(), told)
+	p.mu.Unlock()
+	q.Crashes, told = p.o.Crashes.LocalChanges(p.o.Clock.Now(), told)
 	body, err := cbor.Marshal(q)
 	if err != nil { // the question holds plain values only
 		panic(err)
 	}
-	ctx, cancel := context.WithTimeout(f.ctx, timeout)
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	began := f.o.Clock.Now()
-	reply, err := f.o.Hub.Call(ctx, s.address, peer.KindFollow, body)
-	var tell Tell
+	began := p.o.Clock.Now()
+	answer, err := p.o.Hub.Call(ctx, s.address, peer.KindFollow, body)
+	var reply Reply
 	if err == nil {
-		tell, err = DecodeTell(reply)
+		reply, err = DecodeReply(answer)
 	}
-	now := f.o.Clock.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	now := p.o.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		f.failed(s)
+		p.failed(s)
 		return false
 	}
 	s.crashes = told
-	if s.epoch != tell.Epoch && s.epoch != 0 {
+	if s.epoch != reply.Epoch && s.epoch != 0 {
 		s.crashes = 0 // it restarted, and has forgotten what it was told
 	}
-	again := f.take(now, s, as, tell)
+	again := p.take(now, s, as, reply)
 	if as == followAll {
-		f.asked = clock.Later(f.asked, began)
-		close(f.news)
-		f.news = make(chan struct{})
+		p.asked = clock.Later(p.asked, began)
+		close(p.news)
+		p.news = make(chan struct{})
 	}
-	return again && f.ctx.Err() == nil
+	return again && p.ctx.Err() == nil
 }
 
 // question returns what a control node is asked for now.
-func (f *Feed) question(s *source) (duty, Ask) {
-	primary := f.primary()
-	as := f.duty(primary, s)
-	q := Ask{Epoch: s.epoch, Version: f.version, SuspectsSeen: s.blame, Control: ControlSum(slices.Collect(maps.Keys(f.sources)))}
+func (p *Poller) question(s *source) (duty, Query) {
+	primary := p.primary()
+	as := p.duty(primary, s)
+	q := Query{Epoch: s.epoch, Version: p.version, SuspectsSeen: s.blame, Control: ControlSum(slices.Collect(maps.Keys(p.sources)))}
 	switch as {
 	case followAll:
-		f.report++
-		e := f.o.Self
-		e.Started, e.ReportSequence, e.Ready = f.started.UnixNano(), f.report, f.ready.Load()
+		p.report++
+		e := p.o.Self
+		e.Started, e.ReportSequence, e.Ready = p.started.UnixNano(), p.report, p.ready.Load()
 		q.Entry, q.Seen = &e, s.seen
 	case followHeld:
 		q.Held, q.Seen = true, s.held
-		if known := f.apart[s.address]; s.held == 0 || known.Epoch != s.epoch {
+		if known := p.apart[s.address]; s.held == 0 || known.Epoch != s.epoch {
 			q.Epoch, q.Seen = known.Epoch, known.Version
 		}
 	case lookIn:
 	}
-	if as == followAll || s.sure && s.version > f.version && primary != nil && primary.version <= f.version {
-		q.Text = f.text.want(s.address, f.version)
+	if as == followAll || s.sure && s.version > p.version && primary != nil && primary.version <= p.version {
+		q.Text = p.text.want(s.address, p.version)
 	}
 	return as, q
 }
 
 // take takes an answer and reports whether there is more to ask for.
-func (f *Feed) take(now time.Time, s *source, as duty, tell Tell) bool {
-	f.answered = now
-	if f.lost {
-		f.lost = false
-		f.o.Events.Emit(event.ControlFound, event.F("control", s.address))
+func (p *Poller) take(now time.Time, s *source, as duty, reply Reply) bool {
+	p.answered = now
+	if p.lost {
+		p.lost = false
+		p.o.Events.Emit(event.ControlFound, event.F("control", s.address))
 	}
-	if s.epoch != tell.Epoch {
+	if s.epoch != reply.Epoch {
 		s.seen, s.held = 0, 0
 	}
 	seen := s.seen + s.held
-	s.epoch, s.place, s.version, s.sure = tell.Epoch, tell.Place, tell.Version, tell.Sure
+	s.epoch, s.place, s.version, s.sure = reply.Epoch, reply.Place, reply.Version, reply.Sure
 	s.failed, s.heard, s.told = 0, now, as
-	f.newest.note(now, tell.Version, s.address)
-	for _, a := range tell.Control {
-		f.addSource(a)
+	p.newest.note(now, reply.Version, s.address)
+	for _, a := range reply.Control {
+		p.addSource(a)
 	}
-	if len(tell.Suspects) > 0 {
-		for _, c := range f.o.Blame.Merge(now, tell.Suspects) {
-			f.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", s.address))
+	if len(reply.Suspects) > 0 {
+		for _, c := range p.o.Crashes.Merge(now, reply.Suspects) {
+			p.o.Events.Emit(event.ContentBlocked, event.F("content", c), event.F("peer", s.address))
 		}
 	}
-	s.blame = tell.SuspectsVersion
-	changed := f.takePage(now, s, as, tell)
-	more := tell.Delta.More && s.seen+s.held > seen
-	if tell.Text != nil && f.trusts(now, tell) {
-		used, next := f.takePiece(s.address, tell.Text)
+	s.blame = reply.SuspectsVersion
+	changed := p.takePage(now, s, as, reply)
+	more := reply.Delta.More && s.seen+s.held > seen
+	if reply.Text != nil && p.trusts(now, reply) {
+		used, next := p.takePiece(s.address, reply.Text)
 		changed, more = changed || used, more || next
 	}
 	if changed {
-		f.publish(now)
+		p.publish(now)
 	}
 	return more
 }
 
 // takePage takes the records of an answer.
-func (f *Feed) takePage(now time.Time, s *source, as duty, tell Tell) bool {
+func (p *Poller) takePage(now time.Time, s *source, as duty, reply Reply) bool {
 	switch as {
 	case lookIn:
 		return false
 	case followHeld:
-		s.held = tell.Delta.Version
-		return f.takeDelta(now, tell.Delta, s.speaks(), tell.Sure)
+		s.held = reply.Delta.Version
+		return p.takeDelta(now, reply.Delta, s.speaks(), reply.Sure)
 	case followAll:
 	}
-	s.seen = tell.Delta.Version
-	changed := f.setApart(tell.Apart)
-	if tell.Delta.Full {
+	s.seen = reply.Delta.Version
+	changed := p.setApart(reply.Apart)
+	if reply.Delta.Full {
 		s.pass = now
 	}
-	changed = f.takeDelta(now, tell.Delta, s.speaks(), tell.Sure) || changed
-	if s.pass.IsZero() || tell.Delta.More {
+	changed = p.takeDelta(now, reply.Delta, s.speaks(), reply.Sure) || changed
+	if s.pass.IsZero() || reply.Delta.More {
 		return changed
 	}
-	f.noteUntold(now, s.pass)
+	p.noteUntold(now, s.pass)
 	s.pass = time.Time{}
 	return changed
 }
 
 // setApart notes the control nodes that the primary does not hear, and reports whether they are others than before.
-func (f *Feed) setApart(list []roster.SyncPosition) bool {
-	if len(list) == 0 && len(f.apart) == 0 {
+func (p *Poller) setApart(list []roster.SyncPosition) bool {
+	if len(list) == 0 && len(p.apart) == 0 {
 		return false
 	}
-	before := f.apart
-	f.apart = map[string]roster.SyncPosition{}
+	before := p.apart
+	p.apart = map[string]roster.SyncPosition{}
 	for _, k := range list {
-		f.addSource(k.Address)
-		f.apart[k.Address] = k
+		p.addSource(k.Address)
+		p.apart[k.Address] = k
 	}
-	return !maps.Equal(before, f.apart)
+	return !maps.Equal(before, p.apart)
 }
 
 // unsureAfter is how long a node without a configuration waits for a control node that is sure to have the newest one.
@@ -250,14 +250,14 @@
 // trusts reports whether the first configuration may come from a control node. One that is not sure may lack what the group
 // acknowledged before both restarted; its configuration is used if no other comes for long, so that a fleet whose group is lost
 // serves.
-func (f *Feed) trusts(now time.Time, tell Tell) bool {
-	if f.table != nil || tell.Sure {
+func (p *Poller) trusts(now time.Time, reply Reply) bool {
+	if p.table != nil || reply.Sure {
 		return true
 	}
-	for _, s := range f.sources {
+	for _, s := range p.sources {
 		if s.sure && s.failed == 0 {
 			return false
 		}
 	}
-	return now.Sub(f.started) >= unsureAfter
+	return now.Sub(p.started) >= unsureAfter
 }
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -12,9 +12,9 @@
 // Usage:
 //
 //	f := poller.New(poller.Options{Self: entry, Seeds: seeds, Hub: hub, Dialect: d, ...})
-//	view := f.View() // immutable
-//	f.SetReady(false)
-//	f.Close()
+//	view := p.View() // immutable
+//	p.SetReady(false)
+//	p.Close()
 package poller
 
 import (
@@ -32,20 +32,20 @@
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
 
-// Options configure a Feed.
+// Options configure a Poller.
 type Options struct {
-	Self    roster.Entry // Started and Report are set by the feed
+	Self    roster.Entry // Started and Report are set by the poller
 	Seeds   func() []string
 	Dialect *proto.Dialect
 	Clock   clock.Clock
 	Events  *event.Log
 	Hub     *peer.Hub
-	Blame   *deny.Blocklist
+	Crashes *deny.Blocklist
 	// Changed is called after each change of the view. It must not block, and may call View and SetReady only.
 	Changed func(*View)
 }
 
-// Times of the feed.
+// Times of the poller.
 const (
 	lostAfter   = 2 * time.Second
 	forgetAfter = 60 * time.Second
@@ -59,8 +59,8 @@
 	Entries  []roster.Entry // that report themselves ready or not, sorted by name
 }
 
-// Feed is a running feed.
-type Feed struct {
+// Poller is a running poller.
+type Poller struct {
 	o      Options
 	view   atomic.Pointer[View]
 	ctx    context.Context
@@ -112,46 +112,46 @@
 	untold time.Time // end of the transfer of all records that did not contain it; zero: it was told since
 }
 
-// New starts a feed.
-func New(o Options) *Feed {
-	f := &Feed{
+// New starts a poller.
+func New(o Options) *Poller {
+	p := &Poller{
 		o: o, started: o.Clock.Now(), upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
 		news: make(chan struct{}),
 	}
-	f.view.Store(&View{Services: map[string][]roster.Upstream{}})
-	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.wg.Go(f.run)
-	return f
+	p.view.Store(&View{Services: map[string][]roster.Upstream{}})
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.wg.Go(p.run)
+	return p
 }
 
-// Close ends the feed.
-func (f *Feed) Close() {
-	f.cancel()
-	f.wg.Wait()
+// Close ends the poller.
+func (p *Poller) Close() {
+	p.cancel()
+	p.wg.Wait()
 }
 
 // View returns the present knowledge.
-func (f *Feed) View() *View { return f.view.Load() }
+func (p *Poller) View() *View { return p.view.Load() }
 
 // Version returns the version of the configuration in force here, 0 before the first one.
-func (f *Feed) Version() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.version
+func (p *Poller) Version() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
 }
 
 // SetReady says whether this node takes new callers. The control nodes are told at once.
-func (f *Feed) SetReady(ready bool) {
-	if f.ready.Swap(ready) != ready {
-		f.AskNow()
+func (p *Poller) SetReady(ready bool) {
+	if p.ready.Swap(ready) != ready {
+		p.AskNow()
 	}
 }
 
 // AskNow asks, and so tells, the control nodes that this node follows at once.
-func (f *Feed) AskNow() {
+func (p *Poller) AskNow() {
 	select {
-	case f.wake <- struct{}{}:
+	case p.wake <- struct{}{}:
 	default: // a wake is planned already
 	}
 }
@@ -160,19 +160,19 @@
 const consultAge = 100 * time.Millisecond
 
 // Consult returns when a control node has answered a question that was asked a moment ago, or after the context's end.
-func (f *Feed) Consult(ctx context.Context) {
-	since := f.o.Clock.Now().Add(-consultAge)
+func (p *Poller) Consult(ctx context.Context) {
+	since := p.o.Clock.Now().Add(-consultAge)
 	asked := false
 	for {
-		f.mu.Lock()
-		fresh, news := f.asked.After(since), f.news
-		f.mu.Unlock()
+		p.mu.Lock()
+		fresh, news := p.asked.After(since), p.news
+		p.mu.Unlock()
 		if fresh {
 			return
 		}
 		if !asked {
 			asked = true
-			f.AskNow()
+			p.AskNow()
 		}
 		select {
 		case <-news:
@@ -184,18 +184,18 @@
 
 const tickEvery = 50 * time.Millisecond
 
-func (f *Feed) run() {
-	tick := f.o.Clock.NewTimer(0)
+func (p *Poller) run() {
+	tick := p.o.Clock.NewTimer(0)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C():
 			tick.Reset(tickEvery)
-		case <-f.wake:
-			f.hurry()
-		case <-f.ctx.Done():
+		case <-p.wake:
+			p.hurry()
+		case <-p.ctx.Done():
 			return
 		}
-		f.askDue(f.o.Clock.Now())
+		p.askDue(p.o.Clock.Now())
 	}
 }
--- a/internal/gate/poller/poller_test.go
+++ b/internal/gate/poller/poller_test.go
@@ -16,22 +16,22 @@
 
 var t0 = time.Unix(1000, 0)
 
-// newFeed returns a feed that asks no one; the test hands it the answers of two control nodes.
-func newFeed() *Feed {
-	return &Feed{
+// newTestPoller returns a poller that asks no one; the test hands it the answers of two control nodes.
+func newTestPoller() *Poller {
+	return &Poller{
 		o:         Options{Dialect: proto.Own(), Clock: clock.NewFake(t0), Events: event.New(event.Options{Clock: clock.NewFake(t0)})},
 		upstreams: map[string]*known{}, entries: map[string]*knownEntry{},
 		sources: map[string]*source{"a": {address: "a"}, "b": {address: "b"}},
 	}
 }
 
-func (f *Feed) tell(now time.Time, from string, tell Tell) {
+func (f *Poller) tell(now time.Time, from string, tell Reply) {
 	f.take(now, f.sources[from], followAll, tell)
 	f.publish(now)
 }
 
 // withText adds a configuration in one piece to an answer.
-func withText(tell Tell, version uint64, body string) Tell {
+func withText(tell Reply, version uint64, body string) Reply {
 	tell.Version, tell.Text = version, withPacked(version, 0, body, "")
 	return tell
 }
@@ -42,13 +42,13 @@
 	return &Piece{Version: version, Base: base, Total: len(packed), Sum: sum[:], Body: packed}
 }
 
-func upstream(state roster.State, sequence int64, silent bool) Tell {
-	return Tell{Sure: true, Delta: roster.Delta{Upstreams: []roster.Upstream{
+func upstream(state roster.State, sequence int64, silent bool) Reply {
+	return Reply{Sure: true, Delta: roster.Delta{Upstreams: []roster.Upstream{
 		{ID: "u", Service: "s", Address: "x", State: state, StartedMs: 5, Sequence: sequence, Silent: silent},
 	}}}
 }
 
-func (f *Feed) state(t *testing.T) roster.Upstream {
+func (f *Poller) state(t *testing.T) roster.Upstream {
 	t.Helper()
 	list := f.View().Services["s"]
 	assert.Equal(t, len(list), 1)
@@ -58,11 +58,11 @@
 // Guards against all upstreams of one half of a divided control group that count as silent, because the other half does not
 // hear them.
 func TestUpstreamIsSilentOnlyIfNoControlNodeHearsIt(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.tell(t0, "a", upstream(roster.Ready, 3, false))
 	f.tell(t0, "b", upstream(roster.Ready, 3, false))
 	now := t0.Add(5 * time.Second)
-	f.tell(now, "b", Tell{})
+	f.tell(now, "b", Reply{})
 	f.tell(now, "a", upstream(roster.Ready, 3, true))
 	assert.Assert(t, !f.state(t).Silent, "b hears it; renewals are not told")
 	f.tell(now, "b", upstream(roster.Ready, 9, true))
@@ -75,10 +75,10 @@
 
 // Guards against an entry node whose log does not tell how it sees an upstream, or repeats it with each answer.
 func TestViewOfUpstreamIsLoggedOnce(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	var codes []event.Code
 	f.o.Events = event.New(event.Options{Clock: clock.NewFake(t0), Keep: 16})
-	for _, tell := range []Tell{
+	for _, tell := range []Reply{
 		upstream(roster.Ready, 1, false), upstream(roster.Ready, 2, false), upstream(roster.Ready, 2, true),
 		upstream(roster.Ready, 3, false), upstream(roster.Draining, 4, false),
 	} {
@@ -94,7 +94,7 @@
 
 // Guards against work for an upstream that leaves, because a control node that lags says that it is ready.
 func TestOlderWordChangesNothing(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.tell(t0, "a", upstream(roster.Draining, 7, false))
 	f.tell(t0, "b", upstream(roster.Ready, 6, false))
 	assert.Equal(t, f.state(t).State, roster.Draining)
@@ -106,9 +106,9 @@
 
 // Guards against a configuration that goes back to an older version, or is replaced by one that cannot be read.
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	put := func(from string, version uint64, body string) {
-		f.tell(t0, from, withText(Tell{}, version, body))
+		f.tell(t0, from, withText(Reply{}, version, body))
 	}
 	put("a", 7, `{"version":7}`)
 	put("b", 5, `{"version":5}`)
@@ -120,15 +120,15 @@
 // Guards against a restarted entry node that puts a configuration in force that the group replaced before it restarted as
 // well, and against one that serves nothing while the group has no leader.
 func TestFirstConfigurationComesFromASureControlNode(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.started = t0
-	old := withText(Tell{}, 5, `{"version":5}`)
+	old := withText(Reply{}, 5, `{"version":5}`)
 	f.tell(t0.Add(time.Second), "a", old)
 	assert.Assert(t, f.View().Table == nil)
-	f.tell(t0.Add(time.Second), "b", withText(Tell{Sure: true}, 7, `{"version":7}`))
+	f.tell(t0.Add(time.Second), "b", withText(Reply{Sure: true}, 7, `{"version":7}`))
 	assert.Equal(t, f.View().Table.Config.Version, uint64(7))
 
-	f = newFeed()
+	f = newTestPoller()
 	f.started = t0
 	f.tell(t0.Add(unsureAfter), "a", old)
 	assert.Equal(t, f.View().Table.Config.Version, uint64(5))
@@ -136,22 +136,22 @@
 
 // Guards against a restarted entry node that asks the control nodes only now and then, while it can serve no one.
 func TestEntryNodeWithoutConfigurationAsksOften(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	a, b := f.sources["a"], f.sources["b"]
 	assert.Equal(t, f.every(nil, a), helloEvery)
-	f.tell(t0, "a", Tell{})
+	f.tell(t0, "a", Reply{})
 	assert.Equal(t, f.every(a, b), helloEvery, "a is not sure")
 	assert.Equal(t, f.every(a, a), primaryEvery)
-	f.tell(t0, "a", withText(Tell{Sure: true}, 7, `{"version":7}`))
+	f.tell(t0, "a", withText(Reply{Sure: true}, 7, `{"version":7}`))
 	assert.Equal(t, f.every(a, b), time.Duration(0), "in turn with others")
 	assert.Equal(t, f.every(a, a), primaryEvery)
 }
 
 // Guards against entry nodes that are taken for gone because a control node that is cut off does not hear them.
 func TestOnlyASureControlNodeSaysThatAnEntryNodeIsGone(t *testing.T) {
-	f := newFeed()
-	entry := func(ready, sure bool, report int64) Tell {
-		return Tell{Sure: sure, Delta: roster.Delta{Entries: []roster.Entry{{Node: "e", Ready: ready, ReportSequence: report}}}}
+	f := newTestPoller()
+	entry := func(ready, sure bool, report int64) Reply {
+		return Reply{Sure: sure, Delta: roster.Delta{Entries: []roster.Entry{{Node: "e", Ready: ready, ReportSequence: report}}}}
 	}
 	f.tell(t0, "a", entry(true, true, 3))
 	f.tell(t0, "b", entry(false, false, 4))
--- a/internal/gate/poller/schedule.go
+++ b/internal/gate/poller/schedule.go
@@ -48,95 +48,95 @@
 	blame   uint64    // version of the last Suspects
 }
 
-func (f *Feed) addSource(address string) {
-	if address != "" && f.sources[address] == nil && len(f.sources) < maxControl {
-		f.sources[address] = &source{address: address}
+func (p *Poller) addSource(address string) {
+	if address != "" && p.sources[address] == nil && len(p.sources) < maxControl {
+		p.sources[address] = &source{address: address}
 	}
 }
 
 // primary returns the control node that this node follows, or nil. Without a group that has a leader none is sure, and the node
 // stays with one that answers.
-func (f *Feed) primary() *source {
+func (p *Poller) primary() *source {
 	var best *source
-	for _, s := range f.sources {
-		if s.failed == 0 && !s.heard.IsZero() && (best == nil || f.better(s, best)) {
+	for _, s := range p.sources {
+		if s.failed == 0 && !s.heard.IsZero() && (best == nil || p.better(s, best)) {
 			best = s
 		}
 	}
 	return best
 }
 
-func (f *Feed) better(a, b *source) bool {
+func (p *Poller) better(a, b *source) bool {
 	if a.sure != b.sure {
 		return a.sure
 	}
-	if x, y := f.distance(a), f.distance(b); x != y {
+	if x, y := p.distance(a), p.distance(b); x != y {
 		return x < y
 	}
-	return rendez.Compare(f.o.Self.Node, a.address, b.address) < 0 // another order for each entry node
+	return rendez.Compare(p.o.Self.Node, a.address, b.address) < 0 // another order for each entry node
 }
 
 // distance orders control nodes by where they are: in the own data centre, the own region, elsewhere.
-func (f *Feed) distance(s *source) int {
+func (p *Poller) distance(s *source) int {
 	switch {
-	case s.place.Region != f.o.Self.Region:
+	case s.place.Region != p.o.Self.Region:
 		return 2
-	case s.place.DataCentre != f.o.Self.DataCentre:
+	case s.place.DataCentre != p.o.Self.DataCentre:
 		return 1
 	}
 	return 0
 }
 
 // hurry makes the questions due that carry what this node has to tell.
-func (f *Feed) hurry() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	primary := f.primary()
-	for _, s := range f.sources {
-		if primary == nil || f.duty(primary, s) != lookIn {
+func (p *Poller) hurry() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	primary := p.primary()
+	for _, s := range p.sources {
+		if primary == nil || p.duty(primary, s) != lookIn {
 			s.asked = time.Time{}
 		}
 	}
 }
 
-func (f *Feed) duty(primary, s *source) duty {
+func (p *Poller) duty(primary, s *source) duty {
 	if s == primary {
 		return followAll
 	}
-	if _, apart := f.apart[s.address]; apart {
+	if _, apart := p.apart[s.address]; apart {
 		return followHeld
 	}
 	return lookIn
 }
 
 // askDue starts the questions that are due.
-func (f *Feed) askDue(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, a := range f.o.Seeds() {
-		f.addSource(a)
+func (p *Poller) askDue(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.o.Seeds() {
+		p.addSource(a)
 	}
-	f.watch(now, f.primary())
-	for _, s := range f.due(now) {
+	p.watch(now, p.primary())
+	for _, s := range p.due(now) {
 		s.asking, s.asked = true, now
-		f.wg.Go(func() { f.follow(s) })
+		p.wg.Go(func() { p.follow(s) })
 	}
-	if !f.lost && now.Sub(f.answered) > lostAfter {
-		f.lost = true
-		f.o.Events.Emit(event.ControlLost, event.F("age_ms", now.Sub(f.answered).Milliseconds()), event.F("control", len(f.sources)))
+	if !p.lost && now.Sub(p.answered) > lostAfter {
+		p.lost = true
+		p.o.Events.Emit(event.ControlLost, event.F("age_ms", now.Sub(p.answered).Milliseconds()), event.F("control", len(p.sources)))
 	}
 }
 
 // due returns the control nodes to ask now.
-func (f *Feed) due(now time.Time) []*source {
+func (p *Poller) due(now time.Time) []*source {
 	var out []*source
 	var turn *source
-	primary := f.primary()
-	for _, s := range f.sources {
+	primary := p.primary()
+	for _, s := range p.sources {
 		if s.asking {
 			continue
 		}
-		if every := f.every(primary, s); every > 0 {
+		if every := p.every(primary, s); every > 0 {
 			if now.Sub(s.asked) >= every {
 				out = append(out, s)
 			}
@@ -146,8 +146,8 @@
 			turn = s
 		}
 	}
-	if turn != nil && now.Sub(f.turned) >= turnEvery {
-		f.turned = now
+	if turn != nil && now.Sub(p.turned) >= turnEvery {
+		p.turned = now
 		out = append(out, turn)
 	}
 	return out
@@ -155,7 +155,7 @@
 
 // every is the time between two questions to a control node; 0: it is asked in turn with others. A primary that is not sure may
 // belong to the smaller part of a divided group, so that another one is looked for.
-func (f *Feed) every(primary, s *source) time.Duration {
+func (p *Poller) every(primary, s *source) time.Duration {
 	switch {
 	case primary == nil:
 		return helloEvery
@@ -163,7 +163,7 @@
 		return primaryEvery
 	case !primary.sure:
 		return helloEvery
-	case f.duty(primary, s) == followHeld && s.failed == 0:
+	case p.duty(primary, s) == followHeld && s.failed == 0:
 		return apartEvery
 	}
 	return 0
@@ -175,9 +175,9 @@
 }
 
 // failed counts a question without an answer. A node that is not a seed and does not answer for long is forgotten.
-func (f *Feed) failed(s *source) {
+func (p *Poller) failed(s *source) {
 	s.failed++
-	if s.failed > maxFailed && !slices.Contains(f.o.Seeds(), s.address) {
-		delete(f.sources, s.address)
+	if s.failed > maxFailed && !slices.Contains(p.o.Seeds(), s.address) {
+		delete(p.sources, s.address)
 	}
 }
--- a/internal/gate/poller/schedule_test.go
+++ b/internal/gate/poller/schedule_test.go
@@ -16,18 +16,18 @@
 
 var north = Place{Region: "north"}
 
-// feedOf returns the feed of an entry node that has heard all of a number of control nodes, half of them in its region.
-func feedOf(node string, control int) *Feed {
-	f := newFeed()
+// feedOf returns the poller of an entry node that has heard all of a number of control nodes, half of them in its region.
+func feedOf(node string, control int) *Poller {
+	f := newTestPoller()
 	f.o.Self = roster.Entry{Node: node, Region: "north"}
 	f.o.Seeds = func() []string { return nil }
 	f.sources = map[string]*source{}
 	for i := range control {
 		a := fmt.Sprintf("10.0.0.%d:7100", i)
 		f.addSource(a)
-		f.take(t0, f.sources[a], lookIn, Tell{Epoch: 1, Sure: true, Place: Place{Region: []string{"north", "south"}[i%2]}})
+		f.take(t0, f.sources[a], lookIn, Reply{Epoch: 1, Sure: true, Place: Place{Region: []string{"north", "south"}[i%2]}})
 	}
-	f.tell(t0, "10.0.0.0:7100", withText(Tell{Sure: true, Place: north, Epoch: 1}, 7, `{"version":7}`))
+	f.tell(t0, "10.0.0.0:7100", withText(Reply{Sure: true, Place: north, Epoch: 1}, 7, `{"version":7}`))
 	return f
 }
 
@@ -52,16 +52,16 @@
 func TestControlNodeOfTheOwnDataCentreComesFirst(t *testing.T) {
 	f := feedOf("e", 10)
 	f.o.Self.DataCentre = "b"
-	f.take(t0, f.sources["10.0.0.4:7100"], lookIn, Tell{Epoch: 1, Sure: true, Place: Place{DataCentre: "b", Region: "north"}})
+	f.take(t0, f.sources["10.0.0.4:7100"], lookIn, Reply{Epoch: 1, Sure: true, Place: Place{DataCentre: "b", Region: "north"}})
 	assert.Equal(t, f.primary().address, "10.0.0.4:7100")
-	f.take(t0, f.sources["10.0.0.4:7100"], lookIn, Tell{Epoch: 1, Place: Place{DataCentre: "b", Region: "north"}})
+	f.take(t0, f.sources["10.0.0.4:7100"], lookIn, Reply{Epoch: 1, Place: Place{DataCentre: "b", Region: "north"}})
 	assert.Equal(t, f.primary().place, north)
 }
 
 // Guards against "300 entry nodes that read 3,000 upstreams after a restart": a record has some 100 bytes, most of them the same
 // in all.
 func TestPageOfRecordsIsCompressed(t *testing.T) {
-	tell := Tell{Epoch: 9, Sure: true}
+	tell := Reply{Epoch: 9, Sure: true}
 	for i := range 256 {
 		tell.Delta.Upstreams = append(tell.Delta.Upstreams, roster.Upstream{
 			ID: fmt.Sprintf("i-%08x", i*2654435761%0xffffffff), Service: "boje95a", Address: fmt.Sprintf("10.%d.64.%d:8080", i%6, i),
@@ -71,13 +71,13 @@
 	body, err := tell.Encode()
 	assert.NilError(t, err)
 	assert.Assert(t, len(body) < 256*40, "%d bytes", len(body))
-	got, err := DecodeTell(body)
+	got, err := DecodeReply(body)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.Delta, tell.Delta)
-	small := Tell{Epoch: 9, Delta: roster.Delta{Version: 3}}
+	small := Reply{Epoch: 9, Delta: roster.Delta{Version: 3}}
 	body, err = small.Encode()
 	assert.NilError(t, err)
-	got, err = DecodeTell(body)
+	got, err = DecodeReply(body)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, small)
 }
@@ -113,9 +113,9 @@
 	second := f.primary()
 	assert.Assert(t, second != first)
 	assert.Equal(t, second.place, north)
-	f.take(t0, second, followAll, Tell{Epoch: 1, Place: north})
+	f.take(t0, second, followAll, Reply{Epoch: 1, Place: north})
 	assert.Assert(t, f.primary() != second, "it is not sure any more")
-	f.take(t0, first, lookIn, Tell{Epoch: 1, Sure: true, Place: north})
+	f.take(t0, first, lookIn, Reply{Epoch: 1, Sure: true, Place: north})
 	assert.Equal(t, f.primary(), first)
 }
 
@@ -125,18 +125,18 @@
 	primary := f.primary()
 	other := f.sources["10.0.0.1:7100"]
 	apart := []roster.SyncPosition{{Address: other.address, Epoch: 1, Version: 40}}
-	f.take(t0, primary, followAll, Tell{Epoch: 1, Sure: true, Place: north, Apart: apart})
+	f.take(t0, primary, followAll, Reply{Epoch: 1, Sure: true, Place: north, Apart: apart})
 	assert.Equal(t, f.every(primary, other), apartEvery)
 	as, q := f.question(other)
 	assert.Equal(t, as, followHeld)
 	assert.Assert(t, q.Held && q.Entry == nil && q.Seen == 40, "%+v", q)
-	f.take(t0, other, as, Tell{Epoch: 1, Delta: roster.Delta{Version: 44, Upstreams: []roster.Upstream{
+	f.take(t0, other, as, Reply{Epoch: 1, Delta: roster.Delta{Version: 44, Upstreams: []roster.Upstream{
 		{ID: "u", Service: "s", State: roster.Ready, StartedMs: 5},
 	}}})
 	assert.Equal(t, len(f.View().Services["s"]), 1)
 	_, q = f.question(other)
 	assert.Equal(t, q.Seen, uint64(44))
-	f.take(t0, primary, followAll, Tell{Epoch: 1, Sure: true, Place: north})
+	f.take(t0, primary, followAll, Reply{Epoch: 1, Sure: true, Place: north})
 	as, _ = f.question(other)
 	assert.Equal(t, as, lookIn)
 }
@@ -144,23 +144,23 @@
 // Guards against a crashed upstream that counts as heard while the group is divided, because the other side does not speak of it; and
 // against one that reports to the other side now and counts as silent.
 func TestOnlyAControlNodeThatNamesAnUpstreamHearsIt(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	a, b := f.sources["a"], f.sources["b"]
-	f.tell(t0, "a", Tell{Sure: true, Epoch: 1, Delta: roster.Delta{Version: 1, Upstreams: []roster.Upstream{
+	f.tell(t0, "a", Reply{Sure: true, Epoch: 1, Delta: roster.Delta{Version: 1, Upstreams: []roster.Upstream{
 		{ID: "u", Service: "s", State: roster.Ready, StartedMs: 5, Sequence: 3},
 	}}})
 	b.told = lookIn
 	apart := []roster.SyncPosition{{Address: "b", Epoch: 1, Version: 9}}
 	silent := upstream(roster.Ready, 3, true)
 	silent.Epoch, silent.Apart = 1, apart
-	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 9}})
+	f.take(t0, b, followHeld, Reply{Epoch: 1, Delta: roster.Delta{Version: 9}})
 	f.take(t0, a, followAll, silent)
 	assert.Assert(t, f.state(t).Silent, "b hears others, not this one")
-	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 10, Upstreams: []roster.Upstream{
+	f.take(t0, b, followHeld, Reply{Epoch: 1, Delta: roster.Delta{Version: 10, Upstreams: []roster.Upstream{
 		{ID: "u", Service: "s", State: roster.Ready, StartedMs: 5, Sequence: 8},
 	}}})
 	assert.Assert(t, !f.state(t).Silent)
-	f.take(t0, b, followHeld, Tell{Epoch: 1, Delta: roster.Delta{Version: 11, Upstreams: []roster.Upstream{
+	f.take(t0, b, followHeld, Reply{Epoch: 1, Delta: roster.Delta{Version: 11, Upstreams: []roster.Upstream{
 		{ID: "u", Service: "s", State: roster.Ready, StartedMs: 5, Sequence: 8, Silent: true},
 	}}})
 	assert.Assert(t, f.state(t).Silent)
@@ -171,7 +171,7 @@
 func TestAllControlNodesAreAskedWhileThePrimaryIsNotSure(t *testing.T) {
 	f := feedOf("e", 9)
 	for _, s := range f.sources {
-		f.take(t0, s, lookIn, Tell{Epoch: 1, Place: s.place})
+		f.take(t0, s, lookIn, Reply{Epoch: 1, Place: s.place})
 	}
 	primary := f.primary()
 	for _, s := range f.sources {
@@ -179,37 +179,37 @@
 	}
 	assert.Equal(t, len(f.due(t0.Add(helloEvery))), 9)
 	sure := f.sources["10.0.0.7:7100"]
-	f.take(t0, sure, lookIn, Tell{Epoch: 1, Sure: true, Place: sure.place})
+	f.take(t0, sure, lookIn, Reply{Epoch: 1, Sure: true, Place: sure.place})
 	assert.Equal(t, f.primary(), sure)
 	assert.Equal(t, f.every(sure, primary), time.Duration(0))
 }
 
 // Guards against entry nodes that vanish from the view because nothing changed for a minute.
 func TestUnchangedEntryNodeStays(t *testing.T) {
-	f := newFeed()
-	f.tell(t0, "a", Tell{Sure: true, Delta: roster.Delta{Entries: []roster.Entry{{Node: "e", Ready: true, ReportSequence: 1}}}})
-	f.tell(t0.Add(time.Hour), "a", Tell{Sure: true, Delta: roster.Delta{Upstreams: []roster.Upstream{{ID: "u", State: roster.Ready}}}})
+	f := newTestPoller()
+	f.tell(t0, "a", Reply{Sure: true, Delta: roster.Delta{Entries: []roster.Entry{{Node: "e", Ready: true, ReportSequence: 1}}}})
+	f.tell(t0.Add(time.Hour), "a", Reply{Sure: true, Delta: roster.Delta{Upstreams: []roster.Upstream{{ID: "u", State: roster.Ready}}}})
 	assert.Equal(t, len(f.View().Entries), 1)
 }
 
 // Guards against an entry node that knows no upstream, because all control nodes have just restarted and were not reached by all
 // heartbeats yet; and against records that stay for good though a control node removed them while this node did not ask it.
 func TestRecordsThatATransferLacksAreKeptForAWhile(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	two := []roster.Upstream{
 		{ID: "u", Service: "s", State: roster.Ready, StartedMs: 5}, {ID: "v", Service: "s", State: roster.Ready, StartedMs: 5},
 	}
 	entries := []roster.Entry{{Node: "e", Ready: true, ReportSequence: 1}}
-	f.tell(t0, "a", Tell{Sure: true, Epoch: 1, Delta: roster.Delta{Full: true, Version: 9, Upstreams: two, Entries: entries}})
+	f.tell(t0, "a", Reply{Sure: true, Epoch: 1, Delta: roster.Delta{Full: true, Version: 9, Upstreams: two, Entries: entries}})
 	assert.Equal(t, len(f.View().Services["s"]), 2)
 	restart := t0.Add(time.Second)
-	f.tell(restart, "a", Tell{Sure: true, Epoch: 2, Delta: roster.Delta{Full: true, Version: 0}})
+	f.tell(restart, "a", Reply{Sure: true, Epoch: 2, Delta: roster.Delta{Full: true, Version: 0}})
 	assert.Equal(t, len(f.View().Services["s"]), 2, "the control node has heard nobody yet")
 	assert.Equal(t, len(f.View().Entries), 1)
-	f.tell(restart.Add(time.Second), "a", Tell{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2, Upstreams: two[1:]}})
-	f.tell(restart.Add(forgetAfter-time.Second), "a", Tell{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2}})
+	f.tell(restart.Add(time.Second), "a", Reply{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2, Upstreams: two[1:]}})
+	f.tell(restart.Add(forgetAfter-time.Second), "a", Reply{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2}})
 	assert.Equal(t, len(f.View().Services["s"]), 2)
-	f.tell(restart.Add(forgetAfter+time.Second), "a", Tell{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2}})
+	f.tell(restart.Add(forgetAfter+time.Second), "a", Reply{Sure: true, Epoch: 2, Delta: roster.Delta{Version: 2}})
 	left := f.View().Services["s"]
 	assert.Equal(t, len(left), 1)
 	assert.Equal(t, left[0].ID, "v")
@@ -219,7 +219,7 @@
 // Guards against an upstream that counts as heard because the word that it is silent names an older heartbeat than another control
 // node told.
 func TestSilenceCountsWhateverTheHeartbeat(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.tell(t0, "a", upstream(roster.Ready, 50, false))
 	f.sources["a"].failed = 1
 	f.sources["a"].told = lookIn
@@ -253,7 +253,7 @@
 
 // Guards against a configuration that comes in force in part, or mixed from two sources or versions.
 func TestConfigurationArrivesInPieces(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	list := pieces(7, 0, largeConfig(7), "")
 	assert.Assert(t, len(list) > 3)
 	for i, p := range list {
@@ -276,7 +276,7 @@
 // Guards against a difference that is applied to another version than it was made for, and against a node that asks for it again
 // and again.
 func TestDifferenceThatDoesNotFitIsAskedForWhole(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.takeDocument(7, []byte(largeConfig(7)), "a")
 	used, _ := f.takePiece("a", withPacked(8, 6, largeConfig(8), largeConfig(6)))
 	assert.Assert(t, !used, "it is made for version 6")
@@ -298,7 +298,7 @@
 	f.Add(uint64(7), uint64(0), 0, whole.Total, whole.Body)
 	f.Add(uint64(7), uint64(3), 5, -1, []byte{0})
 	f.Fuzz(func(t *testing.T, version, base uint64, offset, total int, body []byte) {
-		feed := &Feed{o: Options{
+		feed := &Poller{o: Options{
 			Dialect: proto.Own(), Clock: clock.NewFake(t0), Events: event.New(event.Options{Clock: clock.NewFake(t0)}),
 		}}
 		for range 3 {
--- a/internal/gate/poller/staleness.go
+++ b/internal/gate/poller/staleness.go
@@ -25,14 +25,14 @@
 }
 
 // watch logs which control node is followed when that changes, and a configuration that is late here.
-func (f *Feed) watch(now time.Time, primary *source) {
-	if primary != nil && primary.address != f.followed {
-		f.followed = primary.address
-		f.o.Events.Emit(event.ControlFollowed, event.F("control", primary.address), event.F("sure", primary.sure),
+func (p *Poller) watch(now time.Time, primary *source) {
+	if primary != nil && primary.address != p.followed {
+		p.followed = primary.address
+		p.o.Events.Emit(event.ControlFollowed, event.F("control", primary.address), event.F("sure", primary.sure),
 			event.F("data_centre", primary.place.DataCentre), event.F("revision", primary.version))
 	}
-	n := &f.newest
-	if n.logged || n.version <= f.version || now.Sub(n.since) < lateAfter {
+	n := &p.newest
+	if n.logged || n.version <= p.version || now.Sub(n.since) < lateAfter {
 		return
 	}
 	n.logged = true
@@ -40,17 +40,17 @@
 	if primary != nil {
 		has, sure = primary.version, primary.sure
 	}
-	f.o.Events.Emit(event.ConfigLate, event.F("revision", n.version), event.F("in_force", f.version), event.F("age_ms", now.Sub(n.since).Milliseconds()),
-		event.F("peer", n.peer), event.F("control", f.followed), event.F("control_revision", has), event.F("sure", sure),
-		event.F("arrived", len(f.text.body)))
+	p.o.Events.Emit(event.ConfigLate, event.F("revision", n.version), event.F("in_force", p.version), event.F("age_ms", now.Sub(n.since).Milliseconds()),
+		event.F("peer", n.peer), event.F("control", p.followed), event.F("control_revision", has), event.F("sure", sure),
+		event.F("arrived", len(p.text.body)))
 }
 
 // Behind returns for how long a newer configuration than the one in force has been known here; 0 if none is.
-func (f *Feed) Behind() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.newest.version <= f.version {
+func (p *Poller) Behind() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newest.version <= p.version {
 		return 0
 	}
-	return f.o.Clock.Now().Sub(f.newest.since)
+	return p.o.Clock.Now().Sub(p.newest.since)
 }
--- a/internal/gate/poller/staleness_test.go
+++ b/internal/gate/poller/staleness_test.go
@@ -12,11 +12,11 @@
 
 // Guards against logs that do not tell a followed control node without the newest configuration from one whose bytes do not arrive.
 func TestLateConfigurationIsLoggedOnceWithItsCause(t *testing.T) {
-	f := newFeed()
+	f := newTestPoller()
 	f.o.Events = event.New(event.Options{Clock: clock.NewFake(t0), Keep: 16})
-	f.tell(t0, "a", withText(Tell{Sure: true}, 7, `{"version":7}`))
+	f.tell(t0, "a", withText(Reply{Sure: true}, 7, `{"version":7}`))
 	f.sources["b"].told = lookIn
-	f.take(t0, f.sources["b"], lookIn, Tell{Sure: true, Version: 9})
+	f.take(t0, f.sources["b"], lookIn, Reply{Sure: true, Version: 9})
 	primary := f.sources["a"]
 	f.watch(t0.Add(lateAfter-time.Millisecond), primary)
 	f.watch(t0.Add(lateAfter), primary)
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -11,10 +11,10 @@
 
 // takeDelta takes the records of an answer and reports whether the view changes. A control node that is not sure does not say that
 // an entry node is gone.
-func (f *Feed) takeDelta(now time.Time, d roster.Delta, from speaker, sure bool) bool {
+func (p *Poller) takeDelta(now time.Time, d roster.Delta, from speaker, sure bool) bool {
 	changed := false
 	for _, u := range d.Upstreams {
-		have := f.upstreams[u.ID]
+		have := p.upstreams[u.ID]
 		if have != nil && !replaces(u, have.Upstream) {
 			changed = have.note(now, u, from) || changed
 			continue
@@ -31,14 +31,14 @@
 			next.logged = seenAs(next.Upstream) // never used here, so its departure is no news
 		}
 		changed = next.hear(from, !u.Silent) || changed || have == nil || have.Upstream != next.Upstream
-		f.upstreams[u.ID] = next
+		p.upstreams[u.ID] = next
 	}
 	for _, e := range d.Entries {
 		if !sure && !e.Ready {
 			continue // a control node that is cut off takes the others for gone
 		}
 		e.AgeMs = 0
-		have := f.entries[e.Node]
+		have := p.entries[e.Node]
 		if have != nil && (e.Started < have.Started || e.Started == have.Started && e.ReportSequence < have.ReportSequence) {
 			have.told, have.untold = now, time.Time{}
 			continue
@@ -48,9 +48,9 @@
 			quiet.ReportSequence = have.ReportSequence
 		}
 		changed = changed || have == nil || quiet != have.Entry
-		f.entries[e.Node] = &knownEntry{Entry: e, told: now}
+		p.entries[e.Node] = &knownEntry{Entry: e, told: now}
 	}
-	return f.forget(now) || changed
+	return p.forget(now) || changed
 }
 
 // note takes a record that is older than the one held. Renewals are not passed on, so that its heartbeat may be older than one
@@ -83,13 +83,13 @@
 
 // noteUntold marks the records that a transfer of all records, which began at a time, did not contain. They are dropped after
 // forgetAfter: a control node that has just started has not heard all upstreams yet.
-func (f *Feed) noteUntold(now, began time.Time) {
-	for _, u := range f.upstreams {
+func (p *Poller) noteUntold(now, began time.Time) {
+	for _, u := range p.upstreams {
 		if u.told.Before(began) && u.untold.IsZero() {
 			u.untold = now
 		}
 	}
-	for _, e := range f.entries {
+	for _, e := range p.entries {
 		if e.told.Before(began) && e.untold.IsZero() {
 			e.untold = now
 		}
@@ -97,20 +97,20 @@
 }
 
 // forget removes the records that have been silent, gone or untold for long, and reports whether there were any.
-func (f *Feed) forget(now time.Time) bool {
+func (p *Poller) forget(now time.Time) bool {
 	old := func(since time.Time) bool { return !since.IsZero() && now.Sub(since) > forgetAfter }
-	before := len(f.upstreams) + len(f.entries)
-	for id, u := range f.upstreams {
+	before := len(p.upstreams) + len(p.entries)
+	for id, u := range p.upstreams {
 		if old(u.untold) || (u.missed() || u.State == roster.Gone) && old(u.told) {
-			delete(f.upstreams, id)
+			delete(p.upstreams, id)
 		}
 	}
-	for node, e := range f.entries {
+	for node, e := range p.entries {
 		if old(e.untold) || !e.Ready && old(e.told) {
-			delete(f.entries, node)
+			delete(p.entries, node)
 		}
 	}
-	return len(f.upstreams)+len(f.entries) != before
+	return len(p.upstreams)+len(p.entries) != before
 }
 
 // replaces reports whether a control node's record is at least as new as the one held.
@@ -130,11 +130,11 @@
 // silent reports whether no control node that this node follows hears an upstream. While control nodes are cut off from each
 // other, each upstream reports to one side only. The primary hears, or knows who hears, what it has said nothing else of; of the
 // others that counts only for the upstreams that they named.
-func (f *Feed) silent(now time.Time, u *known) bool {
+func (p *Poller) silent(now time.Time, u *known) bool {
 	if !u.missed() {
 		return false
 	}
-	for _, s := range f.sources {
+	for _, s := range p.sources {
 		if s.told == lookIn || now.Sub(s.heard) >= lostAfter {
 			continue
 		}
@@ -166,14 +166,14 @@
 	}
 }
 
-func (f *Feed) publish(now time.Time) {
-	v := &View{Table: f.table, Services: map[string][]roster.Upstream{}}
-	for _, u := range f.upstreams {
+func (p *Poller) publish(now time.Time) {
+	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}}
+	for _, u := range p.upstreams {
 		out := u.Upstream
-		out.Silent = f.silent(now, u)
+		out.Silent = p.silent(now, u)
 		if now := seenAs(out); now != u.logged {
 			u.logged = now
-			LogUpstream(f.o.Events, out)
+			LogUpstream(p.o.Events, out)
 		}
 		if u.State != roster.Gone {
 			v.Services[u.Service] = append(v.Services[u.Service], out)
@@ -182,12 +182,12 @@
 	for _, list := range v.Services {
 		slices.SortFunc(list, func(a, b roster.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	for _, e := range f.entries {
+	for _, e := range p.entries {
 		v.Entries = append(v.Entries, e.Entry)
 	}
 	slices.SortFunc(v.Entries, func(a, b roster.Entry) int { return strings.Compare(a.Node, b.Node) })
-	f.view.Store(v)
-	if f.o.Changed != nil {
-		f.o.Changed(v)
+	p.view.Store(v)
+	if p.o.Changed != nil {
+		p.o.Changed(v)
 	}
 }
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -117,8 +117,8 @@
 		attempts = maxRemotePlacers
 	}
 	for range attempts {
-		owner := f.o.Maker.Owner(q.Service, q.Region)
-		if owner == f.o.Maker.Self() {
+		owner := f.o.Batcher.Owner(q.Service, q.Region)
+		if owner == f.o.Batcher.Self() {
 			break
 		}
 		var reply placeReply
@@ -130,7 +130,7 @@
 			return "", placeReply{}, false
 		}
 		f.o.Events.Emit(event.PlacerSilent, event.F("peer", owner), event.F("service", q.Service), event.F("region", q.Region), event.F("reason", err))
-		f.o.Maker.MarkUnresponsive(owner)
+		f.o.Batcher.MarkUnresponsive(owner)
 	}
 	if remote {
 		f.mu.Lock()
@@ -138,7 +138,7 @@
 		f.mu.Unlock()
 		return "", placeReply{}, false
 	}
-	return f.o.Maker.Self(), f.placeLocally(q), true
+	return f.o.Batcher.Self(), f.placeLocally(q), true
 }
 
 // reachable reports whether requests may be placed in a region: always in the node's own region, elsewhere
@@ -268,7 +268,7 @@
 
 func (f *Forwarder) notifyPlacer(s *placement, q placeRequest) {
 	q.Service, q.Region = s.service, s.region
-	if s.owner == f.o.Maker.Self() {
+	if s.owner == f.o.Batcher.Self() {
 		f.updateTicket(q)
 		return
 	}
--- a/internal/gate/proxy/placement_test.go
+++ b/internal/gate/proxy/placement_test.go
@@ -66,7 +66,7 @@
 	})
 	p.Forwarder = New(Options{
 		Node: "self", DataCentre: "a", Region: regionOf["a"], RegionOf: regionOf, Dialect: d, Clock: c, Events: events,
-		View: load, Maker: mk, Hub: self, Pool: pool,
+		View: load, Batcher: mk, Hub: self, Pool: pool,
 	})
 	t.Cleanup(func() {
 		p.Close()
@@ -82,7 +82,7 @@
 func TestASilentPlacerIsReplacedByOneNodeForAll(t *testing.T) {
 	p := newFakePlacers(t, map[string]string{"a": "n", "b": "s"})
 	first, second := p.view.Entries[1], p.view.Entries[2]
-	if p.o.Maker.Owner("models", "n") == second.Peer {
+	if p.o.Batcher.Owner("models", "n") == second.Peer {
 		first, second = second, first
 	}
 	p.silent.Store(first.Node, true)
@@ -104,12 +104,12 @@
 		p.silent.Store(e.Node, true)
 	}
 	for _, region := range []string{"n", "s"} {
-		owner := p.o.Maker.Owner("models", region)
+		owner := p.o.Batcher.Owner("models", region)
 		ctx, leave := context.WithCancel(t.Context())
 		leave()
 		_, _, ok := p.askPlacer(ctx, placeRequest{Service: "models", Region: region, Request: &engine.Request{}})
 		assert.Assert(t, !ok)
-		assert.Equal(t, p.o.Maker.Owner("models", region), owner)
+		assert.Equal(t, p.o.Batcher.Owner("models", region), owner)
 		assert.Assert(t, p.reachable(region))
 	}
 }
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -2,7 +2,7 @@
 //
 // Usage:
 //
-//	f := proxy.New(proxy.Options{Dialect: proto.Own(), View: feed.View, Pool: pool, Maker: maker, ...})
+//	f := proxy.New(proxy.Options{Dialect: proto.Own(), View: feed.View, Pool: pool, Batcher: maker, ...})
 //	http.Serve(listener, f)
 //	f.Drain(proxy.Draining) // the first phase of a planned stop
 //	f.Close()
@@ -58,7 +58,7 @@
 	Events        *event.Log
 	View          func() *poller.View
 	Pool          *upcon.Pool
-	Maker         *batch.Batcher
+	Batcher       *batch.Batcher
 	Hub           *peer.Hub
 	RetryBudget   RetryBudget
 	Crashes       *deny.Blocklist
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -74,7 +74,7 @@
 	asked := new(atomic.Int32)
 	f := New(Options{
 		Node: "e1", DataCentre: "a", Region: "n", RegionOf: regions, Dialect: d, Clock: c, Events: events,
-		View: load, Pool: pool, Maker: mk, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
+		View: load, Pool: pool, Batcher: mk, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
 		Crashes: deny.New(), ReportCrashes: func() {}, RefreshCrashes: func(context.Context) { asked.Add(1) },
 	})
 	server := httptest.NewServer(f)
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -130,7 +130,7 @@
 		items = items[n:]
 		service := x.route.Stages[number].Service
 		region := s.regionFor(service)
-		owner := x.f.o.Maker.Owner(service, region)
+		owner := x.f.o.Batcher.Owner(service, region)
 		if !slices.Contains(s.owners, owner) {
 			s.owners = append(s.owners, owner)
 		}
@@ -138,7 +138,7 @@
 		s.pending++
 		asked := x.f.o.Clock.Now()
 		x.f.wg.Go(func() {
-			made, err := x.f.o.Maker.Run(x.ctx, service, region, jobs)
+			made, err := x.f.o.Batcher.Run(x.ctx, service, region, jobs)
 			if err != nil { // the request has ended
 				made = make([]batch.JobResult, len(group))
 				for i := range made {
@@ -226,7 +226,7 @@
 		groups[g] = append(groups[g], batch.ResultRef{Handle: f.Handle, Upstream: f.Upstream})
 	}
 	for g, results := range groups {
-		s.x.f.o.Maker.Free(g.service, g.source, results)
+		s.x.f.o.Batcher.Free(g.service, g.source, results)
 	}
 }
 
@@ -248,7 +248,7 @@
 	if s.pending == 0 {
 		return
 	}
-	s.x.f.o.Maker.Cancel(s.x.id, s.owners)
+	s.x.f.o.Batcher.Cancel(s.x.id, s.owners)
 	// Results that arrive after this point are freed as well.
 	left := s.pending
 	s.x.f.wg.Go(func() {
--- a/internal/node/gwnode/growth_test.go
+++ b/internal/node/gwnode/growth_test.go
@@ -46,7 +46,7 @@
 	inForce := func(version uint64) func() bool {
 		return func() bool {
 			for n := 11; n < 11+entries; n++ {
-				if table := f.nodes[n].feed.View().Table; table == nil || table.Config.Version != version {
+				if table := f.nodes[n].poller.View().Table; table == nil || table.Config.Version != version {
 					return false
 				}
 			}
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -60,15 +60,15 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	member *quorum.Member // control nodes
-	desk   *ctlsrv.Server
+	member  *quorum.Member // control nodes
+	control *ctlsrv.Server
 
-	feed  *poller.Feed    // entry nodes
-	board *deny.Blocklist // contents that crash upstreams, as this entry node knows them
-	maker *batch.Batcher
-	front *proxy.Forwarder
-	pool  *upcon.Pool
-	http  *http.Server
+	poller    *poller.Poller  // entry nodes
+	blocklist *deny.Blocklist // contents that crash upstreams, as this entry node knows them
+	batcher   *batch.Batcher
+	forwarder *proxy.Forwarder
+	pool      *upcon.Pool
+	http      *http.Server
 
 	page     *stats.Page        // metrics; nil without an address for them
 	sampled  map[queueName]bool // queues whose state was published last; owned by the page's goroutine
@@ -182,18 +182,18 @@
 	if most := seconds(p.s.Bounds.EntryValidS, entryValid); most < valid {
 		valid = most
 	}
-	p.desk = ctlsrv.New(ctlsrv.Options{
+	p.control = ctlsrv.New(ctlsrv.Options{
 		Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Member: p.member, Hub: p.hub, HeartbeatAddress: p.s.Listen.Control,
 		HeartbeatInterval: beat, EntryValid: valid, Address: address,
 		Place: poller.Place{DataCentre: p.s.DataCentre, Region: p.s.Region},
 	})
-	if err := p.serve("control", p.s.Listen.Control, p.desk.ControlRoutes()); err != nil {
+	if err := p.serve("control", p.s.Listen.Control, p.control.ControlRoutes()); err != nil {
 		return err
 	}
 	if p.s.Listen.Directory == "" {
 		return nil
 	}
-	return p.serve("directory", p.s.Listen.Directory, p.desk.DirectoryRoutes())
+	return p.serve("directory", p.s.Listen.Directory, p.control.DirectoryRoutes())
 }
 
 // spareVoters is added to the smallest group that bears the losses, so that the group keeps its majority while one member
@@ -216,16 +216,16 @@
 		<-assigned
 		p.viewChanged(v)
 	}
-	p.board = deny.New()
-	p.feed = poller.New(poller.Options{
+	p.blocklist = deny.New()
+	p.poller = poller.New(poller.Options{
 		Self: roster.Entry{
 			Node: p.s.Node, Address: p.s.Listen.Callers, Peer: address, DataCentre: p.s.DataCentre, Region: p.s.Region,
 		},
-		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Blame: p.board, Changed: changed,
+		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Crashes: p.blocklist, Changed: changed,
 	})
 	close(assigned)
-	p.maker = batch.New(batch.Options{
-		Node: p.s.Node, Peer: address, RegionOf: p.s.Regions, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.feed.View,
+	p.batcher = batch.New(batch.Options{
+		Node: p.s.Node, Peer: address, RegionOf: p.s.Regions, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.poller.View,
 		Hub: p.hub, Pool: p.pool,
 	})
 	b := p.s.Bounds
@@ -233,13 +233,13 @@
 	if ratio == 0 {
 		ratio = defaultRetryRatio
 	}
-	p.front = proxy.New(proxy.Options{
+	p.forwarder = proxy.New(proxy.Options{
 		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
-		Clock: p.o.Clock, Events: p.events, View: p.feed.View, Pool: p.pool, Maker: p.maker, Hub: p.hub,
+		Clock: p.o.Clock, Events: p.events, View: p.poller.View, Pool: p.pool, Batcher: p.batcher, Hub: p.hub,
 		RetryBudget: proxy.RetryBudget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
-		Crashes:     p.board, Metrics: p.measure(), ReportCrashes: p.feed.AskNow, RefreshCrashes: p.feed.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
+		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
-	p.http = &http.Server{Handler: p.front, ConnState: connState, ErrorLog: log.New(io.Discard, "", 0)}
+	p.http = &http.Server{Handler: p.forwarder, ConnState: connState, ErrorLog: log.New(io.Discard, "", 0)}
 	callers := &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
 	p.wg.Go(func() { _ = p.http.Serve(callers) }) // returns http.ErrServerClosed after Shutdown or Close
 	if p.s.Listen.Ready == "" {
@@ -253,11 +253,11 @@
 // viewChanged makes the node ready once it has a configuration and knows an upstream.
 func (p *Process) viewChanged(v *poller.View) {
 	if v.Table != nil && len(v.Services) > 0 && !p.draining.Load() {
-		p.feed.SetReady(true)
+		p.poller.SetReady(true)
 	}
 }
 
-func (p *Process) isReady() bool { return p.feed.View().Table != nil && !p.draining.Load() }
+func (p *Process) isReady() bool { return p.poller.View().Table != nil && !p.draining.Load() }
 
 func (p *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if p.isReady() {
@@ -269,7 +269,7 @@
 
 // callerLimits are the present limits of callers' connections.
 func (p *Process) callerLimits() conf.Limits {
-	if t := p.feed.View().Table; t != nil {
+	if t := p.poller.View().Table; t != nil {
 		return t.Config.Limits
 	}
 	return conf.Limits{}
@@ -286,15 +286,15 @@
 		if reply, ok, err := p.member.Handle(ctx, kind, body); ok {
 			return reply, err
 		}
-		if reply, ok, err := p.desk.Handle(ctx, kind, body); ok {
+		if reply, ok, err := p.control.Handle(ctx, kind, body); ok {
 			return reply, err
 		}
 	}
-	if p.maker != nil && kind == peer.KindPieces {
-		return p.maker.Handle(ctx, body)
+	if p.batcher != nil && kind == peer.KindPieces {
+		return p.batcher.Handle(ctx, body)
 	}
-	if p.front != nil && kind == peer.KindPlace {
-		return p.front.HandlePlace(body)
+	if p.forwarder != nil && kind == peer.KindPlace {
+		return p.forwarder.HandlePlace(body)
 	}
 	return nil, errors.Newf("messages of kind %d from %s are not handled here", kind, from)
 }
@@ -340,7 +340,7 @@
 
 // Drain stops the process as planned. It returns the number of requests that were cut off.
 func (p *Process) Drain(ctx context.Context) int {
-	if p.front == nil {
+	if p.forwarder == nil {
 		return 0
 	}
 	stop := seconds(p.s.Bounds.StopS, defaultStop)
@@ -348,22 +348,22 @@
 		return p.o.Clock.AfterFunc(time.Duration(part*float64(stop)), f)
 	}
 	p.draining.Store(true)
-	p.feed.SetReady(false)
-	p.front.Drain(proxy.Draining)
-	p.events.Emit(event.DrainStarted, event.F("in_flight", p.front.InFlight()), event.F("wait_ms", stop.Milliseconds()))
+	p.poller.SetReady(false)
+	p.forwarder.Drain(proxy.Draining)
+	p.events.Emit(event.DrainStarted, event.F("in_flight", p.forwarder.InFlight()), event.F("wait_ms", stop.Milliseconds()))
 	finish, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer after(sendPart, func() { p.front.Drain(proxy.Finishing) }).Stop()
-	defer after(finishPart, func() { p.front.Drain(proxy.Ending) }).Stop()
+	defer after(sendPart, func() { p.forwarder.Drain(proxy.Finishing) }).Stop()
+	defer after(finishPart, func() { p.forwarder.Drain(proxy.Ending) }).Stop()
 	defer after(closePart, cancel).Stop()
 	defer context.AfterFunc(ctx, func() { // a second signal ends the wait
-		p.front.Drain(proxy.Ending)
+		p.forwarder.Drain(proxy.Ending)
 		p.o.Clock.AfterFunc(replyTime, cancel)
 	})()
 	_ = clock.Sleep(ctx, p.o.Clock, time.Duration(lingerPart*float64(stop)))
-	p.front.Drain(proxy.Refusing)
+	p.forwarder.Drain(proxy.Refusing)
 	_ = p.http.Shutdown(finish) // what is left is counted below
-	cut := p.front.InFlight()
+	cut := p.forwarder.InFlight()
 	p.events.Emit(event.DrainFinished, event.F("cut_off", cut))
 	return cut
 }
@@ -374,14 +374,14 @@
 	if p.http != nil {
 		_ = p.http.Close()
 	}
-	if p.front != nil {
-		p.front.Close()
+	if p.forwarder != nil {
+		p.forwarder.Close()
 	}
-	if p.maker != nil {
-		p.maker.Close()
+	if p.batcher != nil {
+		p.batcher.Close()
 	}
-	if p.feed != nil {
-		p.feed.Close()
+	if p.poller != nil {
+		p.poller.Close()
 	}
 	if p.pool != nil {
 		p.pool.Close()
@@ -392,8 +392,8 @@
 	if p.page != nil {
 		p.page.Close()
 	}
-	if p.desk != nil {
-		p.desk.Close()
+	if p.control != nil {
+		p.control.Close()
 	}
 	if p.member != nil {
 		_ = p.member.Close() // an error of the disk was reported as an event
--- a/internal/node/gwnode/gwnode_test.go
+++ b/internal/node/gwnode/gwnode_test.go
@@ -130,7 +130,7 @@
 	p := f.start(11, true)
 	f.put(1, f.config(5, "/x/"))
 	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
-	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	f.eventually("the entry node is ready", func() bool { return p.isReady() && len(p.poller.View().Services) == 1 })
 	return p
 }
 
@@ -336,7 +336,7 @@
 	p := f.startSmallest()
 	result := make(chan int)
 	go func() { result <- f.request(11, "/x/") }()
-	f.eventually("the request is under way", func() bool { return p.front.InFlight() == 1 })
+	f.eventually("the request is under way", func() bool { return p.forwarder.InFlight() == 1 })
 	drained := make(chan int)
 	go func() { drained <- p.Drain(context.Background()) }()
 	f.eventually("the node is not ready", func() bool {
@@ -380,7 +380,7 @@
 		f.born++
 		f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
 		f.eventually("the entry node knows its latest start", func() bool {
-			list := p.feed.View().Services["desk"]
+			list := p.poller.View().Services["desk"]
 			return p.isReady() && len(list) == 1 && list[0].StartedMs == f.born
 		})
 		assert.Equal(t, f.request(n, "/x/bad"), http.StatusBadGateway)
@@ -398,11 +398,11 @@
 	}
 	f.eventually("the upstream is registered again", func() bool { return f.beat(1, roster.Ready, 2) == 200 })
 	f.eventually("the control nodes are told again", func() bool {
-		_, blocked := f.nodes[11].board.Blocked(time.Now(), f.badContent())
-		return blocked && f.nodes[1].desk.Suspects() > 0 && f.nodes[2].desk.Suspects() > 0 && f.nodes[3].desk.Suspects() > 0
+		_, blocked := f.nodes[11].blocklist.Blocked(time.Now(), f.badContent())
+		return blocked && f.nodes[1].control.Suspects() > 0 && f.nodes[2].control.Suspects() > 0 && f.nodes[3].control.Suspects() > 0
 	})
 	p := f.start(14, false)
-	f.eventually("a new entry node is ready", func() bool { return p.isReady() && len(p.feed.View().Services) == 1 })
+	f.eventually("a new entry node is ready", func() bool { return p.isReady() && len(p.poller.View().Services) == 1 })
 	f.eventually("it serves others", func() bool { return f.request(14, "/x/good") == http.StatusOK })
 	assert.Equal(t, f.request(14, "/x/bad"), http.StatusServiceUnavailable)
 	assert.Equal(t, runs.Load(), before)
--- a/internal/node/gwnode/leave_test.go
+++ b/internal/node/gwnode/leave_test.go
@@ -23,7 +23,7 @@
 }
 
 func (f *fleet) knows(node int, state roster.State) func() bool {
-	return func() bool { return f.nodes[node].desk.Upstreams()[state] == 1 }
+	return func() bool { return f.nodes[node].control.Upstreams()[state] == 1 }
 }
 
 // Guards against an acknowledged departure that a restart of all control nodes forgets: the upstream sends no more heartbeats and
--- a/internal/node/gwnode/links_test.go
+++ b/internal/node/gwnode/links_test.go
@@ -51,7 +51,7 @@
 func (f *fleet) inForce(version uint64, nodes ...int) func() bool {
 	return func() bool {
 		for _, n := range nodes {
-			if f.nodes[n].feed.Version() != version {
+			if f.nodes[n].poller.Version() != version {
 				return false
 			}
 		}
@@ -129,7 +129,7 @@
 				return strings.Contains(text, f.ip(11)) && strings.Contains(text, f.ip(12))
 			}
 			for _, n := range entries {
-				f.nodes[n].feed.SetReady(true)
+				f.nodes[n].poller.SetReady(true)
 			}
 			f.eventually("both entry nodes are given to callers", given)
 			c.fault(f)
@@ -191,7 +191,7 @@
 	crossed := func() int64 { return f.links.Sent("north", "south") + f.links.Sent("south", "north") }
 	known := func() bool {
 		for _, n := range entries {
-			if len(f.nodes[n].feed.View().Services["desk"]) < upstreams {
+			if len(f.nodes[n].poller.View().Services["desk"]) < upstreams {
 				return false
 			}
 		}
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -118,7 +118,7 @@
 	if p.member != nil {
 		p.sampleControl(page)
 	}
-	if p.front != nil {
+	if p.forwarder != nil {
 		p.sampleEntry(page)
 	}
 }
@@ -128,21 +128,21 @@
 	page.Set(groupTerm, float64(s.Raft.Term), nil)
 	page.Set(groupMembers, float64(len(s.Raft.Members)), nil)
 	page.Set(configVersion, float64(p.member.Latest().Version), nil)
-	states := p.desk.Upstreams()
+	states := p.control.Upstreams()
 	for state := roster.Ready; state <= roster.Gone; state++ {
 		page.Set(upstreams, float64(states[state]), stats.Tags{"state": strconv.Itoa(int(state))})
 	}
-	page.Set(suspects, float64(p.desk.Suspects()), nil)
+	page.Set(suspects, float64(p.control.Suspects()), nil)
 }
 
 func (p *Process) sampleEntry(page *stats.Page) {
-	page.Set(inFlight, float64(p.front.InFlight()), nil)
+	page.Set(inFlight, float64(p.forwarder.InFlight()), nil)
 	page.Raise(dialed, p.pool.Dialed(), nil)
-	page.Set(configVersion, float64(p.feed.Version()), nil)
-	page.Set(configBehind, p.feed.Behind().Seconds(), nil)
-	page.Set(suspects, float64(p.board.Len()), nil)
+	page.Set(configVersion, float64(p.poller.Version()), nil)
+	page.Set(configBehind, p.poller.Behind().Seconds(), nil)
+	page.Set(suspects, float64(p.blocklist.Len()), nil)
 	now := map[queueName]bool{}
-	for _, q := range p.maker.Queues() {
+	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
 		now[queueName{q.Service, q.Region}] = true
 	}
--- a/internal/node/gwnode/odd_beat_test.go
+++ b/internal/node/gwnode/odd_beat_test.go
@@ -29,7 +29,7 @@
 	} {
 		assert.Equal(t, putText(t, base+"odd", text), 400, name)
 	}
-	assert.Equal(t, len(p.feed.View().Services["desk"]), 1)
+	assert.Equal(t, len(p.poller.View().Services["desk"]), 1)
 	assert.Equal(t, f.request(11, "/x/"), 200)
 	f.eventually("the list is followed", func() bool {
 		return f.beat(1, roster.Draining, 2) == 200 && f.request(11, "/x/") == 503
--- a/internal/node/gwnode/stop_test.go
+++ b/internal/node/gwnode/stop_test.go
@@ -48,7 +48,7 @@
 	cfg := f.config(6, "/x/")
 	cfg.Routes[0].Timeout = 60_000
 	f.put(1, cfg)
-	f.eventually("the configuration is in force", func() bool { return p.feed.View().Table.Config.Version == 6 })
+	f.eventually("the configuration is in force", func() bool { return p.poller.View().Table.Config.Version == 6 })
 	result := make(chan int, 1)
 	go func() { result <- f.request(11, "/x/") }()
 	f.eventually("the request is under way", func() bool { return len(f.up.Requests()) == 1 })
