--- a/internal/test/soak/soak_test.go
+++ b/internal/test/soak/soak_test.go
@@ -84,6 +84,7 @@
 		s.draw()
 		w.pause(s.between(50, 500))
 	}
+	s.departure()
 	s.wg.Wait()
 	if !s.settled() {
 		w.violated("not all nodes serve within %s after the last fault", settleWithin)
--- a/internal/test/soak/upstream_test.go
+++ b/internal/test/soak/upstream_test.go
@@ -35,9 +35,13 @@
 	before  *proxy
 	address string // of the proxy
 
-	mu   sync.Mutex
-	mode mode
-	born int64
+	beats sync.WaitGroup // the heartbeat in progress
+
+	mu         sync.Mutex
+	mode       mode
+	born       int64
+	departed   bool      // it sends no heartbeats
+	noWorkFrom time.Time // zero: work may come
 }
 
 func newUpstream(w *world, id, address, through string) (*upstream, error) {
@@ -87,16 +91,31 @@
 	node := 1
 	for sequence := int64(1); u.w.ctx.Err() == nil; sequence++ {
 		_, born := u.state()
+		if !u.beginBeat() {
+			u.w.pause(beatMS * time.Millisecond)
+			continue
+		}
 		beat := roster.Upstream{
 			Service: "desk", Address: u.address, DataCentre: "a", Slots: 64, State: roster.Ready, StartedMs: born, Sequence: sequence,
 		}
 		if status, _ := u.w.ask(http.MethodPut, node, "/v1/traffic/upstreams/"+u.id, beat); status != http.StatusOK {
 			node = 1 + node%controlNodes
 		}
+		u.beats.Done()
 		u.w.pause(beatMS * time.Millisecond)
 	}
 }
 
+// beginBeat reports whether a heartbeat may be sent, and counts it.
+func (u *upstream) beginBeat() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.departed {
+		u.beats.Add(1)
+	}
+	return !u.departed
+}
+
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
@@ -118,6 +137,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	kind := strings.Split(r.URL.Path, "/")[1]
+	u.checkDeparted(id)
 	u.ran(kind, id)
 	if m == slows {
 		u.w.pause(slowAnswer)
