--- a/internal/gate/batch/repeats.go
+++ b/internal/gate/batch/repeats.go
@@ -37,7 +37,7 @@
 	at  time.Time
 }
 
-// add records an answer and reports whether it is the first one with this handle, or was given to the same piece again.
+// add records an answer. It returns false if the handle was given to another piece before.
 func (l *answerLog) add(now time.Time, key handleKey, p pieceID) bool {
 	l.expire(now)
 	if l.given == nil {
--- a/internal/gate/ctlsrv/leave.go
+++ b/internal/gate/ctlsrv/leave.go
@@ -44,8 +44,8 @@
 	AtMs     int64           `cbor:"2,keyasint"` // when it was proposed, Unix milliseconds
 }
 
-// departureLife is the age up to which a control node applies departures after its start. It exceeds the time for which an upstream
-// serves on, and all but a grossly wrong clock.
+// departureLife is the age up to which a control node applies departures after its start. It is far longer than an upstream serves
+// on, so that clocks which differ by minutes do not matter.
 const departureLife = 10 * time.Minute
 
 // storeLeave makes the control group store a departure, unless it has.
