Do not reuse the connection of a call whose answer names no result

A request could still run with the result of another: when an upstream repeats an answer that names no result, the copy cannot be told from the true answer, and the true one, if it came after the connection had been used again, was taken for the answer to that next call.

Cause: the copy was recognised by its handles only. The connection of an answer without any result is now closed.

The test waits for the connection's use in place of a time.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -214,33 +214,87 @@
 	assert.Assert(t, taken.Load() < tooMuch, "%d bytes were taken", taken.Load())
 }
 
-// Guards against a late second copy of an answer that is taken for the answer to the next call on the connection: requests would run
-// with the results of others.
+// repeatingUpstream answers each call twice: the second time just before the next answer on the connection.
+type repeatingUpstream struct {
+	apart  bool // the next answer follows only once the copy was read
+	answer func(call int64) string
+
+	calls atomic.Int64
+	mu    sync.Mutex
+	last  map[net.Conn]string
+}
+
+func (u *repeatingUpstream) serve(c *rawup.Conn, _ *rawup.Request) {
+	body := u.answer(u.calls.Add(1))
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	u.mu.Lock()
+	copied := u.last[c.Conn]
+	u.last[c.Conn] = answer
+	u.mu.Unlock()
+	if !u.apart || copied == "" {
+		c.WriteString(copied + answer)
+		return
+	}
+	c.WriteString(copied)
+	awaitUse(c)
+	c.WriteString(answer)
+}
+
+// awaitUse waits until the node closes the connection or uses it again, which shows that it took the copy for an answer. No verdict
+// depends on the time: it only bounds the wait for a node that does neither.
+func awaitUse(c *rawup.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	c.Await()
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+// Guards against a late second copy of an answer that is taken for the answer to the next call on the connection, and against a true
+// answer that follows the copy and is taken for the one after: requests would run with the results of others.
 func TestRepeatedAnswerIsNotTakenForTheNextCalls(t *testing.T) {
-	var calls atomic.Int64
-	var mu sync.Mutex
-	last := map[net.Conn]string{}
-	a, _, up := newPair(t, func(c *rawup.Conn, r *rawup.Request) {
-		n := calls.Add(1)
-		body := fmt.Sprintf(`{"items":[{"handle":"h%d"}]}`, n)
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		mu.Lock()
-		copied := last[c.Conn]
-		last[c.Conn] = answer
-		mu.Unlock()
-		c.WriteString(copied)
-		time.Sleep(20 * time.Millisecond) // the copy is read before the answer arrives
-		c.WriteString(answer)
-	})
-	seen := map[string]bool{}
-	for i := range 6 {
-		one := jobs(1)
-		one[0].Request = fmt.Sprint("r", i)
-		made, err := a.Run(t.Context(), "s", "n", one)
-		assert.NilError(t, err)
-		assert.Assert(t, made[0].Handle != "")
-		assert.Assert(t, !seen[made[0].Handle], "%s is the result of another request", made[0].Handle)
-		seen[made[0].Handle] = true
+	handle := func(call int64) string { return fmt.Sprintf(`{"items":[{"handle":"h%d"}]}`, call) }
+	everySecond := func(call int64) string {
+		if call%2 == 1 {
+			return `{"items":[{"reason":"gone"}]}`
+		}
+		return handle(call)
+	}
+	for name, u := range map[string]*repeatingUpstream{
+		"together":             {answer: handle},
+		"apart":                {answer: handle, apart: true},
+		"together, no results": {answer: everySecond},
+		"apart, no results":    {answer: everySecond, apart: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u.last = map[net.Conn]string{}
+			a, _, up := newPair(t, u.serve)
+			seen := map[string]bool{}
+			for i := range 6 {
+				one := jobs(1)
+				one[0].Request = fmt.Sprint("r", i)
+				made, err := a.Run(t.Context(), "s", "n", one)
+				assert.NilError(t, err)
+				if made[0].Handle == "" {
+					continue
+				}
+				assert.Assert(t, !seen[made[0].Handle], "%s is the result of another request", made[0].Handle)
+				seen[made[0].Handle] = true
+				call := int64(0)
+				_, err = fmt.Sscanf(made[0].Handle, "h%d", &call)
+				assert.NilError(t, err)
+				assert.Equal(t, requestOf(t, up.Requests()[call-1]), one[0].Request, "the result was made for another request")
+			}
+			assert.Assert(t, len(seen) > 0)
+		})
+	}
+}
+
+// requestOf returns the request whose piece a call asks for.
+func requestOf(t *testing.T, r *rawup.Request) string {
+	t.Helper()
+	var body struct {
+		Items []struct{ Request string }
 	}
-	assert.Assert(t, len(up.Requests()) > 6, "no copy was sent")
+	assert.NilError(t, json.Unmarshal(r.Body, &body))
+	return body.Items[0].Request
 }
--- a/internal/gate/batch/repeats.go
+++ b/internal/gate/batch/repeats.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,8 +11,9 @@
 
 // The answer to a call names no call. An upstream in trouble may send an answer twice, the second time just before the next answer
 // on the connection, where it would be taken for the answer to the next call: requests would get the results of others. Handles
-// are unique, so that a copy is recognised by a handle that was given to another piece before. A copy without any handle gives no
-// piece a result of another; what follows on its connection is found by package upcon.
+// are unique, so that a copy is recognised by a handle that was given to another piece before. An answer that names no result cannot be
+// told from its copy. It gives no piece a result of another, but the true answer may still follow it, so that its connection is not
+// used again.
 
 var errRepeatedAnswer = errors.New("the answer repeats that to an earlier call")
 
@@ -78,3 +80,8 @@
 	}
 	return nil
 }
+
+// namesResult reports whether an answer has the handle of a result.
+func namesResult(outcomes []stage.Outcome) bool {
+	return slices.ContainsFunc(outcomes, func(o stage.Outcome) bool { return o.Handle != "" })
+}
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -63,6 +63,9 @@
 		}
 		return result, nil, err
 	}
+	if !namesResult(outcomes) {
+		resp.Discard()
+	}
 	return result, outcomes, nil
 }
 
--- a/internal/test/rawup/rawup.go
+++ b/internal/test/rawup/rawup.go
@@ -29,9 +29,13 @@
 // Conn is the connection of a request.
 type Conn struct {
 	net.Conn
+	in     *bufio.Reader
 	closed bool
 }
 
+// Await waits until the other side sends more bytes, which are not consumed, or ends the connection; a read deadline bounds it.
+func (c *Conn) Await() { _, _ = c.in.Peek(1) }
+
 // WriteString sends bytes as they are. An error shows in what the other side sees.
 func (c *Conn) WriteString(text string) { _, _ = io.WriteString(c.Conn, text) }
 
@@ -124,7 +128,7 @@
 		u.mu.Lock()
 		u.requests = append(u.requests, r)
 		u.mu.Unlock()
-		conn := &Conn{Conn: c}
+		conn := &Conn{Conn: c, in: br}
 		u.answer(conn, r)
 		if conn.closed {
 			return
