Keep the departures of the largest fleet

1,024 departures were kept by the control group. In a fleet of 3,000 upstreams of which more leave at once, the oldest would be dropped, and each repeated heartbeat of a draining one would store its departure again and drop another. 4,096 are kept. By reading; no run shows it.

--- a/internal/state/vdoc/notice.go
+++ b/internal/state/vdoc/notice.go
@@ -12,9 +12,9 @@
 	Body []byte `cbor:"2,keyasint"`
 }
 
-// maxNotices bounds the notices that are kept. They are dropped by number and not by age: every member must drop the same ones,
-// and the members' clocks differ.
-const maxNotices = 1024
+// maxNotices bounds the notices that are kept; it exceeds the upstreams of the largest fleet, which may all leave at once. They are
+// dropped by number and not by age: every member must drop the same ones, and the members' clocks differ.
+const maxNotices = 4096
 
 // EncodeNotice returns the command that stores a notice.
 func EncodeNotice(n Notice) ([]byte, error) { return cbor.Marshal(command{Notices: []Notice{n}}) }
