Answer requests whose head ends while a planned stop goes on

A request whose head ended after a stopping node had closed its listener was dropped without an answer, so that its caller could not know whether it had run.

Cause: net/http drops what it reads once Shutdown has begun.

--- a/internal/node/gwnode/callers.go
+++ b/internal/node/gwnode/callers.go
@@ -1,9 +1,11 @@
 package gwnode
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
@@ -16,6 +18,7 @@
 	net.Listener
 	clock  clock.Clock
 	limits func() conf.Limits // 0: no limit
+	open   atomic.Int64       // connections
 }
 
 // Accept waits for a connection.
@@ -73,12 +76,28 @@
 	c.timer = own
 }
 
+// awaitClosed returns when all connections are closed, or after the end of the context.
+func (l *callerListener) awaitClosed(ctx context.Context) {
+	for l.open.Load() > 0 && clock.Sleep(ctx, l.clock, closedInterval) == nil {
+		continue
+	}
+}
+
+const closedInterval = 20 * time.Millisecond
+
 // connState is the hook of http.Server. A connection is active from the end of a request's head on.
-func connState(conn net.Conn, s http.ConnState) {
+func (l *callerListener) connState(conn net.Conn, s http.ConnState) {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
 	}
+	switch s {
+	case http.StateNew:
+		l.open.Add(1)
+	case http.StateHijacked, http.StateClosed:
+		l.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.begun = s == http.StateActive, false
--- a/internal/node/gwnode/callers_test.go
+++ b/internal/node/gwnode/callers_test.go
@@ -32,7 +32,7 @@
 		caller.Close()
 		server.Close()
 	})
-	connState(p.conn, http.StateNew)
+	p.conn.listener.connState(p.conn, http.StateNew)
 	return p
 }
 
@@ -61,8 +61,8 @@
 		"on a new connection": func(*pipe) {},
 		"on a kept one": func(p *pipe) {
 			p.send()
-			connState(p.conn, http.StateActive)
-			connState(p.conn, http.StateIdle)
+			p.conn.listener.connState(p.conn, http.StateActive)
+			p.conn.listener.connState(p.conn, http.StateIdle)
 		},
 	} {
 		p := newPipe(t, conf.Limits{HeaderTime: 300, IdleTime: 5000})
@@ -86,9 +86,9 @@
 		p.send()
 		p.clock.Advance(199 * time.Millisecond) // the head
 		assert.Assert(t, p.pending())
-		connState(p.conn, http.StateActive)
+		p.conn.listener.connState(p.conn, http.StateActive)
 		assert.Assert(t, !p.pending(), "a request may take as long as its route allows")
-		connState(p.conn, http.StateIdle)
+		p.conn.listener.connState(p.conn, http.StateIdle)
 	}
 	p.clock.Advance(601 * time.Millisecond) // unused for longer than is allowed
 	p.awaitClosed()
@@ -98,12 +98,13 @@
 func TestTheServerAppliesTheLimitOfHeads(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &http.Server{ConnState: connState}
 	limits := conf.Limits{HeaderTime: 100, IdleTime: 3_600_000}
+	callers := &callerListener{Listener: l, clock: clock.Real(), limits: func() conf.Limits { return limits }}
+	s := &http.Server{ConnState: callers.connState}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = s.Serve(&callerListener{Listener: l, clock: clock.Real(), limits: func() conf.Limits { return limits }})
+		_ = s.Serve(callers)
 	}()
 	t.Cleanup(func() {
 		_ = s.Close()
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -69,6 +69,7 @@
 	forwarder *proxy.Forwarder
 	pool      *upcon.Pool
 	http      *http.Server
+	callers   *callerListener
 
 	page     *stats.Page        // metrics; nil without an address for them
 	sampled  map[queueName]bool // queues whose state was published last; owned by the page's goroutine
@@ -239,9 +240,9 @@
 		RetryBudget: proxy.RetryBudget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
 		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
-	p.http = &http.Server{Handler: p.forwarder, ConnState: connState, ErrorLog: log.New(io.Discard, "", 0)}
-	callers := &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
-	p.wg.Go(func() { _ = p.http.Serve(callers) }) // returns http.ErrServerClosed after Shutdown or Close
+	p.callers = &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
+	p.http = &http.Server{Handler: p.forwarder, ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
+	p.wg.Go(func() { _ = p.http.Serve(p.callers) }) // returns an error once the listener is closed
 	if p.s.Listen.Ready == "" {
 		return nil
 	}
@@ -353,7 +354,12 @@
 	p.events.Emit(event.DrainStarted, event.F("in_flight", p.forwarder.InFlight()), event.F("wait_ms", stop.Milliseconds()))
 	finish, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer after(sendPart, func() { p.forwarder.Drain(proxy.Finishing) }).Stop()
+	arrivals, endArrivals := context.WithCancel(ctx)
+	defer endArrivals()
+	defer after(sendPart, func() {
+		endArrivals()
+		p.forwarder.Drain(proxy.Finishing)
+	}).Stop()
 	defer after(finishPart, func() { p.forwarder.Drain(proxy.Ending) }).Stop()
 	defer after(closePart, cancel).Stop()
 	defer context.AfterFunc(ctx, func() { // a second signal ends the wait
@@ -362,7 +368,10 @@
 	})()
 	_ = clock.Sleep(ctx, p.o.Clock, time.Duration(lingerPart*float64(stop)))
 	p.forwarder.Drain(proxy.Refusing)
-	_ = p.http.Shutdown(finish) // what is left is counted below
+	_ = p.callers.Close()
+	p.http.SetKeepAlivesEnabled(false) // closes unused connections
+	p.callers.awaitClosed(arrivals)    // Shutdown would drop a request whose head ends later, without an answer
+	_ = p.http.Shutdown(finish)        // what is left is counted below
 	cut := p.forwarder.InFlight()
 	p.events.Emit(event.DrainFinished, event.F("cut_off", cut))
 	return cut
--- a/internal/node/gwnode/gwnode_test.go
+++ b/internal/node/gwnode/gwnode_test.go
@@ -41,6 +41,7 @@
 	place map[int]poller.Place // of nodes that are not in data centre "a" of region "north"
 	room  atomic.Int64         // bytes of a control node's data file, for nodes that open it from now on; 0: any number
 	every conf.MS              // between two heartbeats
+	stopS float64              // seconds of a planned stop
 	links *netem.Net           // nil: the nodes reach each other at full speed
 	files map[int]string       // settings files that the nodes watch; nil: they watch none
 }
@@ -56,7 +57,7 @@
 )
 
 func newFleet(t *testing.T, network int) *fleet {
-	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}, born: 5, every: 300}
+	f := &fleet{t: t, net: network, dirs: map[int]string{}, nodes: map[int]*Process{}, born: 5, every: 300, stopS: 2}
 	for i := 1; i <= 3; i++ {
 		f.seeds = append(f.seeds, f.at(i, controlPort))
 	}
@@ -86,7 +87,7 @@
 	s := Settings{
 		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
 		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: f.every, Losses: 1,
-		Bounds: Bounds{StopS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
+		Bounds: Bounds{StopS: f.stopS, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
 	}
 	if node < 11 {
 		if f.dirs[node] == "" {
