Acknowledge a departure to serve once the other nodes know it

The relay now reports when all present peers have acknowledged a departure. The node answers 200 then, and 503 after 800 ms, upon which the upstream sends it again, here or elsewhere. A node that died holds departures up until the membership drops it.

--- a/internal/fleet/relay/machine.go
+++ b/internal/fleet/relay/machine.go
@@ -152,8 +152,9 @@
 	m.newDefs = m.newDefs || slices.ContainsFunc(p.Local, func(id string) bool { return !slices.Contains(m.peers.Local, id) })
 	m.peers = p
 	maps.DeleteFunc(m.origins, func(id string, _ *origin) bool { return !slices.Contains(p.Local, id) })
-	for _, l := range m.leaves {
-		maps.DeleteFunc(l.waiting, func(id string, _ bool) bool { return !slices.Contains(p.Local, id) })
+	for _, seq := range slices.Sorted(maps.Keys(m.leaves)) {
+		maps.DeleteFunc(m.leaves[seq].waiting, func(id string, _ bool) bool { return !slices.Contains(p.Local, id) })
+		m.finishLeave(seq)
 	}
 }
 
@@ -330,6 +331,7 @@
 	case KindByeAck:
 		if l := m.leaves[msg.Seq]; l != nil {
 			delete(l.waiting, msg.From)
+			m.finishLeave(msg.Seq)
 		}
 	case KindPools:
 		m.handlePools(msg)
@@ -413,11 +415,22 @@
 	}
 	m.leaves[m.seq] = l
 	m.sendLeave(now, m.seq)
+	m.finishLeave(m.seq)
+}
+
+// finishLeave reports a leave that no peer has to acknowledge any more.
+func (m *Machine) finishLeave(seq uint64) {
+	l := m.leaves[seq]
+	if len(l.waiting) > 0 {
+		return
+	}
+	delete(m.leaves, seq)
+	m.emit(LeaveKnown{Renew: upapi.Renew{ID: l.gone.ID, Incarnation: l.gone.Incarnation}})
 }
 
 func (m *Machine) sendLeave(now time.Time, seq uint64) {
 	l := m.leaves[seq]
-	if len(l.waiting) == 0 || !now.Before(l.until) {
+	if !now.Before(l.until) {
 		delete(m.leaves, seq)
 		return
 	}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -3,8 +3,9 @@
 //
 // Announcements, lease extensions and load go in one batch per period from the node that received them to each peer.
 // A batch identifies an upstream by an integer handle; a receiver that missed the definition of a handle requests all
-// definitions. A leave is sent at once and repeated until each peer has acknowledged it. Between data centres a representative
-// sends per pool the number of live upstreams, the free slots and a quantile of the queueing delay; inside the receiving
+// definitions. A leave is sent at once and repeated until each peer has acknowledged it, which is reported (LeaveKnown): the
+// node that received it may end before it has told all others, and the upstream sends nothing more. Between data centres a
+// representative sends per pool the number of live upstreams, the free slots and a quantile of the queueing delay; inside the receiving
 // data centre the summary travels along a tree that differs with each summary, so that no node carries all of it.
 //
 // A node of another data centre therefore does not know single upstreams: it sends work to an entry node there, which
@@ -127,6 +128,9 @@
 // ApplyLeave marks an upstream as leaving.
 type ApplyLeave struct{ Renew upapi.Renew }
 
+// LeaveKnown says that all peers have acknowledged a leave that an upstream sent to this node.
+type LeaveKnown struct{ Renew upapi.Renew }
+
 // ApplyLoad applies a load report. Its age includes the time it spent in the relay.
 type ApplyLoad struct{ Load upapi.Load }
 
@@ -140,6 +144,7 @@
 func (ApplyAnnounce) action() {}
 func (ApplyRenew) action()    {}
 func (ApplyLeave) action()    {}
+func (LeaveKnown) action()    {}
 func (ApplyLoad) action()     {}
 func (Summary) action()       {}
 
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -110,3 +110,32 @@
 	assert.Assert(t, m.Knows(t0.Add(10999*time.Millisecond), "up"))
 	assert.Assert(t, !m.Knows(t0.Add(11*time.Second), "up"))
 }
+
+// reported reports whether a machine says that all peers know a leave.
+func reported(actions []relay.Action) bool {
+	for _, a := range actions {
+		if _, ok := a.(relay.LeaveKnown); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a departure that is acknowledged while a peer has not heard of it, and against one that waits for a node that is gone.
+func TestLeaveIsKnownOnceEachPresentPeerHasAcknowledgedIt(t *testing.T) {
+	ack := func(from string, seq uint64) relay.Received {
+		return relay.Received{Message: relay.Message{Kind: relay.KindByeAck, From: from, Seq: seq}}
+	}
+	left := relay.Left{Renew: upapi.Renew{ID: "up", Incarnation: 5}}
+	m := relay.New(relay.Config{ID: "e1", DataCentre: "a", Region: "r", Seed: 1})
+	assert.Assert(t, reported(m.Step(t0, left)), "a node without peers")
+	m.Step(t0, relay.SetPeers{Local: []string{"e2", "e3"}})
+	assert.Assert(t, !reported(m.Step(t0, left)))
+	assert.Assert(t, !reported(m.Step(t0, ack("e2", 2))))
+	assert.Assert(t, !reported(m.Step(t0, ack("e2", 2))))
+	assert.Assert(t, reported(m.Step(t0, ack("e3", 2))))
+	assert.Assert(t, !reported(m.Step(t0, left)), "a leave that comes again is sent again")
+	m.Step(t0, ack("e2", 3))
+	assert.Assert(t, reported(m.Step(t0, relay.SetPeers{Local: []string{"e2"}})), "the last node that had not answered is gone")
+	assert.Assert(t, !reported(m.Step(t0.Add(time.Second), relay.Tick{})))
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -15,10 +15,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/fleet/member"
@@ -65,6 +68,7 @@
 	relay   *relay.Machine
 	address map[string]string
 	drained []chan []string
+	leaving map[upapi.Renew][]chan struct{} // callers of Left
 
 	nodes   atomic.Pointer[[]member.Node]
 	service atomic.Uint32
@@ -82,7 +86,7 @@
 // New returns an agent that has not started.
 func New(o Options) *Agent {
 	a := &Agent{
-		o: o, inbox: make(chan func(time.Time), inboxLength), address: map[string]string{},
+		o: o, inbox: make(chan func(time.Time), inboxLength), address: map[string]string{}, leaving: map[upapi.Renew][]chan struct{}{},
 		member: member.New(member.Config{Self: o.Self, Seeds: o.Seeds, Seed: o.Seed}),
 		spread: spread.New(spread.Config{ID: o.Self.ID, Seed: o.Seed, Control: o.Self.Roles&member.RoleControl != 0}),
 		relay:  relay.New(relay.Config{ID: o.Self.ID, DataCentre: o.Self.DataCentre, Region: o.Self.Region, Seed: o.Seed}),
@@ -248,9 +252,38 @@
 	a.do(func(now time.Time) { a.stepRelay(now, relay.Renewed{Renew: m}) })
 }
 
-// Left passes on that an upstream leaves.
-func (a *Agent) Left(m upapi.Renew) {
-	a.must(func(now time.Time) { a.stepRelay(now, relay.Left{Renew: m}) })
+// Left passes on that an upstream leaves. It returns nil once all present nodes that this one relays upstream state to know it, and
+// otherwise the error of ctx; the others are then told for a while longer.
+func (a *Agent) Left(ctx context.Context, m upapi.Renew) error {
+	known := make(chan struct{})
+	a.must(func(now time.Time) {
+		a.leaving[m] = append(a.leaving[m], known)
+		a.stepRelay(now, relay.Left{Renew: m})
+	})
+	select {
+	case <-known:
+		return nil
+	case <-ctx.Done():
+	case <-a.ctx.Done():
+	}
+	a.must(func(time.Time) { a.forgetLeave(m, known) })
+	return errors.Newf("not all nodes know that %s leaves", m.ID)
+}
+
+// forgetLeave removes a caller of Left that no longer waits.
+func (a *Agent) forgetLeave(m upapi.Renew, known chan struct{}) {
+	a.leaving[m] = slices.DeleteFunc(a.leaving[m], func(c chan struct{}) bool { return c == known })
+	if len(a.leaving[m]) == 0 {
+		delete(a.leaving, m)
+	}
+}
+
+// leaveKnown wakes the callers of Left.
+func (a *Agent) leaveKnown(m upapi.Renew) {
+	for _, known := range a.leaving[m] {
+		close(known)
+	}
+	delete(a.leaving, m)
 }
 
 // Loaded passes a load report on.
--- a/internal/node/agent/steps.go
+++ b/internal/node/agent/steps.go
@@ -175,6 +175,8 @@
 			if a.o.Apply.Leave != nil {
 				a.o.Apply.Leave(x.Renew)
 			}
+		case relay.LeaveKnown:
+			a.leaveKnown(x.Renew)
 		case relay.ApplyLoad:
 			if a.o.Apply.Load != nil {
 				a.o.Apply.Load(x.Load)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -72,7 +72,7 @@
 type Tell struct {
 	Announce func(upapi.Announce)
 	Renew    func(upapi.Renew)
-	Leave    func(upapi.Renew)
+	Leave    func(context.Context, upapi.Renew) error // returns nil once the other nodes know
 	Load     func(upapi.Load)
 }
 
--- a/internal/node/entry/upstreams.go
+++ b/internal/node/entry/upstreams.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"time"
@@ -131,11 +132,19 @@
 	}
 	n.TakeLeave(m)
 	if n.o.Tell.Leave != nil {
-		n.o.Tell.Leave(m)
+		ctx, cancel := context.WithTimeout(r.Context(), leaveTimeout)
+		defer cancel()
+		if err := n.o.Tell.Leave(ctx, m); err != nil {
+			httpd.WriteJSON(w, http.StatusServiceUnavailable, upapi.Error{Code: upapi.CodeBusy, Message: err.Error() + "; send it again"})
+			return
+		}
 	}
 	httpd.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
+// leaveTimeout bounds the wait for the other nodes, so that the upstream can turn to another one soon.
+const leaveTimeout = 800 * time.Millisecond
+
 // renewTransit bounds how long a renewal is on its way: an upstream that it speaks of may have died meanwhile.
 const renewTransit = time.Second
 
