Catch SIGHUP before gate reads its settings, and send it beside SIGTERM in the soak

A SIGHUP that came while gate read its settings at its start ended the process, since the handler was set up afterwards. By reading: the window is a few milliseconds and has no test. The soak now sends SIGHUP before and after each SIGTERM.

--- a/internal/cli/cmds/gate.go
+++ b/internal/cli/cmds/gate.go
@@ -60,6 +60,9 @@
 }
 
 func runGate(ctx context.Context, c *cli.Command, dialects Dialects) error {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP) // first, because until then the signal ends the process
+	defer signal.Stop(hangUp)
 	dialect, err := dialects.find(c.String("dialect"))
 	if err != nil {
 		return err
@@ -73,9 +76,6 @@
 	if err != nil {
 		return err
 	}
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
 	sink := event.NewSink(c.Root().Writer)
 	defer sink.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: level, Output: sink, JSONFormat: true})
--- a/internal/test/soak/soak_test.go
+++ b/internal/test/soak/soak_test.go
@@ -193,9 +193,11 @@
 	}
 }
 
-// stop ends a process as planned and checks that it ends in time.
+// stop ends a process as planned, beside signals that its settings have changed, and checks that it ends in time.
 func (s *schedule) stop(p *process) {
+	p.signal(syscall.SIGHUP)
 	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGHUP) // must not end the stop
 	if !p.wait(time.Duration(stopSeconds*float64(time.Second)) + 2*time.Second) {
 		s.w.violated("%s runs on after a planned stop", p.name)
 		p.kill()
