Wait until a process is frozen before the test relies on it

Traced: the third node logged upstream_leaving in the same millisecond, so that it did know of the departure, and 200 was right. SIGSTOP is delivered to each thread after kill has returned.

--- a/internal/test/procs/harness_test.go
+++ b/internal/test/procs/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -84,6 +85,19 @@
 
 func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// freeze stops the process until SIGCONT. It returns once no thread runs any more, which is some time after the signal was sent.
+func (p *proc) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	for !status.Stopped() {
+		_, err := syscall.Wait4(p.cmd.Process.Pid, &status, syscall.WUNTRACED, nil)
+		if err != nil && !errors.Is(err, syscall.EINTR) {
+			p.t.Fatalf("wait for the stop of %s: %v", p.name, err)
+		}
+	}
+}
+
 // exit waits for the end of the process and returns its exit code.
 func (p *proc) exit() int {
 	p.t.Helper()
--- a/internal/test/procs/leave_test.go
+++ b/internal/test/procs/leave_test.go
@@ -69,7 +69,7 @@
 	for _, n := range s.nodes {
 		n.awaitState(a.ID, "live")
 	}
-	s.nodes[2].signal(syscall.SIGSTOP)
+	s.nodes[2].freeze()
 	assert.Equal(t, s.nodes[0].tell(upapi.PathLeave, leave), http.StatusServiceUnavailable, "the third node cannot know it")
 	s.nodes[2].signal(syscall.SIGCONT)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
