Show that a planned stop of serve answers what it cuts off

The postmortem of the planned stop said so of serve by reading only. TestDrainLimitEndsRequestsWithAnAnswer: a booking that an upstream still works on at the limit ends with an answer that says that it is not known whether it ran.

--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -280,6 +280,31 @@
 	assert.ErrorContains(t, err, "refused")
 }
 
+// Guards against a planned stop that closes the connection of a request which an upstream still works on at the limit: its caller must
+// be told whether the work ran.
+func TestDrainLimitEndsRequestsWithAnAnswer(t *testing.T) {
+	b := start(t, func(o *entry.Options) {
+		o.EntryValid, o.SpreadDelay, o.DrainLimit = 50*time.Millisecond, 50*time.Millisecond, 300*time.Millisecond
+	})
+	b.ups["book"].Set(fake.Behaviour{HangEvery: 1})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := b.client.Do(t.Context(), order("a", "k"), nil)
+		failed <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.ups["book"].Counts().Calls == 0 {
+			return poll.Continue("the booking has not begun")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, b.node.Drain(t.Context()), 1)
+	var refused *caller.Refusal
+	err := <-failed
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.ProtectedRan, caller.RanUnknown, "%v", refused)
+}
+
 // Guards against work sent to an upstream after it said that it leaves, or after its lease ran out in silence.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	b := start(t, nil)
