Declare the settings and names of the work under heavy load, and design it

The configuration of the new fleets lists the regions that a route or team may use and how many requests a second a cold upstream bears; their settings state the bounds for it. Limits of the VM were not passed on to the processes. The fields and names on the wire are decoded now and read by nothing yet, so that the parts can be built side by side.

--- a/internal/gate/conf/conf.go
+++ b/internal/gate/conf/conf.go
@@ -66,6 +66,7 @@
 	Affinity  bool     `json:"affinity"` // prefer the upstream that has the prompt's prefix in its cache
 	Resume    bool     `json:"resume"`   // a broken stream may resume at another upstream after the last event id
 	Stages    []Stage  `json:"stages,omitempty"`
+	Regions   []string `json:"regions,omitempty"` // regions that may serve the route; empty: all
 }
 
 // Weight is the share of a route's requests that a service receives.
@@ -88,6 +89,10 @@
 	MaxConns   int     `json:"max_conns"`        // connections that one upstream accepts from all nodes together
 	Engine     *Engine `json:"engine,omitempty"` // set for model engines
 	Pool       *Pool   `json:"pool,omitempty"`   // set for services that run stages
+	// ColdTime is how long an upstream stays cold after its start, and ColdPerSecond how many requests a second it bears
+	// meanwhile, from all nodes together; 0: no limit.
+	ColdTime      MS      `json:"cold_ms,omitempty"`
+	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
 }
 
 // Engine describes the model engines of a service.
@@ -116,6 +121,7 @@
 	Name     string    `json:"name"`
 	Keys     []KeyHash `json:"keys"`
 	Priority *int      `json:"priority,omitempty"` // overrides the priority of the route
+	Regions  []string  `json:"regions,omitempty"`  // regions that may serve the team; empty: all
 }
 
 // Limits restricts the size and timing of callers' requests.
--- a/internal/gate/proto/proto.go
+++ b/internal/gate/proto/proto.go
@@ -56,16 +56,20 @@
 	KeyScheme      string // scheme of the Authorization header that carries a team's key
 	LastEvent      string // id of the last event that the client has received
 	UpstreamID     string // id of the upstream in health check responses
+	Load           string // set by upstreams: requests running and waiting, slots, and optionally the relative duration of work in percent
+	Cold           string // set by upstreams: milliseconds for which they stay cold
+	Leaving        string // set by upstreams that are leaving
 }
 
 // Paths holds the paths of endpoints. A colon marks a path parameter.
 type Paths struct {
 	Config, Upstream, Entries, Ready string // served by this system
+	Evacuation                       string // of a data centre; served by this system
 	Call, Free                       string // served by stage upstreams
 }
 
 // Query holds the names of the query parameters with which a caller looks up entry nodes.
-type Query struct{ DataCentre, Region string }
+type Query struct{ DataCentre, Region, Host string }
 
 // Own returns the project's own dialect.
 func Own() *Dialect {
@@ -76,14 +80,14 @@
 			Pieces: "Berylledge-Pieces", PieceKey: "Berylledge-Piece-Key", Inputs: "Berylledge-Inputs",
 			Model: "Berylledge-Model", Tokens: "Berylledge-Tokens", Prefix: "Berylledge-Prefix",
 			Priority: "Berylledge-Priority", KeyScheme: "Bearer", LastEvent: "Last-Event-Id",
-			UpstreamID: "Berylledge-Upstream",
+			UpstreamID: "Berylledge-Upstream", Load: "Berylledge-Load", Cold: "Berylledge-Cold-Ms", Leaving: "Berylledge-Leaving",
 		},
 		Reserved: []string{"Berylledge-Upstream", "Berylledge-Team", "Berylledge-Inputs", "Berylledge-Priority", "Berylledge-Not-Run"},
 		Paths: Paths{
 			Config: "/v1/traffic", Upstream: "/v1/traffic/upstreams/:id", Entries: "/v1/traffic/entries", Ready: "/v1/ready",
-			Call: "/v1/pieces/make", Free: "/v1/pieces/free",
+			Call: "/v1/pieces/make", Free: "/v1/pieces/free", Evacuation: "/v1/traffic/evacuations/:data_centre",
 		},
-		Query:                Query{DataCentre: "data_centre", Region: "region"},
+		Query:                Query{DataCentre: "data_centre", Region: "region", Host: "host"},
 		DecodeConfig:         conf.Decode,
 		DecodeHeartbeat:      decodeHeartbeat,
 		EncodeHeartbeatReply: func(address string) ([]byte, error) { return json.Marshal(heartbeatReply{address}) },
--- a/internal/node/gwnode/settings.go
+++ b/internal/node/gwnode/settings.go
@@ -41,6 +41,7 @@
 	BeatMS     conf.MS           `json:"heartbeat_ms"`
 	Losses     int               `json:"losses"` // disks that may be lost at the same time
 	Bounds     Bounds            `json:"bounds"`
+	Limits     Limits            `json:"limits"`
 }
 
 // Listen holds the addresses that the process serves. A process with Callers is an entry node, one with Control a control
@@ -59,6 +60,17 @@
 	RetryWindowS float64 `json:"retry_window_s"` // in which they are counted
 	RetrySlack   float64 `json:"retry_slack"`    // repeats that are allowed besides
 	EntryValidS  float64 `json:"entry_valid_s"`  // longest time that callers keep an address
+	ColdOverage  float64 `json:"cold_overage"`   // an upstream that is cold may get this multiple of its cold rate in any second
+	ColdSlack    float64 `json:"cold_slack"`     // and this many requests besides
+}
+
+// Limits are the resources of the VM; 0: unknown.
+type Limits struct {
+	CPUShare    float64 `json:"cpu_share"` // of each core
+	Cores       float64 `json:"cores"`
+	MemoryMB    float64 `json:"memory_mb"` // in 10^6 bytes, for each process
+	Descriptors int     `json:"descriptors"`
+	LinkMbps    float64 `json:"link_mbps"`
 }
 
 // Problem is a setting that cannot be used.
@@ -126,6 +138,10 @@
 	need(s.Listen.Control == "" || s.Data != "", "data", s.Data, "a control node needs a folder")
 	need(s.BeatMS >= 0, "heartbeat_ms", fmt.Sprint(s.BeatMS), "0 or more is allowed")
 	need(s.Losses >= 0 && s.Losses <= maxLosses, "losses", strconv.Itoa(s.Losses), "0 to 3 are allowed")
+	need(s.Bounds.ColdOverage >= 0 && s.Bounds.ColdSlack >= 0, "bounds.cold_overage, cold_slack",
+		fmt.Sprint(s.Bounds.ColdOverage, s.Bounds.ColdSlack), "0 or more is allowed")
+	need(s.Limits.CPUShare >= 0 && s.Limits.Cores >= 0 && s.Limits.MemoryMB >= 0 && s.Limits.Descriptors >= 0 && s.Limits.LinkMbps >= 0,
+		"limits", fmt.Sprint(s.Limits), "0 or more is allowed")
 	need(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(s.Bounds.RetryRatio), "0 or more is allowed")
 	return out
 }
