Learn how fast each model engine reads prompts

Engines of one service differ in speed, but a placement counted only prompt tokens, so that an engine of 1.6 times the usual reading time got the same queue as one of 0.6 times, and its requests were late while fast engines were idle.

Package speed keeps a factor for each upstream. The placer learns it from the time between the later of the arrival and the preceding first event, and the first event: an engine reads one prompt after the other, so a queue is not taken for slowness. The reference is a fit over all engines, and the median of the service is 1. Unread tokens, own and ahead, count times the factor in costs, pauses and EngineTime. Within 10% of the median the factor is exactly 1 and costs are as before. A new start begins at 1, slowness fades after 10 s without evidence, and a node that takes over the placement begins at 1 too. engine_speed lines, speed in forward_finished and berylledge_engine_speed_ratio show what is learnt. Tokens ahead in forward_finished stay tokens.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -98,6 +98,7 @@
 	PlacerSilent    Code = 8106
 	ResultsAdopted  Code = 8107
 	ResultsDropped  Code = 8108
+	EngineSpeed     Code = 8109
 )
 
 var catalogue = []Kind{
@@ -163,7 +164,7 @@
 
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
-	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it. age_ms is how long before the caller sent its first attempt, from which target_ms counts. Times from its arrival: its place at an engine (seat_ms), its stages' end (stage_ms), the last send (sent_ms), the first event (first_ms). Along the chain of stages that ended last: until it was asked for (before_ms; hold_ms of it was waiting for the later stages), in queues (queued_ms), in calls (called_ms), between entry nodes (handed_ms). pause_ms is the longest time between two events. late names what made it late: before (refusals before it), stages, upstream (its first event or answer), or pause. unread and ahead are prompt tokens that the engine had to read for this request and for those before it when its place was given, streams the requests there that got events then.", []string{"request", "route", "team", "status", "upstream", "attempts", "target_ms", "age_ms", "seat_ms", "hold_ms", "before_ms", "queued_ms", "called_ms", "handed_ms", "stage_ms", "sent_ms", "first_ms", "pause_ms", "elapsed_ms", "late", "unread", "ahead", "streams", "ran", "reason"}, "See docs/OPERATIONS.md."},
+	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it. age_ms is how long before the caller sent its first attempt, from which target_ms counts. Times from its arrival: its place at an engine (seat_ms), its stages' end (stage_ms), the last send (sent_ms), the first event (first_ms). Along the chain of stages that ended last: until it was asked for (before_ms; hold_ms of it was waiting for the later stages), in queues (queued_ms), in calls (called_ms), between entry nodes (handed_ms). pause_ms is the longest time between two events. late names what made it late: before (refusals before it), stages, upstream (its first event or answer), or pause. unread and ahead are prompt tokens that the engine had to read for this request and for those before it when its place was given, streams the requests there that got events then. speed is how long the engine takes to read a token, relative to the median engine (0: no engine).", []string{"request", "route", "team", "status", "upstream", "attempts", "target_ms", "age_ms", "seat_ms", "hold_ms", "before_ms", "queued_ms", "called_ms", "handed_ms", "stage_ms", "sent_ms", "first_ms", "pause_ms", "elapsed_ms", "late", "unread", "ahead", "streams", "speed", "ran", "reason"}, "See docs/OPERATIONS.md."},
 	{ForwardRefused, "forward_refused", hclog.Info, "A forwarded request was refused before it was sent to an upstream; forecast_ms and wait_ms are what its stages were expected to take and to wait, queued_ms what they waited.", []string{"request", "host", "path", "route", "team", "status", "reason", "retry_after_ms", "rank", "age_ms", "elapsed_ms", "forecast_ms", "wait_ms", "queued_ms", "version"}, "See docs/OPERATIONS.md."},
 	{ForwardSent, "forward_sent", hclog.Debug, "A forwarded request was sent to an upstream.", []string{"request", "upstream", "address", "attempt", "left_ms"}, ""},
 	{ForwardRetried, "forward_retried", hclog.Info, "An upstream did not answer a forwarded request, which is sent once more.", []string{"request", "upstream", "attempt", "outcome", "reason"}, ""},
@@ -178,6 +179,7 @@
 	{PlacerSilent, "placer_silent", hclog.Warn, "The node that places requests did not answer in time; this one asks another node for a while.", []string{"peer", "service", "region", "reason"}, "See whether that node is overloaded: its link, its processor time, how many queues it keeps (queue_opened)."},
 	{ResultsAdopted, "results_adopted", hclog.Info, "A node that uses results has told this one, which keeps the queue of their service now.", []string{"service", "region", "results"}, ""},
 	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
+	{EngineSpeed, "engine_speed", hclog.Info, "The node that places requests has learnt another speed of a model engine: factor is how long the engine takes to read a token, relative to the median engine of the service in the region. Logged when it has changed by a fifth.", []string{"service", "region", "upstream", "factor"}, "A factor far above 1 that stays: look at that engine's machine."},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/engine/cost.go
+++ b/internal/gate/engine/cost.go
@@ -13,21 +13,26 @@
 
 // pauseStats describes how reading prompts pauses the streams of an engine.
 type pauseStats struct {
-	readTimePerToken time.Duration // time in which engines read one more prompt token; 0: unknown
+	readTimePerToken time.Duration // time in which the median engine reads one more prompt token; 0: unknown
 	meanLateFraction float64       // fraction of an engine's streams that a prompt makes late, averaged over prompts
 }
 
+// readTime returns the time in which the median engine reads some prompt tokens.
+func (s pauseStats) readTime(tokens float64) time.Duration {
+	return time.Duration(tokens * float64(s.readTimePerToken))
+}
+
 // cost returns the cost of running a request on the engine.
-func (t *target) cost(r Request, chains []string, stats pauseStats) float64 {
-	unread := t.unreadTokens(r, chains)
-	own := float64(unread)
+// factor is how long the engine takes to read a token, relative to the median engine.
+func (t *target) cost(r Request, chains []string, stats pauseStats, factor float64) float64 {
+	own := factor * float64(t.unreadTokens(r, chains))
 	cost := own
 	for i, x := range r.Parts[:max(len(r.Parts)-1, 0)] {
 		if t.parts[chains[i]] == nil {
 			cost += (sharedTokenCost - 1) * float64(x.Tokens)
 		}
 	}
-	reading := time.Duration(unread) * stats.readTimePerToken
+	reading := stats.readTime(own)
 	streams := false
 	for _, other := range t.tickets {
 		cost += runningRequestCost + lateStreamCost*other.weight()*lateFraction(reading, other.gap)
@@ -36,10 +41,10 @@
 			cost += pausedStreamCost * own
 		}
 		if other.hasPendingStages() { // its prompt will be read while this request streams
-			cost += lateStreamCost * pendingStagesWeight * lateFraction(time.Duration(other.unread)*stats.readTimePerToken, r.Gap)
+			cost += lateStreamCost * pendingStagesWeight * lateFraction(stats.readTime(factor*float64(other.unread)), r.Gap)
 		}
 		if other.rank <= r.Rank {
-			cost += other.weight() * float64(other.unread)
+			cost += other.weight() * factor * float64(other.unread)
 		}
 	}
 	if streams { // future prompts already avoid the engine
@@ -58,9 +63,10 @@
 	return share * share
 }
 
-// updatePauseStats records the effect of a placed prompt on streams with the same permitted gap.
-func (p *Placer) updatePauseStats(unread int, gap time.Duration) {
-	p.meanLateFraction += (lateFraction(time.Duration(unread)*p.pauseStats().readTimePerToken, gap) - p.meanLateFraction) * (1 - sampleDecay)
+// updatePauseStats records the effect of a placed prompt on streams with the same permitted gap. tokens is the number of
+// tokens that the median engine would read in the same time.
+func (p *Placer) updatePauseStats(tokens float64, gap time.Duration) {
+	p.meanLateFraction += (lateFraction(p.pauseStats().readTime(tokens), gap) - p.meanLateFraction) * (1 - sampleDecay)
 }
 
 func (p *Placer) pauseStats() pauseStats {
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -15,6 +15,11 @@
 // services and forecasts the latency of a request from them (Forecast). The stage queues themselves show a burst only
 // once its requests reach them.
 //
+// # Speed
+//
+// The engines of a service differ in speed. A Placer learns the speed of each from the times between first events, and
+// counts unread tokens as the number that the median engine would read in the same time.
+//
 // # Placement
 //
 // The cost of an engine is the number of prompt tokens that it has to read before the request's first token: those of
@@ -33,6 +38,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/speed"
 )
 
 // Part is one part of a prompt. Requests with the same leading parts share them in an engine's cache.
@@ -62,6 +68,8 @@
 	Slots       int
 	CacheTokens int64
 	Avoid       bool // used only if no other engine is available
+	// StartedMs identifies the run of the process. What was learnt of the speed of an earlier run does not apply.
+	StartedMs int64
 }
 
 // Result tells how a request ended at its engine.
@@ -111,6 +119,8 @@
 	useCount     uint64           // logical clock of part uses, for eviction
 	pausedUntil  time.Time
 	failures     int
+	reading      readMeter
+	loggedSpeed  float64 // last factor returned by SpeedChanges; 0: none
 }
 
 type part struct {
@@ -127,7 +137,10 @@
 	engineTimes      durationModel // time from the end of a request's stages to its first event, by unread prompt tokens
 	stageTimes       durationModel // duration of a request's stages, by the forecast duration
 	readTime         linearFit     // nanoseconds from the end of a request's stages to its first event, by unread prompt tokens; all ranks
-	meanLateFraction float64       // fraction of streams that a prompt makes late, averaged over recent prompts
+	speeds           *speed.Table
+	readPeriod       linearFit // nanoseconds in which an engine read a prompt without other prompts, by unread prompt tokens
+	lastSpeedChange  time.Time // when SpeedChanges last looked
+	meanLateFraction float64   // fraction of streams that a prompt makes late, averaged over recent prompts
 	unanswered       unansweredRequests
 	lastExpiry       time.Time // when expired tickets were last removed
 }
@@ -142,7 +155,9 @@
 
 // New returns a Placer without engines.
 func New() *Placer {
-	return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}}
+	return &Placer{
+		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, speeds: speed.New(), readPeriod: linearFit{decay: readPeriodDecay},
+	}
 }
 
 // SetTargets replaces the set of engines. The cached parts of an engine are kept while it is in the set or has
@@ -157,11 +172,16 @@
 			have = &target{tickets: map[uint64]*ticket{}, parts: map[string]*part{}}
 			p.targets[t.ID] = have
 		}
+		if have.StartedMs != t.StartedMs {
+			p.speeds.Forget(t.ID)
+			have.reading = readMeter{}
+		}
 		have.Target, have.present = t, true
 	}
 	for id, t := range p.targets {
 		if !t.present && len(t.tickets) == 0 {
 			delete(p.targets, id)
+			p.speeds.Forget(id)
 		}
 	}
 }
@@ -188,7 +208,7 @@
 		t.stagesDone = now
 	}
 	forecast := p.forecastAt(now, r, best, t.unread)
-	p.updatePauseStats(t.unread, r.Gap)
+	p.updatePauseStats(forecast.Speed*float64(t.unread), r.Gap)
 	t.initialUnread, t.forecastTotal, t.late = t.unread, forecast.Total, forecast.Late
 	p.tickets[p.lastID] = t
 	best.tickets[p.lastID] = t
@@ -210,7 +230,7 @@
 		if !usable && !paused {
 			continue
 		}
-		cost := t.cost(r, chains, stats)
+		cost := t.cost(r, chains, stats, p.speeds.Factor(now, t.ID))
 		if out == nil || cost < minCost || cost == minCost && prefersByHash(t.ID, out.ID, chains) {
 			out, minCost = t, cost
 		}
@@ -264,7 +284,8 @@
 // cannot be on time, it is forecast at the lower urgency of late requests.
 func (p *Placer) forecastAt(now time.Time, r Request, at *target, unread int) Forecast {
 	f := p.Forecast(now, r, false)
-	engine, _ := p.engineTimes.predict(r.Rank, float64(unread))
+	factor := p.speeds.Factor(now, at.ID)
+	engine, _ := p.engineTimes.predict(r.Rank, factor*float64(unread))
 	likely := f.Total
 	if expected, ok := p.stageTimes.predict(r.Rank, float64(f.Total.Milliseconds())); ok && f.Total > 0 {
 		likely = expected
@@ -273,7 +294,7 @@
 		f = p.Forecast(now, r, true)
 		likely = f.Total
 	}
-	f.UnreadTokens, f.EngineTime, f.CorrectedTotal = unread, engine, likely
+	f.UnreadTokens, f.EngineTime, f.CorrectedTotal, f.Speed = unread, engine, likely, factor
 	for _, other := range at.tickets {
 		if other.rank <= r.Rank {
 			f.TokensAhead += other.unread
@@ -327,8 +348,10 @@
 	}
 	if !t.stagesDone.IsZero() {
 		took := now.Sub(t.stagesDone)
-		p.engineTimes.add(t.rank, float64(t.initialUnread), took)
-		p.readTime.add(float64(t.initialUnread), float64(took))
+		tokens := p.speeds.Factor(now, t.target) * float64(t.initialUnread)
+		p.engineTimes.add(t.rank, tokens, took)
+		p.readTime.add(tokens, float64(took))
+		p.learnSpeed(now, t)
 	}
 	t.unread = 0
 }
@@ -368,6 +391,9 @@
 	delete(p.tickets, id)
 	if at := p.targets[t.target]; at != nil {
 		delete(at.tickets, id)
+		if t.unread > 0 && !t.stagesDone.IsZero() {
+			at.reading.interrupted = true
+		}
 	}
 }
 
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -42,6 +42,8 @@
 	// earlier requests with the same or a more urgent rank.
 	UnreadTokens int `cbor:"5,keyasint,omitempty"`
 	TokensAhead  int `cbor:"6,keyasint,omitempty"`
+	// Speed is how long the engine takes to read a token, relative to the median engine.
+	Speed float64 `cbor:"11,keyasint,omitempty"`
 	// Streams is the number of requests at the engine that are streaming events and pause while it reads the prompt.
 	Streams int `cbor:"10,keyasint,omitempty"`
 	// CorrectedTotal is Total, corrected by recent forecast errors. EngineTime is the expected time at the engine after
--- a/internal/gate/engine/linear_fit.go
+++ b/internal/gate/engine/linear_fit.go
@@ -5,18 +5,25 @@
 // linearFit is a linear regression by exponentially weighted least squares.
 type linearFit struct {
 	n, x, y, xx, xy float64 // weighted sums
+	decay           float64 // factor by which each new sample reduces the weight of older ones; 0: sampleDecay
 }
 
-// sampleDecay is the factor by which each new sample reduces the weight of older ones.
 const sampleDecay = 0.98
 
 // add adds a sample.
-func (l *linearFit) add(x, y float64) {
-	l.n = l.n*sampleDecay + 1
-	l.x = l.x*sampleDecay + x
-	l.y = l.y*sampleDecay + y
-	l.xx = l.xx*sampleDecay + x*x
-	l.xy = l.xy*sampleDecay + x*y
+func (l *linearFit) add(x, y float64) { l.addWeighted(x, y, 1) }
+
+// addWeighted adds a sample with a weight.
+func (l *linearFit) addWeighted(x, y, weight float64) {
+	decay := l.decay
+	if decay == 0 {
+		decay = sampleDecay
+	}
+	l.n = l.n*decay + weight
+	l.x = l.x*decay + weight*x
+	l.y = l.y*decay + weight*y
+	l.xx = l.xx*decay + weight*x*x
+	l.xy = l.xy*decay + weight*x*y
 }
 
 // predict returns the expected value at x; false while there are too few samples.
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -383,6 +383,7 @@
 		event.F("stage_ms", x.stagesAfter.Milliseconds()), event.F("sent_ms", x.lastSentAfter.Milliseconds()), event.F("first_ms", x.firstByteAfter.Milliseconds()),
 		event.F("pause_ms", x.longestPause.Milliseconds()), event.F("elapsed_ms", elapsed.Milliseconds()), event.F("late", x.lateCause(elapsed)),
 		event.F("unread", forecast.UnreadTokens), event.F("ahead", forecast.TokensAhead), event.F("streams", forecast.Streams),
+		event.F("speed", strconv.FormatFloat(forecast.Speed, 'f', 2, 64)),
 		event.F("ran", x.ranLabel()), event.F("reason", reason))
 }
 
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -207,6 +207,10 @@
 	defer f.mu.Unlock()
 	p := f.placer(placeKey{q.Service, q.Region})
 	assigned, ok := p.Place(now, *q.Request)
+	for _, c := range p.SpeedChanges(now) {
+		f.o.Events.Emit(event.EngineSpeed, event.F("service", q.Service), event.F("region", q.Region), event.F("upstream", c.ID),
+			event.F("factor", strconv.FormatFloat(c.Factor, 'f', 2, 64)))
+	}
 	if !ok {
 		return placeReply{}
 	}
@@ -237,12 +241,32 @@
 	}
 	for _, u := range v.Services[k.service] {
 		if u.State == roster.Ready && f.o.RegionOf[u.DataCentre] == k.region {
-			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent})
+			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, StartedMs: u.StartedMs})
 		}
 	}
 	return out
 }
 
+// EngineSpeeds is the range of the learnt speeds of a service's engines in a region: how long they take to read a token,
+// relative to the median engine.
+type EngineSpeeds struct {
+	Service, Region string
+	Least, Most     float64
+}
+
+// EngineSpeeds returns the learnt speeds of the engines that this node has placed requests on.
+func (f *Forwarder) EngineSpeeds() []EngineSpeeds {
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []EngineSpeeds
+	for k, p := range f.placers {
+		least, most := p.SpeedRange(now)
+		out = append(out, EngineSpeeds{k.service, k.region, least, most})
+	}
+	return out
+}
+
 // notifyFirstEvent tells the placer that the prefill of a request is done.
 func (f *Forwarder) notifyFirstEvent(s *placement) {
 	if s == nil || s.firstEventReported {
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -37,6 +37,7 @@
 	stageEnds     = "stage_ends_total"
 	stageRoom     = "stage_room_bytes"
 	stageLimit    = "stage_room_limit_bytes"
+	engineSpeed   = "engine_speed_ratio"
 )
 
 var (
@@ -68,6 +69,7 @@
 	{Name: stageEnds, Type: stats.Counter, Labels: append([]string{"end"}, byQueue...), Help: "Pieces by their end: made, no_room, late, refused, failed, unwanted."},
 	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
 	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
+	{Name: engineSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt time in which the fastest (bound least) and the slowest engine (most) reads a token, relative to the median engine. Of nodes that have placed requests on the engines."},
 }
 
 // MetricsPage renders the catalogue as the page docs/gate_metrics.md.
@@ -141,6 +143,10 @@
 	page.Set(configVersion, float64(p.poller.Version()), nil)
 	page.Set(configBehind, p.poller.Behind().Seconds(), nil)
 	page.Set(suspects, float64(p.blocklist.Len()), nil)
+	for _, s := range p.forwarder.EngineSpeeds() {
+		page.Set(engineSpeed, s.Least, stats.Tags{"service": s.Service, "region": s.Region, "bound": "least"})
+		page.Set(engineSpeed, s.Most, stats.Tags{"service": s.Service, "region": s.Region, "bound": "most"})
+	}
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
