Do not take a reset answer for a whole one, nor an impossible status for an answer

An upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The kernel reports a reset once; when the write of the upload got the error, the read saw an ordinary end, which ends an answer without a length. Such an answer is whole now only if the request could be written.

A status of 000 or 099 was skipped as informational, so that the bytes after it were taken for the answer or the request waited for its deadline; 600 to 999 were passed on. All are failures of the upstream now, and so is 101, which nobody asks for.

Names in heartbeats may hold no control characters: a service name with a NUL was accepted.

The tests fail before the change: a body of two events counted as whole, 504 in place of 502 for status 000.

--- a/internal/gate/proto/valid.go
+++ b/internal/gate/proto/valid.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,10 +26,10 @@
 	}
 	address, err := netip.ParseAddrPort(u.Address)
 	switch {
-	case u.Service == "" || len(u.Service) > maxNameBytes:
-		return errors.New("the service must have 1 to 256 bytes")
-	case u.DataCentre == "" || len(u.DataCentre) > maxNameBytes:
-		return errors.New("the data centre must have 1 to 256 bytes")
+	case !isName(u.Service):
+		return errors.New("the service must have 1 to 256 bytes, without control characters")
+	case !isName(u.DataCentre):
+		return errors.New("the data centre must have 1 to 256 bytes, without control characters")
 	case err != nil:
 		return errors.Wrap(err, "the address must be an IP number and a port")
 	case address.Port() == 0:
@@ -42,6 +44,11 @@
 	return nil
 }
 
+// isName reports whether a name can be logged and compared in any process.
+func isName(s string) bool {
+	return s != "" && len(s) <= maxNameBytes && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
+}
+
 func isExact(n int64) bool { return n >= 0 && n <= maxInteger }
 
 // ValidateID returns an error if an upstream's id cannot be sent in a header.
--- a/internal/wire/upcon/body.go
+++ b/internal/wire/upcon/body.go
@@ -15,6 +15,7 @@
 	c        *conn
 	in       io.ReadCloser
 	reusable bool
+	unframed bool // the end of the connection ends it
 	keep     time.Duration
 	hold     bool // the connection is given back by Close
 	ended    bool
@@ -26,6 +27,9 @@
 	}
 	n, err := b.in.Read(p)
 	if errors.Is(err, io.EOF) {
+		if b.unframed && !b.requestWritten() {
+			return n, ErrReset
+		}
 		b.ended = true
 		if !b.hold {
 			b.finish()
@@ -35,6 +39,14 @@
 	return n, err
 }
 
+// requestWritten waits for the end of the request's write, which ends at the latest with the request's context, and reports whether
+// it succeeded.
+func (b *body) requestWritten() bool {
+	err := <-b.c.written
+	b.c.written <- err
+	return err == nil
+}
+
 // Close gives up the rest of the answer, and the connection with it.
 func (b *body) Close() error {
 	switch {
--- a/internal/wire/upcon/conn.go
+++ b/internal/wire/upcon/conn.go
@@ -91,7 +91,7 @@
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, head: hr}
 	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
-	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor), hold: r.Hold}
+	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, unframed: resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor), hold: r.Hold}
 	return resp, nil
 }
 
@@ -111,8 +111,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if hr.StatusCode >= http.StatusOK {
+		switch status := hr.StatusCode; {
+		case status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus:
+			return nil, ErrStatus // what follows is not known to be an answer
+		case status >= http.StatusOK:
 			return hr, nil
 		}
 	}
 }
+
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -23,7 +23,9 @@
 // # Early answers
 //
 // An upstream may answer before it has read the whole body. If the rest has not been written when the answer ends, the
-// connection is closed, so that nothing else stands where the rest of the body is due.
+// connection is closed, so that nothing else stands where the rest of the body is due. An answer that only the end of its
+// connection ends is whole only if the body could be written: the kernel reports a reset once, and if the write gets that
+// error, the read sees an ordinary end.
 package upcon
 
 import (
@@ -79,6 +81,8 @@
 var (
 	ErrForeign  = errors.New("the answer does not carry the id of the request")
 	ErrAllInUse = errors.New("all connections to the upstream are in use")
+	ErrReset    = errors.New("the connection ended before the request was written, so the answer may be truncated")
+	ErrStatus   = errors.New("the status of the answer is not between 100 and 599, or changes the protocol")
 )
 
 // Options configure a Pool.
@@ -146,7 +150,8 @@
 	Hold bool
 }
 
-// Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body.
+// Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body, and
+// ErrReset if the connection was reset although the reads saw no error.
 type Response struct {
 	Status int
 	Header http.Header
