Keep requests in the regions that their route and team allow

Cause: conf.Route.Regions and conf.Team.Regions were decoded but not read, so that requests, pieces of stages and placements crossed into any region, and the directory named entry nodes of any region.

Change: package region holds a set of regions; conf.NewTable indexes the restricted routes, teams and hosts. The proxy applies the set by the table in force (route and team by name) where it lists candidates: the chooser of plain upstreams, also when all are paused, the regions of engines, moves between regions, the regions of stages, and once more just before a request is sent. A request without an allowed upstream for itself or one of its stages gets 503 at once, with a spread Retry-After and the regions in its reason. The directory reads the host from the query, and names entry nodes of other regions only if the host's routes allow them, or if no other one is left.

--- a/internal/gate/conf/table.go
+++ b/internal/gate/conf/table.go
@@ -15,6 +15,7 @@
 	services map[string]*Service
 	teams    map[KeyHash]*Team
 	ranks    map[rankKey]int
+	regions  regionIndex
 }
 
 // rankKey orders requests: first by the priority of their team, or of their route if the team has none, and then
@@ -40,6 +41,7 @@
 		}
 	}
 	t.assignRanks()
+	t.indexRegions()
 	return t
 }
 
--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -85,6 +85,7 @@
 	crashes *deny.Blocklist
 
 	pieces configPieces
+	hosts  hostRegions
 
 	mu            sync.Mutex
 	roster        *roster.Registry
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -13,6 +13,7 @@
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
+	"github.com/berylledge/berylledge/internal/gate/region"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
@@ -177,7 +178,8 @@
 	if err != nil {
 		caller = r.RemoteAddr
 	}
-	nodes := s.readyEntryNodes(caller, q.Get(s.o.Dialect.Query.DataCentre), q.Get(s.o.Dialect.Query.Region))
+	allowed := s.hosts.of(s.o.Member.Latest(), q.Get(s.o.Dialect.Query.Host), s.o.Dialect.DecodeConfig)
+	nodes := s.readyEntryNodes(caller, q.Get(s.o.Dialect.Query.DataCentre), q.Get(s.o.Dialect.Query.Region), allowed)
 	if len(nodes) == 0 {
 		writeText(w, http.StatusServiceUnavailable, "no entry node is known")
 		return
@@ -194,8 +196,8 @@
 	writeJSON(w, body)
 }
 
-func (s *Server) readyEntryNodes(caller, dataCentre, region string) []roster.Entry {
+func (s *Server) readyEntryNodes(caller, dataCentre, callerRegion string, allowed region.Set) []roster.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.ReadyEntries(s.o.Clock.Now(), caller, dataCentre, region)
+	return s.roster.ReadyEntries(s.o.Clock.Now(), caller, dataCentre, callerRegion, allowed)
 }
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -52,9 +52,10 @@
 
 // Criteria describes what a request needs.
 type Criteria struct {
-	Distance func(dataCentre string) int // 0 for the own data centre; nil: all are equally near
-	Affinity string                      // key, usually of a prompt prefix; empty: none
-	Exclude  map[string]bool             // IDs of upstreams that failed this request
+	Distance func(dataCentre string) int  // 0 for the own data centre; nil: all are equally near
+	Affinity string                       // key, usually of a prompt prefix; empty: none
+	Exclude  map[string]bool              // IDs of upstreams that failed this request
+	Allowed  func(dataCentre string) bool // whether the request may use a data centre; nil: all
 }
 
 type state struct {
@@ -87,7 +88,7 @@
 func (c *Chooser) Choose(now time.Time, list []roster.Upstream, w Criteria) (roster.Upstream, bool) {
 	var usable, paused []roster.Upstream
 	for _, u := range list {
-		if u.State != roster.Ready || w.Exclude[u.ID] {
+		if u.State != roster.Ready || w.Exclude[u.ID] || w.Allowed != nil && !w.Allowed(u.DataCentre) {
 			continue
 		}
 		if now.Before(c.state(u.ID).pausedUntil) || u.Silent {
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -31,6 +31,7 @@
 	route    *conf.Route
 	service  string
 	team     *conf.Team
+	regions  regionCheck
 	body     []byte
 	deadline time.Time // by when the final response must be sent
 	// due is the time after which the response counts as late. The target latency counts from the caller's first
@@ -89,6 +90,10 @@
 		x.refuse(*refused)
 		return
 	}
+	if refused := x.checkRegions(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
 	x.f.countRequest(x.service)
 	if refused := x.checkBlocked(); refused != nil {
 		x.refuse(*refused)
--- a/internal/gate/proxy/forecast.go
+++ b/internal/gate/proxy/forecast.go
@@ -6,6 +6,7 @@
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/region"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 )
@@ -36,7 +37,7 @@
 
 // moveToOtherRegion replaces the placement by one in another region, if one can serve the request much sooner.
 func (x *exchange) moveToOtherRegion(slack time.Duration) bool {
-	for _, region := range x.f.servingRegions(x.service, x.route.Stages) {
+	for _, region := range x.f.servingRegions(x.allowedRegions(), x.service, x.route.Stages) {
 		if region != x.placement.region && x.tryRegion(region, slack) {
 			return true
 		}
@@ -114,12 +115,12 @@
 	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == region
 }
 
-// engineRegions returns the regions that can serve a request, with the number of engines in each that accept
+// engineRegions returns the allowed regions that can serve a request, with the number of engines in each that accept
 // requests. If no region has upstreams for all stages, it returns those that have an engine.
-func (f *Forwarder) engineRegions(service string, stages []conf.Stage) []engine.Region {
-	names := f.servingRegions(service, stages)
+func (f *Forwarder) engineRegions(allowed region.Set, service string, stages []conf.Stage) []engine.Region {
+	names := f.servingRegions(allowed, service, stages)
 	if len(names) == 0 {
-		names = f.servingRegions(service, nil)
+		names = f.servingRegions(allowed, service, nil)
 	}
 	out := make([]engine.Region, len(names))
 	for i, name := range names {
@@ -135,9 +136,9 @@
 	return out
 }
 
-// servingRegions returns the regions in which the service and the service of each stage have an upstream that
+// servingRegions returns the allowed regions in which the service and the service of each stage have an upstream that
 // accepts requests.
-func (f *Forwarder) servingRegions(service string, stages []conf.Stage) []string {
+func (f *Forwarder) servingRegions(allowed region.Set, service string, stages []conf.Stage) []string {
 	view := f.o.View()
 	has := func(name, region string) bool {
 		for _, u := range view.Services[name] {
@@ -148,13 +149,13 @@
 		return false
 	}
 	var out []string
-	for _, region := range f.regions {
-		ok := has(service, region)
+	for _, name := range f.regions {
+		ok := allowed.Allows(name) && has(service, name)
 		for _, s := range stages {
-			ok = ok && has(s.Service, region)
+			ok = ok && has(s.Service, name)
 		}
 		if ok {
-			out = append(out, region)
+			out = append(out, name)
 		}
 	}
 	return out
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -71,7 +71,7 @@
 func (x *exchange) requestPlacement() *placement {
 	f := x.f
 	r := x.engineRequest()
-	regions := f.engineRegions(x.service, x.route.Stages)
+	regions := f.engineRegions(x.allowedRegions(), x.service, x.route.Stages)
 	homeRegion := r.HomeRegion(f.o.Region, f.reachableRegions(regions))
 	p := x.placeInRegion(homeRegion, r)
 	if p == nil && !f.reachable(homeRegion) {
@@ -80,8 +80,13 @@
 	return p
 }
 
+// placeInRegion asks the placer of a region for a slot at an engine. It returns nil if there is none or the request may not use
+// the region: HomeRegion returns the node's own region if no other one has engines.
 func (x *exchange) placeInRegion(region string, r engine.Request) *placement {
 	f := x.f
+	if !x.allowedRegions().Allows(region) {
+		return nil
+	}
 	p := &placement{service: x.service, region: region}
 	var reply placeReply
 	asked := f.o.Clock.Now()
--- /dev/null
+++ b/internal/gate/proxy/regions_test.go
@@ -0,0 +1,346 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/batch"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/deny"
+	"github.com/berylledge/berylledge/internal/gate/poller"
+	"github.com/berylledge/berylledge/internal/gate/proto"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/test/rawup"
+	"github.com/berylledge/berylledge/internal/wire/upcon"
+)
+
+// regionProxy is a Forwarder in region n with upstreams in the regions n, s and w.
+type regionProxy struct {
+	*testProxy
+	view   atomic.Pointer[poller.View]
+	ups    map[string]*rawup.Upstream // by ID, which is the service and the data centre
+	onView func()                     // called before the Forwarder reads the view; may be nil
+}
+
+var testRegions = map[string]string{"a": "n", "b": "s", "c": "w"}
+
+// newRegionProxy starts a Forwarder with a route for each kind of choice: /plain/, /engine/ and /stages/, the last one with an
+// engine and two stages. answer replaces the answers of upstreams; false leaves the request to the usual answer.
+func newRegionProxy(t *testing.T, answer func(id string, c *rawup.Conn, r *rawup.Request) bool) *regionProxy {
+	p := &regionProxy{ups: map[string]*rawup.Upstream{}}
+	view := &poller.View{Services: map[string][]roster.Upstream{}}
+	for _, service := range []string{"desk", "models", "prepare", "join"} {
+		for _, dc := range []string{"a", "b", "c"} {
+			id := service + "-" + dc
+			p.ups[id] = rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+				switch {
+				case answer != nil && answer(id, c, r):
+				case service == "prepare" || service == "join":
+					c.WriteString(stageAnswer(id, r))
+				default:
+					c.WriteString(rawResponse(200, r.Header.Get("Berylledge-Request"), "ok", signed))
+				}
+			})
+			view.Services[service] = append(view.Services[service], roster.Upstream{
+				ID: id, Service: service, Address: p.ups[id].Address, DataCentre: dc, State: roster.Ready,
+			})
+		}
+	}
+	view.Table = conf.NewTable(regionConfig(nil))
+	p.view.Store(view)
+	c := clock.Real()
+	events := event.New(event.Options{Node: "e1", Clock: c})
+	d := proto.Own()
+	pool := upcon.New(upcon.Options{Clock: c, IDHeader: d.Headers.RequestID})
+	mk := batch.New(batch.Options{
+		Node: "e1", Peer: "self", RegionOf: testRegions, Dialect: d, Clock: c, Events: events, View: p.view.Load, Pool: pool,
+	})
+	f := New(Options{
+		Node: "e1", DataCentre: "a", Region: "n", RegionOf: testRegions, Dialect: d, Clock: c, Events: events,
+		View: p.loadView, Pool: pool, Batcher: mk, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
+		Crashes: deny.New(), ReportCrashes: func() {}, RefreshCrashes: func(context.Context) {},
+	})
+	server := httptest.NewServer(f)
+	t.Cleanup(func() {
+		server.Close()
+		f.Close()
+		mk.Close()
+		pool.Close()
+	})
+	p.testProxy = &testProxy{t, f, server, events, new(atomic.Int32)}
+	return p
+}
+
+func (p *regionProxy) loadView() *poller.View {
+	if p.onView != nil {
+		p.onView()
+	}
+	return p.view.Load()
+}
+
+func stageAnswer(id string, r *rawup.Request) string {
+	var call struct{ Items []struct{ Piece int } }
+	_ = json.Unmarshal(r.Body, &call) // a request to free results has no items
+	handles := make([]string, len(call.Items))
+	for i, item := range call.Items {
+		handles[i] = fmt.Sprintf(`{"handle":"%s-%s-%d"}`, id, r.Header.Get("Berylledge-Deadline-Ms"), item.Piece)
+	}
+	text := `{"items":[` + strings.Join(handles, ",") + `]}`
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func regionConfig(change func(*conf.Config)) *conf.Config {
+	pool := &conf.Pool{Slots: 1, Queue: 1, Batch: 8, CallTime: 10, ItemTime: 1, ResultMemoryMB: 1, HandleTTL: 4000, LinkMbps: 1000}
+	cfg := &conf.Config{
+		Version: 1,
+		Services: []conf.Service{
+			{Name: "desk"}, {Name: "models", Engine: &conf.Engine{Slots: 4, CacheTokens: 10_000}}, {Name: "prepare", Pool: pool}, {Name: "join", Pool: pool},
+		},
+		Teams:  []conf.Team{{Name: "office", Keys: []conf.KeyHash{conf.HashKey("secret")}}},
+		Limits: conf.Limits{BodyBytes: 100, HeaderBytes: 4096},
+	}
+	for _, r := range []conf.Route{
+		{Name: "plain", Split: []conf.Weight{{Service: "desk", Weight: 1}}},
+		{Name: "engine", Split: []conf.Weight{{Service: "models", Weight: 1}}},
+		{
+			Name: "stages", Split: []conf.Weight{{Service: "models", Weight: 1}},
+			Stages: []conf.Stage{{Service: "prepare", ResultBytes: 1}, {Service: "join", After: []int{0}, ResultBytes: 1}},
+		},
+	} {
+		r.Host, r.Prefix, r.Kind, r.Timeout, r.Target, r.Attempts = "api.example", "/"+r.Name+"/", conf.Safe, 20_000, 10_000, 3
+		cfg.Routes = append(cfg.Routes, r)
+	}
+	if change != nil {
+		change(cfg)
+	}
+	return cfg
+}
+
+// allow puts a configuration in force that restricts all routes and the team.
+func (p *regionProxy) allow(routes, team []string) {
+	p.configure(func(cfg *conf.Config) {
+		for i := range cfg.Routes {
+			cfg.Routes[i].Regions = routes
+		}
+		cfg.Teams[0].Regions = team
+	})
+}
+
+func (p *regionProxy) configure(change func(*conf.Config)) {
+	now := *p.view.Load()
+	cfg := regionConfig(change)
+	cfg.Version = now.Table.Config.Version + 1
+	assert.Equal(p.t, len(cfg.Validate()), 0)
+	now.Table = conf.NewTable(cfg)
+	p.view.Store(&now)
+}
+
+// setUpstreams changes the upstreams of a service.
+func (p *regionProxy) setUpstreams(service string, change func(*roster.Upstream)) {
+	now := *p.view.Load()
+	services := map[string][]roster.Upstream{}
+	for name, list := range now.Services {
+		services[name] = slices.Clone(list)
+	}
+	for i := range services[service] {
+		change(&services[service][i])
+	}
+	now.Services = services
+	p.view.Store(&now)
+}
+
+func (p *regionProxy) ask(route, id string) result {
+	return p.do(p.pieces(p.request("/"+route+"/", id)))
+}
+
+func (p *regionProxy) pieces(r *http.Request) *http.Request {
+	r.Header.Set("Berylledge-Pieces", "2,1")
+	r.Header.Set("Berylledge-Piece-Key", "k")
+	return r
+}
+
+// reached returns the data centres whose upstreams have got a request, sorted.
+func (p *regionProxy) reached() string {
+	out := map[string]bool{}
+	for id, up := range p.ups {
+		if len(up.Requests()) > 0 {
+			out[id[len(id)-1:]] = true
+		}
+	}
+	list := make([]string, 0, len(out))
+	for dc := range out {
+		list = append(list, dc)
+	}
+	slices.Sort(list)
+	return strings.Join(list, "")
+}
+
+// placerRegions returns the regions whose placers were asked, sorted.
+func (p *regionProxy) placerRegions() string {
+	p.forwarder.mu.Lock()
+	defer p.forwarder.mu.Unlock()
+	var list []string
+	for key := range p.forwarder.placers {
+		list = append(list, key.region)
+	}
+	slices.Sort(list)
+	return strings.Join(list, "")
+}
+
+// The nearest upstreams of all services are in region n. Guards against requests, retries, pieces of stages and placements that
+// leave the regions which both the route and the team allow, whether or not these regions can serve.
+func TestRouteStaysInItsRegions(t *testing.T) {
+	fails := func(dc string) func(string, *rawup.Conn, *rawup.Request) bool {
+		return func(id string, c *rawup.Conn, _ *rawup.Request) bool {
+			if id[len(id)-1:] != dc || strings.HasPrefix(id, "prepare") || strings.HasPrefix(id, "join") {
+				return false
+			}
+			c.Reset()
+			return true
+		}
+	}
+	for _, c := range []struct {
+		name         string
+		routes, team []string
+		answer       func(string, *rawup.Conn, *rawup.Request) bool
+		change       func(*roster.Upstream)
+		status       int
+		reached      string
+	}{
+		{name: "unrestricted", status: 200, reached: "a"},
+		{name: "own region", routes: []string{"n"}, status: 200, reached: "a"},
+		{name: "another region", routes: []string{"s"}, status: 200, reached: "b"},
+		{name: "region of the team", team: []string{"s"}, status: 200, reached: "b"},
+		{name: "both lists bind", routes: []string{"s", "n"}, team: []string{"w", "s"}, status: 200, reached: "b"},
+		{name: "no common region", routes: []string{"s"}, team: []string{"n"}, status: 503, reached: ""},
+		{name: "unknown region", routes: []string{"x"}, status: 503, reached: ""},
+		{name: "broken upstreams", routes: []string{"s"}, answer: fails("b"), status: 502, reached: "b"},
+		{name: "own region fails, others forbidden", routes: []string{"n"}, answer: fails("a"), status: 502, reached: "a"},
+		{
+			name: "gone upstreams", routes: []string{"s"}, status: 503, reached: "",
+			change: func(u *roster.Upstream) {
+				if u.DataCentre == "b" {
+					u.State = roster.Gone
+				}
+			},
+		},
+	} {
+		for _, route := range []string{"plain", "engine", "stages"} {
+			t.Run(c.name+", "+route, func(t *testing.T) {
+				p := newRegionProxy(t, c.answer)
+				p.allow(c.routes, c.team)
+				for _, service := range []string{"desk", "models"} {
+					if c.change != nil {
+						p.setUpstreams(service, c.change)
+					}
+				}
+				got := p.ask(route, "id1")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, c.status, got.body)
+				assert.Equal(t, p.reached(), c.reached)
+				if c.status != http.StatusServiceUnavailable {
+					home := ""
+					if route != "plain" {
+						home = testRegions[c.reached]
+					}
+					assert.Equal(t, p.placerRegions(), home)
+					return
+				}
+				assert.Equal(t, p.placerRegions(), "")
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, after >= retryLater.Seconds()/2 && after <= retryLater.Seconds()*3/2)
+				assert.Assert(t, strings.Contains(got.body, "in the allowed regions: "), got.body)
+				assert.Equal(t, len(p.events.Select(event.Filter{Name: "forward_refused"})), 1)
+			})
+		}
+	}
+}
+
+// Silent upstreams, and those that failed a moment ago, are tried if there is no other. Guards against taking one of a forbidden
+// region instead.
+func TestPausedUpstreamsOfForbiddenRegionsAreNotTried(t *testing.T) {
+	for _, route := range []string{"plain", "engine"} {
+		p := newRegionProxy(t, nil)
+		p.allow([]string{"s"}, nil)
+		for _, service := range []string{"desk", "models"} {
+			p.setUpstreams(service, func(u *roster.Upstream) { u.Silent = true })
+		}
+		assert.Equal(t, p.ask(route, "id1").status, 200)
+		assert.Equal(t, p.reached(), "b", route)
+	}
+}
+
+// Guards against stages that run although no allowed region has an upstream for a later one, and against a stage in a forbidden
+// region.
+func TestStageWithoutAllowedUpstreamIsRefusedAtOnce(t *testing.T) {
+	p := newRegionProxy(t, nil)
+	p.allow([]string{"s"}, nil)
+	p.setUpstreams("join", func(u *roster.Upstream) {
+		if u.DataCentre == "b" {
+			u.Silent = true
+		}
+	})
+	got := p.ask("stages", "id1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(got.body, "service join"), got.body)
+	assert.Equal(t, p.reached(), "")
+}
+
+// Both stages have their only upstream near the engine in a forbidden region, or in the other allowed one. Guards against a choice
+// of the nearest upstream that ignores the lists.
+func TestStagesMoveOnlyToAllowedRegions(t *testing.T) {
+	p := newRegionProxy(t, nil)
+	p.allow([]string{"s", "w"}, nil)
+	p.setUpstreams("prepare", func(u *roster.Upstream) { u.Silent = u.DataCentre == "b" })
+	p.setUpstreams("join", func(u *roster.Upstream) { u.Silent = u.DataCentre == "c" })
+	assert.Equal(t, p.ask("stages", "id1").status, 200)
+	assert.Equal(t, p.reached(), "bc")
+}
+
+// A configuration that allows another region comes into force at each point at which the Forwarder reads its view. Guards against a
+// choice by the lists of the old configuration that is sent after the Forwarder could know the new one.
+func TestNothingIsSentByAnOldList(t *testing.T) {
+	for _, route := range []string{"plain", "engine"} {
+		last := int32(0)
+		for k := int32(1); k <= last+1; k++ {
+			var reads atomic.Int32
+			var late, sent atomic.Bool
+			p := newRegionProxy(t, func(id string, _ *rawup.Conn, _ *rawup.Request) bool {
+				sent.Store(true)
+				late.Store(late.Load() || strings.HasSuffix(id, "-a") && reads.Load() >= k)
+				return false
+			})
+			p.allow([]string{"n"}, nil)
+			p.onView = func() {
+				if sent.Load() {
+					return
+				}
+				if reads.Add(1) == k {
+					p.allow([]string{"s"}, nil)
+				}
+			}
+			got := p.ask(route, "id1")
+			assert.Assert(t, got.status == 200 || got.status == 503, "%d: %s", got.status, got.body)
+			assert.Assert(t, !late.Load(), "%s: switched at read %d of %d", route, k, reads.Load())
+			if k > reads.Load() {
+				break
+			}
+			last = reads.Load()
+		}
+		assert.Assert(t, last > 3)
+	}
+}
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -51,7 +51,7 @@
 	}
 	u, ok := x.upstreamFor(affinity)
 	if !ok {
-		r := x.gatewayError("no upstream of the service accepts requests", retryLater)
+		r := x.noUpstream(x.service)
 		return nil, &r
 	}
 	if (x.sent > 0 || x.refusals > 0) && !x.f.allowRetry(x.service) {
@@ -62,11 +62,17 @@
 	if x.sent > 0 || x.refusals > 0 {
 		x.f.o.Metrics.retried()
 	}
+	limit := x.f.connLimit(x.table.Service(x.service))
+	if !x.mayUse(u) { // a new configuration has just come into force
+		x.finishAttempt(&response{upstream: u}, pick.Cancelled)
+		r := x.noUpstream(x.service)
+		return nil, &r
+	}
 	start := x.f.o.Clock.Now()
 	x.lastSentAfter = start.Sub(x.start)
 	head, err := x.f.o.Pool.Send(x.ctx, upcon.Request{
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.upstreamHeader(u, extra),
-		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: x.f.connLimit(x.table.Service(x.service)),
+		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: limit,
 	})
 	resp := &response{head, u, start, x.f.o.Clock.Now().Sub(start)}
 	if err != nil {
@@ -77,11 +83,11 @@
 }
 
 // upstreamFor returns the upstream for the next attempt and counts a request to it. A request for a model engine
-// uses its placement. If that engine has failed, or has begun to drain while the stages ran, upstreamFor
-// requests another placement.
+// uses its placement. If that engine has failed, has begun to drain while the stages ran, or is no longer in an
+// allowed region, upstreamFor requests another placement.
 func (x *exchange) upstreamFor(affinity string) (roster.Upstream, bool) {
 	if x.usesEngines() {
-		if x.placement != nil && !x.f.stillReady(x.placement.upstream) {
+		if x.placement != nil && (!x.f.stillReady(x.placement.upstream) || !x.mayUse(x.placement.upstream)) {
 			x.f.notifyEnd(x.placement, engine.Cancelled)
 			x.placement = nil
 		}
@@ -93,7 +99,7 @@
 			return x.placement.upstream, true
 		}
 	}
-	return x.f.chooseUpstream(x.service, pick.Criteria{Affinity: affinity, Exclude: x.failed})
+	return x.f.chooseUpstream(x.service, pick.Criteria{Affinity: affinity, Exclude: x.failed, Allowed: x.allowedDataCentres()})
 }
 
 // placementResults maps the result of an attempt to the one reported to the placer.
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -67,7 +67,9 @@
 // run runs all pieces. When it returns a refusal, the request itself has not been sent to an upstream.
 func (s *stageRun) run() *refusal {
 	s.waitForHold()
-	s.startReady()
+	if refused := s.startReady(); refused != nil {
+		return refused
+	}
 	for !s.plan.Finished() {
 		if s.pending == 0 {
 			return s.failure()
@@ -78,7 +80,9 @@
 			if !s.recordResults(r) {
 				return s.failure()
 			}
-			s.startReady()
+			if refused := s.startReady(); refused != nil {
+				return refused
+			}
 		case <-s.x.f.drain.finishing.Done():
 			return s.x.stopRefusal()
 		case <-s.x.ctx.Done():
@@ -116,8 +120,9 @@
 	return &r
 }
 
-// startReady requests the pieces that can run now, in one group per stage.
-func (s *stageRun) startReady() {
+// startReady requests the pieces that can run now, in one group per stage. It returns a refusal if no region that the request may
+// use can run them.
+func (s *stageRun) startReady() *refusal {
 	x := s.x
 	items := s.plan.Ready()
 	for len(items) > 0 {
@@ -129,7 +134,11 @@
 		group := items[:n]
 		items = items[n:]
 		service := x.route.Stages[number].Service
-		region := s.regionFor(service)
+		region, ok := s.regionFor(service)
+		if !ok {
+			r := x.noUpstream(service)
+			return &r
+		}
 		owner := x.f.o.Batcher.Owner(service, region)
 		if !slices.Contains(s.owners, owner) {
 			s.owners = append(s.owners, owner)
@@ -148,6 +157,7 @@
 			s.results <- stageResult{group, made, asked, x.f.o.Clock.Now()}
 		})
 	}
+	return nil
 }
 
 // buildJobs creates the jobs for a group of pieces. Their due times leave enough time for the stages after them.
@@ -176,19 +186,21 @@
 }
 
 // regionFor returns the region to run a stage in: that of the upstream nearest to the model engine that accepts
-// requests.
-func (s *stageRun) regionFor(service string) string {
+// requests and is in an allowed region. Without one, the result is false if the regions are restricted; otherwise it is the region
+// of the engine, whose queue refuses the pieces.
+func (s *stageRun) regionFor(service string) (string, bool) {
 	f := s.x.f
+	allowed := s.x.allowedRegions()
 	best, least := s.homeDataCentre, -1
 	for _, u := range f.o.View().Services[service] {
-		if u.State != roster.Ready || u.Silent {
+		if u.State != roster.Ready || u.Silent || !allowed.Allows(f.o.RegionOf[u.DataCentre]) {
 			continue
 		}
 		if d := f.distance(s.homeDataCentre, u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
 			best, least = u.DataCentre, d
 		}
 	}
-	return f.o.RegionOf[best]
+	return f.o.RegionOf[best], least >= 0 || !allowed.Limited()
 }
 
 // recordResults records results. It returns false if the request cannot continue.
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -34,6 +34,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/region"
 )
 
 // State is the lifecycle state that an upstream reports.
@@ -372,11 +373,12 @@
 }
 
 // ReadyEntries returns the entry nodes that accept callers: first those in the caller's data centre, then those in its region,
-// then all others. It stops after the first group that brings the total to two or more. Within a group the order is stable for
+// then those in other regions that the caller's requests may use; if there is none, all others. It stops after the first group
+// that brings the total to two or more. Within a group the order is stable for
 // each caller but differs between callers, so that every node receives callers even if a response holds fewer addresses than
 // there are nodes.
-func (reg *Registry) ReadyEntries(now time.Time, caller, dataCentre, region string) []Entry {
-	var parts [3][]Entry
+func (reg *Registry) ReadyEntries(now time.Time, caller, dataCentre, callerRegion string, allowed region.Set) []Entry {
+	var parts [4][]Entry
 	for _, r := range reg.entries {
 		if !r.Ready || now.Sub(reg.lastHeardAt(&r.recordMeta)) > reg.entryTimeout(&r.recordMeta) {
 			continue
@@ -384,15 +386,17 @@
 		switch {
 		case r.DataCentre == dataCentre:
 			parts[0] = append(parts[0], r.Entry)
-		case r.Region == region:
+		case r.Region == callerRegion:
 			parts[1] = append(parts[1], r.Entry)
-		default:
+		case allowed.Allows(r.Region):
 			parts[2] = append(parts[2], r.Entry)
+		default:
+			parts[3] = append(parts[3], r.Entry)
 		}
 	}
 	var out []Entry
-	for _, part := range parts {
-		if len(out) >= 2 {
+	for i, part := range parts {
+		if len(out) >= 2 || i == 3 && len(out) > 0 {
 			break
 		}
 		slices.SortFunc(part, func(a, b Entry) int { return rendez.Compare(caller, a.Node, b.Node) })
--- a/internal/gate/roster/roster_test.go
+++ b/internal/gate/roster/roster_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/gate/region"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -142,10 +146,46 @@
 	report("a2", "a", "north", true, 1)
 	report("b1", "b", "north", true, 1)
 	report("c1", "c", "south", true, 1)
-	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north")), []string{"a1", "a2"})
+	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north", region.Set{})), []string{"a1", "a2"})
 	report("a2", "a", "north", false, 2)
-	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north")), []string{"a1", "b1"})
-	assert.DeepEqual(t, names(b.ReadyEntries(start.Add(3*time.Second), "caller", "a", "north")), []string(nil))
+	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north", region.Set{})), []string{"a1", "b1"})
+	assert.DeepEqual(t, names(b.ReadyEntries(start.Add(3*time.Second), "caller", "a", "north", region.Set{})), []string(nil))
+}
+
+// Callers of a restricted host must not be sent to an entry node outside its regions and their own, unless no other one is left. Most
+// of their requests would cross regions twice.
+func TestReadyEntriesStayInAllowedRegions(t *testing.T) {
+	b := newTestRegistry()
+	for _, e := range []Entry{
+		{Node: "a1", DataCentre: "a", Region: "north"},
+		{Node: "b1", DataCentre: "b", Region: "north"},
+		{Node: "c1", DataCentre: "c", Region: "south"},
+		{Node: "d1", DataCentre: "d", Region: "west"},
+	} {
+		e.Ready, e.ReportSequence = true, 1
+		b.ReportEntry(start, e)
+	}
+	for _, c := range []struct {
+		dataCentre, region string
+		allowed            []string
+		want               string
+	}{
+		{"a", "north", []string{"south"}, "a1 b1"},
+		{"c", "south", nil, "a1 b1 c1 d1"},
+		{"c", "south", []string{"south"}, "c1"},
+		{"c", "south", []string{"west"}, "c1 d1"},
+		{"c", "south", []string{"none"}, "c1"},
+		{"e", "east", []string{"west"}, "d1"},
+		{"", "", []string{"north"}, "a1 b1"},
+		{"e", "east", []string{"none"}, "a1 b1 c1 d1"},
+	} {
+		var names []string
+		for _, e := range b.ReadyEntries(start, "caller", c.dataCentre, c.region, region.Of(c.allowed)) {
+			names = append(names, e.Node)
+		}
+		slices.Sort(names)
+		assert.Equal(t, strings.Join(names, " "), c.want, "%v", c)
+	}
 }
 
 // Every ready entry node must be returned to some callers, even if a data centre has 100 of them and a response holds 64.
@@ -158,11 +198,11 @@
 	given := map[string]int{}
 	for i := range callers {
 		caller := fmt.Sprint("10.9.0.", i)
-		first := b.ReadyEntries(start, caller, "a", "north")[:room]
+		first := b.ReadyEntries(start, caller, "a", "north", region.Set{})[:room]
 		for _, e := range first {
 			given[e.Node]++
 		}
-		assert.DeepEqual(t, b.ReadyEntries(start, caller, "a", "north")[:room], first) // a stable order lets the caller keep its connections
+		assert.DeepEqual(t, b.ReadyEntries(start, caller, "a", "north", region.Set{})[:room], first) // a stable order lets the caller keep its connections
 	}
 	assert.Equal(t, len(given), nodes)
 	for node, n := range given {
