Show that a leader whose disk is full loses nothing that was acknowledged

The test gives the leader of three control nodes little room and sends orders to it until a write fails. It passes on the code as it stands: the member stops with its error, another node leads, and a restart of all nodes keeps the last acknowledged order.

--- a/internal/node/gwnode/growth_test.go
+++ b/internal/node/gwnode/growth_test.go
@@ -100,3 +100,60 @@
 	f.put(3, f.largeConfig(version, 1000))
 	assert.Equal(t, f.read(2), version)
 }
+
+// leads reports whether a control node leads its group.
+func (f *fleet) leads(node int) bool {
+	s, ok := f.nodes[node].member.Status()
+	return ok && s.Raft.Leader == f.nodes[node].member.ID()
+}
+
+// Guards against a leader with a full disk that loses an acknowledged order, that acknowledges one it could not write, or that keeps
+// the others from acknowledging.
+func TestFullDiskKeepsWhatWasAcknowledged(t *testing.T) {
+	f := newFleet(t, 83)
+	f.room.Store(256 << 10)
+	f.start(3, true) // the only one with little room
+	f.room.Store(0)
+	for n := 1; n <= 2; n++ {
+		f.start(n, true)
+	}
+	version := uint64(1)
+	f.put(1, f.largeConfig(version, 10))
+	f.eventually("the node with little room leads", func() bool {
+		for n := 1; n <= 2; n++ {
+			if f.leads(n) {
+				f.stop(n)
+				f.eventually("another node leads", func() bool { return f.leads(3) || f.leads(3-n) })
+				f.start(n, false)
+			}
+		}
+		return f.leads(3)
+	})
+	f.room.Store(256 << 10) // node 3 opens its folder again with as little room
+	acknowledged := version
+	f.eventually("its disk is full", func() bool {
+		version++
+		if status, _ := f.do("PUT", "http://"+f.at(3, controlPort)+"/v1/traffic", f.largeConfig(version, 1000)); status == 200 {
+			acknowledged = version
+		}
+		return len(f.nodes[3].events.Select(event.Filter{Name: "control_failed"})) > 0
+	})
+	for n := 1; n <= 2; n++ {
+		f.eventually("the others hold what was acknowledged", func() bool { return f.read(n) >= acknowledged })
+	}
+	version++
+	f.put(2, f.largeConfig(version, 1000))
+	acknowledged = version
+	assert.Assert(t, !f.leads(3))
+
+	f.room.Store(0)
+	for n := 1; n <= 3; n++ {
+		f.stop(n)
+	}
+	for n := 1; n <= 3; n++ {
+		f.start(n, false)
+	}
+	for n := 1; n <= 3; n++ {
+		f.eventually("nothing is lost by a restart of all", func() bool { return f.read(n) == acknowledged })
+	}
+}
