--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -98,6 +98,8 @@
 	PlacerSilent    Code = 8106
 	ResultsAdopted  Code = 8107
 	ResultsDropped  Code = 8108
+	UpstreamCold    Code = 8201
+	UpstreamWarm    Code = 8202
 )
 
 var catalogue = []Kind{
@@ -178,6 +180,9 @@
 	{PlacerSilent, "placer_silent", hclog.Warn, "The node that places requests did not answer in time; this one asks another node for a while.", []string{"peer", "service", "region", "reason"}, "See whether that node is overloaded: its link, its processor time, how many queues it keeps (queue_opened)."},
 	{ResultsAdopted, "results_adopted", hclog.Info, "A node that uses results has told this one, which keeps the queue of their service now.", []string{"service", "region", "results"}, ""},
 	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
+
+	{UpstreamCold, "upstream_cold", hclog.Info, "An upstream is cold. Of all nodes together it gets no more requests a second than it bears, for the time that is left.", []string{"upstream", "per_second", "left_ms"}, ""},
+	{UpstreamWarm, "upstream_warm", hclog.Info, "An upstream is no longer cold, or has gone.", []string{"upstream"}, ""},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -14,6 +14,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -26,6 +27,8 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -46,6 +49,7 @@
 	View     func() *poller.View
 	Hub      *peer.Hub
 	Pool     *upcon.Pool
+	Pace     pace.Bounds
 }
 
 // JobResult is the result of one job.
@@ -88,6 +92,7 @@
 	*stage.Queue
 	dispatchScheduled bool           // a timer for the next dispatch is set
 	lastLogged        stage.Counters // as of the last log line about the queue
+	ownedView         *poller.View   // the view by which it was last decided whether this node owns the queue
 }
 
 // ResultRef identifies a result at the upstream that computed it.
@@ -189,19 +194,31 @@
 	now := m.o.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	best, address := uint64(0), ""
-	for _, e := range m.o.View().Entries {
-		if !e.Ready || e.Region != p.region || now.Before(m.unresponsive[e.Peer]) {
+	e := p.ownerAmong(m.o.View().Entries, func(e roster.Entry) bool { return !now.Before(m.unresponsive[e.Peer]) })
+	return cmp.Or(e.Peer, m.o.Peer)
+}
+
+// OwnerInView returns the entry node that owns the queue of a service in a region by this node's view, whether or not it
+// responds. It is zero if the view has none.
+func (m *Batcher) OwnerInView(service, region string) roster.Entry {
+	return queueKey{service, region}.ownerAmong(m.o.View().Entries, func(roster.Entry) bool { return true })
+}
+
+func (p queueKey) ownerAmong(entries []roster.Entry, usable func(roster.Entry) bool) roster.Entry {
+	best, out := uint64(0), -1
+	for i := range entries {
+		e := &entries[i]
+		if !e.Ready || e.Region != p.region || !usable(*e) {
 			continue
 		}
-		if score := rendez.Score(p.service, e.Node); address == "" || score > best {
-			best, address = score, e.Peer
+		if score := rendez.Score(p.service, e.Node); out < 0 || score > best {
+			best, out = score, i
 		}
 	}
-	if address == "" {
-		return m.o.Peer
+	if out < 0 {
+		return roster.Entry{}
 	}
-	return address
+	return entries[out]
 }
 
 // forward sends jobs to another entry node and waits for their results.
@@ -310,21 +327,33 @@
 	q := m.queues[p]
 	if q == nil {
 		q = &queue{queueKey: p, Queue: stage.NewQueue(*service.Pool)}
+		q.SetBounds(m.o.Pace)
 		m.queues[p] = q
 		m.o.Events.Emit(event.QueueOpened, event.F("service", p.service), event.F("region", p.region),
 			event.F("upstreams", len(view.Services[p.service])), event.F("version", view.Table.Config.Version))
 	}
 	q.SetPool(*service.Pool)
-	q.SetTargets(m.targets(view, p))
+	q.SetTargets(m.targets(view, p, service))
+	m.updateOwned(view, q)
 	return q
 }
 
-func (m *Batcher) targets(view *poller.View, p queueKey) []stage.Target {
+// updateOwned tells a queue whether this node owns it by its view. The caller holds the lock.
+func (m *Batcher) updateOwned(view *poller.View, q *queue) {
+	if q.ownedView == view || !view.IsPaced(q.service) {
+		return
+	}
+	q.ownedView = view
+	q.SetOwned(m.o.Clock.Now(), m.OwnerInView(q.service, q.region).Peer == m.o.Peer)
+}
+
+func (m *Batcher) targets(view *poller.View, p queueKey, service *conf.Service) []stage.Target {
 	var out []stage.Target
 	for _, u := range view.Services[p.service] {
 		if m.o.RegionOf[u.DataCentre] == p.region {
 			out = append(out, stage.Target{
 				ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Avoid: u.Silent || u.State != roster.Ready,
+				Pace: pace.Of(u, service),
 			})
 		}
 	}
--- a/internal/gate/batch/queue_state.go
+++ b/internal/gate/batch/queue_state.go
@@ -15,7 +15,9 @@
 	now := m.o.Clock.Now()
 	m.localResults.expire(now)
 	m.remoteUsers.expire(now)
+	view := m.o.View()
 	for _, q := range m.queues {
+		m.updateOwned(view, q)
 		s := q.Snapshot(now)
 		if s.Counters == q.lastLogged && q.Len() == 0 {
 			continue
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 )
 
 // Part is one part of a prompt. Requests with the same leading parts share them in an engine's cache.
@@ -61,7 +62,8 @@
 	ID          string
 	Slots       int
 	CacheTokens int64
-	Avoid       bool // used only if no other engine is available
+	Avoid       bool          // used only if no other engine is available
+	Pace        pace.Upstream // its ID is that of the engine
 }
 
 // Result tells how a request ended at its engine.
@@ -99,7 +101,7 @@
 	started       bool           // at least one stage is complete
 	late          bool           // could not be on time at placement
 	forecastTotal time.Duration  // forecast duration of its stages
-	stagesDone    time.Time      // when its last stage was completed; zero: not yet
+	stagesDone    time.Time      // when its last stage was completed, and the request sent; zero: not yet
 }
 
 type target struct {
@@ -111,6 +113,7 @@
 	useCount     uint64           // logical clock of part uses, for eviction
 	pausedUntil  time.Time
 	failures     int
+	pace         pace.State
 }
 
 type part struct {
@@ -130,6 +133,7 @@
 	meanLateFraction float64       // fraction of streams that a prompt makes late, averaged over recent prompts
 	unanswered       unansweredRequests
 	lastExpiry       time.Time // when expired tickets were last removed
+	owner            *pace.Owner
 }
 
 // Placement is the engine chosen for a request.
@@ -138,13 +142,24 @@
 	ID       string // engine ID
 	Forecast Forecast
 	Due      time.Time // when the response becomes late
+	// Cold is set if the engine is cold, so that the ticket permits a single send to it.
+	Cold bool
+	// RoomFrom is set if there is no placement because all engines are cold and at their limits. It is when one of them has
+	// room again.
+	RoomFrom time.Time
 }
 
 // New returns a Placer without engines.
-func New() *Placer {
-	return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}}
+func New() *Placer { return NewPaced(pace.Bounds{}) }
+
+// NewPaced returns a Placer without engines that keeps to the bounds of cold engines. It uses no cold engine before SetOwned.
+func NewPaced(b pace.Bounds) *Placer {
+	return &Placer{targets: map[string]*target{}, tickets: map[uint64]*ticket{}, owner: pace.NewOwner(b)}
 }
 
+// SetOwned tells whether this node is the one that places the requests on these engines, by its own view.
+func (p *Placer) SetOwned(now time.Time, owned bool) { p.owner.Set(now, owned) }
+
 // SetTargets replaces the set of engines. The cached parts of an engine are kept while it is in the set or has
 // requests.
 func (p *Placer) SetTargets(list []Target) {
@@ -158,9 +173,10 @@
 			p.targets[t.ID] = have
 		}
 		have.Target, have.present = t, true
+		have.pace.Update(t.Pace)
 	}
 	for id, t := range p.targets {
-		if !t.present && len(t.tickets) == 0 {
+		if !t.present && len(t.tickets) == 0 && !t.pace.HasRecentSends(p.lastExpiry) {
 			delete(p.targets, id)
 		}
 	}
@@ -176,16 +192,19 @@
 		best = p.best(now, r, chains, true)
 	}
 	if best == nil {
-		return Placement{}, false
+		return Placement{RoomFrom: p.roomFrom(now, r)}, false
 	}
 	own := ownPart(chains)
 	due := p.unanswered.due(own, now.Add(r.Due))
 	r.Due = due.Sub(now)
+	cold := best.pace.IsCold(now)
+	best.pace.Reserve()
 	p.lastID++
 	t := &ticket{ownPart: own, target: best.ID, unread: best.unreadTokens(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, placedAt: now, due: due, gap: r.Gap}
 	t.pending = slices.Clone(r.PendingStages)
 	if !t.hasPendingStages() {
 		t.stagesDone = now
+		best.pace.SentReserved(now, p.owner)
 	}
 	forecast := p.forecastAt(now, r, best, t.unread)
 	p.updatePauseStats(t.unread, r.Gap)
@@ -193,11 +212,25 @@
 	p.tickets[p.lastID] = t
 	best.tickets[p.lastID] = t
 	best.cacheParts(r, chains)
-	return Placement{p.lastID, best.ID, forecast, due}, true
+	return Placement{Ticket: p.lastID, ID: best.ID, Forecast: forecast, Due: due, Cold: cold}, true
+}
+
+// roomFrom returns when a cold engine has room again; zero if none is at its limit.
+func (p *Placer) roomFrom(now time.Time, r Request) time.Time {
+	var out time.Time
+	for _, t := range p.targets {
+		if !t.present || slices.Contains(r.Exclude, t.ID) {
+			continue
+		}
+		if v := t.pace.Allow(now, p.owner); !v.OK && (out.IsZero() || v.From.Before(out)) {
+			out = v.From
+		}
+	}
+	return out
 }
 
 // best returns the engine with the lowest cost. Engines that are backing off, full or marked Avoid are included only if
-// paused is true.
+// paused is true, cold engines at their limit never.
 func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
 	var out *target
 	var minCost float64
@@ -207,7 +240,7 @@
 			continue
 		}
 		usable := !t.Avoid && !now.Before(t.pausedUntil) && (t.Slots == 0 || len(t.tickets) < t.Slots)
-		if !usable && !paused {
+		if !usable && !paused || !t.pace.Allow(now, p.owner).OK {
 			continue
 		}
 		cost := t.cost(r, chains, stats)
@@ -339,7 +372,7 @@
 	if t == nil {
 		return
 	}
-	p.removeTicket(id)
+	p.removeTicket(now, id, r == Cancelled)
 	if r == Served {
 		p.unanswered.remove(t.ownPart)
 	} else {
@@ -363,11 +396,21 @@
 	}
 }
 
-func (p *Placer) removeTicket(id uint64) {
+// removeTicket ends a ticket. A request whose stages were not complete has not been sent if it was cancelled.
+func (p *Placer) removeTicket(now time.Time, id uint64, cancelled bool) {
 	t := p.tickets[id]
 	delete(p.tickets, id)
-	if at := p.targets[t.target]; at != nil {
-		delete(at.tickets, id)
+	at := p.targets[t.target]
+	if at == nil {
+		return
+	}
+	delete(at.tickets, id)
+	switch {
+	case !t.stagesDone.IsZero():
+	case cancelled:
+		at.pace.Release()
+	default:
+		at.pace.SentReserved(now, p.owner)
 	}
 }
 
@@ -380,7 +423,7 @@
 	p.unanswered.expire(now)
 	for id, t := range p.tickets {
 		if now.Sub(t.placedAt) > ticketTTL {
-			p.removeTicket(id)
+			p.removeTicket(now, id, false)
 		}
 	}
 }
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -70,6 +70,9 @@
 		return
 	}
 	t.stagesDone = now
+	if at := p.targets[t.target]; at != nil {
+		at.pace.SentReserved(now, p.owner)
+	}
 	if !t.late {
 		p.stageTimes.add(t.rank, float64(t.forecastTotal.Milliseconds()), now.Sub(t.placedAt))
 	}
--- /dev/null
+++ b/internal/gate/pace/pace.go
@@ -0,0 +1,240 @@
+// Package pace decides when an upstream may get work. Its states read no clock and use no network; the caller passes the time.
+//
+// Usage:
+//
+//	owner := pace.NewOwner(pace.Bounds{ColdOverage: 1.5, ColdSlack: 5}) // of a decider that is the only sender
+//	owner.Set(now, true)
+//	var s pace.State // one for each upstream
+//	s.Update(pace.Upstream{ID: "r1", StartedMs: 17, ColdUntil: end, ColdPerSecond: 4})
+//	if v := s.Allow(now, owner); v.OK {
+//		s.Reserve()
+//		s.Sent(now, owner) // now or later
+//	}
+//
+// # Cold upstreams
+//
+// A cold upstream bears a few requests a second, summed over all senders. Only a decider that knows all sends to an upstream can
+// use that number as a whole: the placer of a service's engines or the owner of a stage queue (Owner). Deciders that run on
+// each node (Shares) divide it: the first nodes in the rendezvous order of the upstream's start send a whole number of requests a
+// second each, and the other nodes send nothing.
+//
+// Work that is placed now and sent later counts from its placement until a second after its send. No window of a second can
+// therefore hold more sends than the limit, whenever the work that has been placed is sent.
+package pace
+
+import (
+	"math"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// coldWindow is the sliding window in which requests to a cold upstream are counted.
+const coldWindow = time.Second
+
+// changeover is for how long a new decider sends nothing to cold upstreams. The sends of its predecessor in the last second still
+// count, and views of nodes differ for up to a second after a change.
+const changeover = 2 * time.Second
+
+// Cause is the reason why an upstream may not get work.
+type Cause uint8
+
+// Causes.
+const (
+	None Cause = iota
+	Cold       // it is cold and at its limit
+)
+
+// String returns the name of the cause as used in log lines.
+func (c Cause) String() string {
+	if c == Cold {
+		return "cold"
+	}
+	return "none"
+}
+
+// Bounds are the limits that hold for all senders together.
+type Bounds struct {
+	ColdOverage float64 // multiple of its cold rate that a cold upstream may get in any second; 0: 1
+	ColdSlack   float64 // requests in addition, which absorb the overlap of two deciders
+}
+
+// limit returns how many requests a cold upstream may get in any window. A rate below one request a second gets a longer window
+// if the slack permits a whole request.
+func (b Bounds) limit(perSecond float64) (int, time.Duration) {
+	if b.ColdOverage == 0 {
+		b.ColdOverage = 1
+	}
+	rate := perSecond * b.ColdOverage
+	if n := int(rate); n > 0 {
+		return min(n, maxLimit), coldWindow
+	}
+	if rate > 0 && rate+b.ColdSlack >= 1 {
+		return 1, time.Duration(math.Min(float64(coldWindow)/rate, float64(maxWindow)))
+	}
+	return 0, coldWindow
+}
+
+// Bounds of what a configuration can demand.
+const (
+	maxLimit  = 10_000 // a higher rate is no limit in practice, and each send is recorded
+	maxWindow = time.Minute
+)
+
+// Upstream is what is known of a start of an upstream.
+type Upstream struct {
+	ID            string
+	StartedMs     int64         // Unix milliseconds by its own clock
+	ColdUntil     time.Time     // end of the cold time that it reported, by the local clock; zero: none
+	ColdTime      time.Duration // cold time after a start according to the configuration
+	ColdPerSecond float64       // requests a second that it bears while cold; 0: no limit
+}
+
+// Of returns what a view and the configuration of an upstream's service, which may be nil, tell of an upstream.
+func Of(u roster.Upstream, s *conf.Service) Upstream {
+	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil}
+	if s != nil {
+		out.ColdTime, out.ColdPerSecond = s.ColdTime.Duration(), s.ColdPerSecond
+	}
+	return out
+}
+
+// Decider states how much of an upstream's limit this node may use.
+type Decider interface {
+	// share returns the part of a limit, and when it may be larger.
+	share(now time.Time, s *State, limit int) (int, time.Time)
+	bounds() Bounds
+}
+
+// Verdict tells whether an upstream may get work now.
+type Verdict struct {
+	OK    bool
+	From  time.Time // when it may get work again, at the earliest
+	Cause Cause
+}
+
+// State is the state of one upstream. The zero value is an upstream without a limit.
+type State struct {
+	Upstream
+	firstSeen time.Time   // first use with the present start
+	reserved  int         // placed and not sent
+	sends     []time.Time // ring of the latest sends
+	next      int         // index of the oldest send
+	cached    cachedShare
+}
+
+// Update sets what is known of the upstream. A newer start does not release the limit, as sends to the earlier one may arrive at
+// its address.
+func (s *State) Update(u Upstream) {
+	if u.StartedMs != s.StartedMs {
+		s.firstSeen, s.cached = time.Time{}, cachedShare{}
+	}
+	s.Upstream = u
+}
+
+// ColdEnd returns the end of the upstream's cold time, or a time that has passed.
+func (s *State) ColdEnd(now time.Time) time.Time {
+	if s.ColdPerSecond <= 0 {
+		return time.Time{}
+	}
+	if s.firstSeen.IsZero() {
+		s.firstSeen = now
+	}
+	end := s.ColdUntil
+	if s.ColdTime > 0 && s.StartedMs > 0 {
+		configured := time.UnixMilli(s.StartedMs)
+		if configured.After(s.firstSeen) { // its clock is ahead
+			configured = s.firstSeen
+		}
+		if configured = configured.Add(s.ColdTime); configured.After(end) {
+			end = configured
+		}
+	}
+	return end
+}
+
+// IsCold reports whether the upstream is cold and its rate is limited.
+func (s *State) IsCold(now time.Time) bool { return s.ColdPerSecond > 0 && s.ColdEnd(now).After(now) }
+
+// Allow reports whether one more request may be sent, or placed.
+func (s *State) Allow(now time.Time, d Decider) Verdict {
+	if s.ColdPerSecond <= 0 {
+		return Verdict{OK: true}
+	}
+	end := s.ColdEnd(now)
+	if !end.After(now) {
+		return Verdict{OK: true}
+	}
+	limit, window := d.bounds().limit(s.ColdPerSecond)
+	share, later := d.share(now, s, limit)
+	from := end
+	switch room := share - s.reserved; {
+	case share <= 0:
+		if !later.IsZero() {
+			from = later
+		}
+	case room <= 0:
+		from = now.Add(window) // placed work is sent before; when is not known
+	default:
+		last := s.latest(room)
+		if last.IsZero() || now.Sub(last) >= window {
+			return Verdict{OK: true}
+		}
+		from = last.Add(window)
+	}
+	if from.After(end) {
+		from = end
+	}
+	return Verdict{From: from, Cause: Cold}
+}
+
+// Reserve counts a request that is placed and not sent yet.
+func (s *State) Reserve() { s.reserved++ }
+
+// Release ends the count of a placed request that will not be sent.
+func (s *State) Release() { s.reserved = max(s.reserved-1, 0) }
+
+// SentReserved records the send of a placed request.
+func (s *State) SentReserved(now time.Time, d Decider) {
+	s.Release()
+	s.Sent(now, d)
+}
+
+// Sent records the send of a request that was not placed before. Sends to a warm upstream count too, as it may turn cold.
+func (s *State) Sent(now time.Time, d Decider) {
+	if s.ColdPerSecond <= 0 {
+		return
+	}
+	limit, _ := d.bounds().limit(s.ColdPerSecond)
+	if limit != len(s.sends) {
+		s.resize(limit)
+	}
+	if limit == 0 {
+		return
+	}
+	s.sends[s.next] = now
+	s.next = (s.next + 1) % limit
+}
+
+// HasRecentSends reports whether sends of the last seconds still count, so that the state must be kept.
+func (s *State) HasRecentSends(now time.Time) bool {
+	return s.reserved > 0 || now.Sub(s.latest(1)) < changeover
+}
+
+// latest returns the time of the n-th latest send; zero if it is not known.
+func (s *State) latest(n int) time.Time {
+	if n > len(s.sends) {
+		return time.Time{}
+	}
+	return s.sends[(s.next-n+len(s.sends))%len(s.sends)]
+}
+
+// resize changes the number of recorded sends, after a change of the configuration.
+func (s *State) resize(n int) {
+	kept := make([]time.Time, n)
+	for i := 1; i <= min(n, len(s.sends)); i++ {
+		kept[n-i] = s.latest(i)
+	}
+	s.sends, s.next = kept, 0
+}
--- a/internal/gate/pick/bench_test.go
+++ b/internal/gate/pick/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
@@ -16,11 +17,11 @@
 			for i := range upstreams {
 				list = append(list, roster.Upstream{ID: fmt.Sprint("u", i), DataCentre: []string{"own", "region", "far"}[i%3], State: roster.Ready})
 			}
-			c := New()
+			c := New(pace.Bounds{}, "")
 			b.ReportAllocs()
 			for b.Loop() {
 				u, _ := c.Choose(t0, list, Criteria{Distance: testDistance})
-				c.Begin(u.ID)
+				c.Begin(t0, u.ID)
 				c.End(t0, u.ID, Succeeded, time.Millisecond)
 			}
 		})
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -4,9 +4,9 @@
 //
 // Usage:
 //
-//	c := pick.New()
+//	c := pick.New(pace.Bounds{}, "e1")
 //	u, ok := c.Choose(now, list, pick.Criteria{Distance: distance, Affinity: "5c1e07a2"})
-//	c.Begin(u.ID)
+//	c.Begin(now, u.ID)
 //	c.End(now, u.ID, pick.Succeeded, took)
 //
 // # Order
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
@@ -55,6 +57,8 @@
 	Distance func(dataCentre string) int // 0 for the own data centre; nil: all are equally near
 	Affinity string                      // key, usually of a prompt prefix; empty: none
 	Exclude  map[string]bool             // IDs of upstreams that failed this request
+	Service  *conf.Service               // may be nil
+	SkipCold bool                        // use no cold upstream, because another decider uses its whole limit
 }
 
 type state struct {
@@ -64,15 +68,22 @@
 	pausedUntil time.Time
 	failures    int
 	lastEnd     time.Time
+	pace        pace.State
 }
 
 // Chooser tracks the state of the upstreams. It is not safe for concurrent use.
 type Chooser struct {
 	upstreams map[string]*state
+	shares    *pace.Shares
 }
 
-// New returns a Chooser without observations.
-func New() *Chooser { return &Chooser{upstreams: map[string]*state{}} }
+// New returns a Chooser without observations, for a node by this name.
+func New(b pace.Bounds, self string) *Chooser {
+	return &Chooser{upstreams: map[string]*state{}, shares: pace.NewShares(b, self)}
+}
+
+// SetNodes sets the names of the nodes that share the limits of cold upstreams.
+func (c *Chooser) SetNodes(now time.Time, names []string) { c.shares.SetNodes(now, names) }
 
 func (c *Chooser) state(id string) *state {
 	s := c.upstreams[id]
@@ -90,6 +101,9 @@
 		if u.State != roster.Ready || w.Exclude[u.ID] {
 			continue
 		}
+		if !c.pace(now, u, w).OK {
+			continue
+		}
 		if now.Before(c.state(u.ID).pausedUntil) || u.Silent {
 			paused = append(paused, u)
 			continue
@@ -103,6 +117,50 @@
 	return c.firstToResume(paused)
 }
 
+// pace returns whether an upstream may get a request. The limit of a cold upstream is not a guess, so it always holds.
+func (c *Chooser) pace(now time.Time, u roster.Upstream, w Criteria) pace.Verdict {
+	if w.Service == nil || w.Service.ColdPerSecond <= 0 {
+		return pace.Verdict{OK: true}
+	}
+	s := c.state(u.ID)
+	s.pace.Update(pace.Of(u, w.Service))
+	if w.SkipCold && s.pace.IsCold(now) {
+		return pace.Verdict{From: s.pace.ColdEnd(now), Cause: pace.Cold}
+	}
+	return s.pace.Allow(now, c.shares)
+}
+
+// IsCold reports whether an upstream of a service is cold and its requests are limited.
+func (c *Chooser) IsCold(now time.Time, u roster.Upstream, s *conf.Service) bool {
+	if s == nil || s.ColdPerSecond <= 0 {
+		return false
+	}
+	have := c.state(u.ID)
+	have.pace.Update(pace.Of(u, s))
+	return have.pace.IsCold(now)
+}
+
+// ColdEnd returns the end of an upstream's cold time.
+func (c *Chooser) ColdEnd(now time.Time, u roster.Upstream, s *conf.Service) time.Time {
+	have := c.state(u.ID)
+	have.pace.Update(pace.Of(u, s))
+	return have.pace.ColdEnd(now)
+}
+
+// RoomFrom returns when a cold upstream has room again; zero if none is at its limit.
+func (c *Chooser) RoomFrom(now time.Time, list []roster.Upstream, w Criteria) time.Time {
+	var out time.Time
+	for _, u := range list {
+		if u.State != roster.Ready || w.Exclude[u.ID] {
+			continue
+		}
+		if v := c.pace(now, u, w); !v.OK && (out.IsZero() || v.From.Before(out)) {
+			out = v.From
+		}
+	}
+	return out
+}
+
 func nearestUpstreams(list []roster.Upstream, distance func(string) int) []roster.Upstream {
 	if distance == nil {
 		return list
@@ -189,7 +247,11 @@
 }
 
 // Begin records that a request is sent to an upstream.
-func (c *Chooser) Begin(id string) { c.state(id).inFlight++ }
+func (c *Chooser) Begin(now time.Time, id string) {
+	s := c.state(id)
+	s.inFlight++
+	s.pace.Sent(now, c.shares)
+}
 
 // End records the result of a request that Begin counted. took is the time until the response started.
 func (c *Chooser) End(now time.Time, id string, r Result, took time.Duration) {
@@ -220,7 +282,7 @@
 // Sweep drops the state of upstreams that have not been used for a while.
 func (c *Chooser) Sweep(now time.Time) {
 	for id, s := range c.upstreams {
-		if s.inFlight == 0 && now.Sub(s.lastEnd) > stateTTL {
+		if s.inFlight == 0 && !s.pace.IsCold(now) && now.Sub(s.lastEnd) > stateTTL {
 			delete(c.upstreams, id)
 		}
 	}
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
@@ -35,10 +36,10 @@
 // Guards against work that crosses data centres although the local one has capacity, and against a data centre that
 // fails requests because its own upstreams are gone.
 func TestNearestUsableDataCentre(t *testing.T) {
-	c := New()
+	c := New(pace.Bounds{}, "")
 	list := newUpstreams("far", "region", "own")
 	assert.Equal(t, choose(t, c, list, Criteria{}), "u2")
-	c.Begin("u2")
+	c.Begin(t0, "u2")
 	c.End(t0, "u2", NoResponse, 0)
 	assert.Equal(t, choose(t, c, list, Criteria{}), "u1")
 	list[1].State = roster.Draining
@@ -51,13 +52,13 @@
 // Load pattern: one upstream fails a part of its requests, another is slow. Guards against spreading load evenly over
 // unequal upstreams.
 func TestFaultyAndSlowUpstreamsGetLess(t *testing.T) {
-	c := New()
+	c := New(pace.Bounds{}, "")
 	list := newUpstreams("own", "own", "own")
 	count := map[string]int{}
 	var inFlight []string
 	for range 300 {
 		id := choose(t, c, list, Criteria{})
-		c.Begin(id)
+		c.Begin(t0, id)
 		count[id]++
 		inFlight = append(inFlight, id)
 		if len(inFlight) < 6 {
@@ -81,29 +82,29 @@
 // Load pattern: one prompt gets much of the traffic. Guards against caching it at all engines, and against sending all
 // of its requests to one engine.
 func TestAffinityIsBoundedByLoad(t *testing.T) {
-	c := New()
+	c := New(pace.Bounds{}, "")
 	list := newUpstreams("own", "own", "own")
 	home := choose(t, c, list, Criteria{Affinity: "doc"})
 	used := map[string]bool{}
 	for range 12 {
 		id := choose(t, c, list, Criteria{Affinity: "doc"})
 		used[id] = true
-		c.Begin(id)
+		c.Begin(t0, id)
 	}
 	assert.Assert(t, used[home] && len(used) > 1, "%v", used)
-	other := New()
+	other := New(pace.Bounds{}, "")
 	assert.Equal(t, choose(t, other, list, Criteria{Affinity: "doc"}), home, "each node chooses the same one")
 }
 
 // Guards against failing requests of a service because each of its upstreams failed once.
 func TestAPausedUpstreamIsTriedWhenThereIsNoOther(t *testing.T) {
-	c := New()
+	c := New(pace.Bounds{}, "")
 	list := newUpstreams("own", "own")
 	for range 3 {
-		c.Begin("u0")
+		c.Begin(t0, "u0")
 		c.End(t0, "u0", NoResponse, 0)
 	}
-	c.Begin("u1")
+	c.Begin(t0, "u1")
 	c.End(t0, "u1", NoResponse, 0)
 	assert.Equal(t, choose(t, c, list, Criteria{}), "u1")
 }
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -59,6 +59,15 @@
 	Entries  []roster.Entry // that report themselves ready or not, sorted by name
 }
 
+// IsPaced reports whether the configuration limits the requests to upstreams of a service that are cold.
+func (v *View) IsPaced(service string) bool {
+	if v.Table == nil {
+		return false
+	}
+	s := v.Table.Service(service)
+	return s != nil && s.ColdPerSecond > 0
+}
+
 // Poller is a running poller.
 type Poller struct {
 	o      Options
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -14,6 +14,7 @@
 func (p *Poller) takeDelta(now time.Time, d roster.Delta, from speaker, sure bool) bool {
 	changed := false
 	for _, u := range d.Upstreams {
+		u = u.Received(now)
 		have := p.upstreams[u.ID]
 		if have != nil && !replaces(u, have.Upstream) {
 			changed = have.note(now, u, from) || changed
@@ -24,6 +25,9 @@
 			next.logged = have.logged
 			if have.StartedMs == u.StartedMs {
 				next.heard = have.heard
+				if !roster.ColdChanged(now, have.Upstream, u) {
+					next.ColdUntil = have.ColdUntil // the delay of the message differs
+				}
 			}
 		}
 		next.AgeMs, next.Silent = 0, false
--- a/internal/gate/proto/valid.go
+++ b/internal/gate/proto/valid.go
@@ -1,6 +1,7 @@
 package proto
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 
@@ -15,6 +16,7 @@
 	maxNameBytes = 256
 	maxSlots     = 1 << 20
 	maxInteger   = 1 << 53 // larger integers are not exact in every JSON implementation
+	maxColdMs    = 10 * 60 * 1000
 )
 
 // ValidateHeartbeat returns an error if the heartbeat does not describe a usable upstream.
@@ -38,10 +40,21 @@
 		return errors.Newf("the slots must be 0 to %d", maxSlots)
 	case !isExact(u.StartedMs) || !isExact(u.Sequence):
 		return errors.New("the start and the sequence must be 0 to 2^53")
+	case u.ColdMs < 0 || u.ColdMs > maxColdMs:
+		return errors.New("the cold time must be 0 to 10 minutes")
 	}
 	return nil
 }
 
+// ColdMs returns the milliseconds for which an upstream says that it stays cold, or -1 if the value is not allowed. Parts of a
+// millisecond count as a whole one.
+func ColdMs(ms float64) int64 {
+	if !(ms >= 0 && ms <= maxColdMs) { // also false if it is not a number
+		return -1
+	}
+	return int64(math.Ceil(ms))
+}
+
 func isExact(n int64) bool { return n >= 0 && n <= maxInteger }
 
 // ValidateID returns an error if an upstream's id cannot be sent in a header.
--- a/internal/gate/proto/valid_test.go
+++ b/internal/gate/proto/valid_test.go
@@ -37,6 +37,8 @@
 		"too many slots":     func(u *roster.Upstream) { u.Slots = 1 << 40 },
 		"start too large":    func(u *roster.Upstream) { u.StartedMs = 1 << 60 },
 		"negative start":     func(u *roster.Upstream) { u.StartedMs = -1 },
+		"negative cold time": func(u *roster.Upstream) { u.ColdMs = -1 },
+		"cold for too long":  func(u *roster.Upstream) { u.ColdMs = 600_001 },
 		"sequence too large": func(u *roster.Upstream) { u.Sequence = 1 << 60 },
 	} {
 		u := goodUpstream()
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -42,6 +42,10 @@
 
 	stages    *stageRun
 	placement *placement // slot at a model engine; nil if none was assigned
+	// roomIn is the time after which a cold upstream has room again, if no other one can be used.
+	roomIn time.Duration
+	// newlyCold are engines that this node knows to be cold and their placer does not yet.
+	newlyCold []string
 	// moved is set once the request has been moved to another region after a refusal.
 	moved            bool
 	sent             int  // attempts that reached an upstream and may have run
@@ -209,6 +213,10 @@
 		x.placement = x.requestPlacement()
 		x.placedAfter = x.f.o.Clock.Now().Sub(x.start)
 		defer func() { x.f.notifyEnd(x.placement, engine.Cancelled) }() // has no effect if the ticket has already ended
+		if x.placement == nil && x.roomIn > 0 && !x.f.hasWarm(x.service) {
+			x.refuse(*x.noUpstream())
+			return
+		}
 	}
 	if len(x.route.Stages) > 0 {
 		refused := x.runStages()
--- /dev/null
+++ b/internal/gate/proxy/pacing.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/pick"
+	"github.com/berylledge/berylledge/internal/gate/poller"
+	"github.com/berylledge/berylledge/internal/gate/roster"
+)
+
+// maxPlacements is how often a request asks for another placement before one send, if its engine has become cold.
+const maxPlacements = 3
+
+// paceState is what a Forwarder derives from views to limit the requests to cold upstreams.
+type paceState struct {
+	nodesView  *poller.View // view by which the chooser knows the nodes
+	ownedViews map[placeKey]*poller.View
+	cold       map[string]bool // upstreams that were last logged as cold
+}
+
+// ColdUpstreams returns how many upstreams are cold and limited.
+func (f *Forwarder) ColdUpstreams() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.pace.cold)
+}
+
+// updatePace passes a changed view to the placers and the chooser also while no request uses them, and logs which upstreams
+// have become cold or warm. f.mu must be held.
+func (f *Forwarder) updatePace(now time.Time) {
+	view := f.o.View()
+	f.setNodes(now, view)
+	for k, p := range f.placers {
+		f.updateOwned(now, view, k, p)
+	}
+	if view.Table == nil {
+		return
+	}
+	cold := map[string]bool{}
+	for i := range view.Table.Config.Services {
+		s := &view.Table.Config.Services[i]
+		if s.ColdPerSecond <= 0 {
+			continue
+		}
+		for _, u := range view.Services[s.Name] {
+			if !f.chooser.IsCold(now, u, s) {
+				continue
+			}
+			cold[u.ID] = true
+			if !f.pace.cold[u.ID] {
+				f.o.Events.Emit(event.UpstreamCold, event.F("upstream", u.ID), event.F("per_second", s.ColdPerSecond),
+					event.F("left_ms", f.chooser.ColdEnd(now, u, s).Sub(now).Milliseconds()))
+			}
+		}
+	}
+	for id := range f.pace.cold {
+		if !cold[id] {
+			f.o.Events.Emit(event.UpstreamWarm, event.F("upstream", id))
+		}
+	}
+	f.pace.cold = cold
+}
+
+// setNodes tells the chooser which nodes share the limits of cold upstreams. f.mu must be held.
+func (f *Forwarder) setNodes(now time.Time, view *poller.View) {
+	if f.pace.nodesView == view {
+		return
+	}
+	f.pace.nodesView = view
+	names := make([]string, 0, len(view.Entries))
+	for _, e := range view.Entries {
+		if e.Ready {
+			names = append(names, e.Node)
+		}
+	}
+	f.chooser.SetNodes(now, names)
+}
+
+// updateOwned tells a placer whether it is the one that the view names. f.mu must be held.
+func (f *Forwarder) updateOwned(now time.Time, view *poller.View, k placeKey, p *engine.Placer) {
+	if f.pace.ownedViews[k] == view || !view.IsPaced(k.service) {
+		return
+	}
+	if f.pace.ownedViews == nil {
+		f.pace.ownedViews = map[placeKey]*poller.View{}
+	}
+	f.pace.ownedViews[k] = view
+	p.SetOwned(now, f.o.Batcher.OwnerInView(k.service, k.region).Peer == f.o.Batcher.Self())
+}
+
+// serviceNow returns a service of the configuration in force, which may be newer than that of the request; nil if there is none.
+func (f *Forwarder) serviceNow(name string) *conf.Service {
+	t := f.o.View().Table
+	if t == nil {
+		return nil
+	}
+	return t.Service(name)
+}
+
+// isCold reports whether an upstream of the view is cold and limited.
+func (f *Forwarder) isCold(u roster.Upstream) bool {
+	s := f.serviceNow(u.Service)
+	if s == nil || s.ColdPerSecond <= 0 {
+		return false
+	}
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooser.IsCold(now, u, s)
+}
+
+// hasWarm reports whether an upstream of the service that is not cold accepts requests.
+func (f *Forwarder) hasWarm(service string) bool {
+	for _, u := range f.o.View().Services[service] {
+		if u.State == roster.Ready && !u.Silent && !f.isCold(u) {
+			return true
+		}
+	}
+	return false
+}
+
+// roomIn returns the time after which a cold upstream has room again; 0 if none is at its limit.
+func (f *Forwarder) roomIn(service string, w pick.Criteria) time.Duration {
+	list := f.o.View().Services[service]
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from := f.chooser.RoomFrom(now, list, w)
+	if from.IsZero() {
+		return 0
+	}
+	return max(from.Sub(now), time.Millisecond)
+}
+
+// noteRoom records after which time a cold upstream has room again; 0: not known.
+func (x *exchange) noteRoom(d time.Duration) {
+	if d > 0 && (x.roomIn == 0 || d < x.roomIn) {
+		x.roomIn = d
+	}
+}
+
+// noUpstream refuses a request that no upstream can take. Those that wait for cold upstreams are told when there is room again,
+// spread over a second.
+func (x *exchange) noUpstream() *refusal {
+	r := x.gatewayError("no upstream of the service accepts requests", retryLater)
+	if x.roomIn > 0 {
+		r = x.gatewayError("all upstreams of the service are cold and at their limit", x.roomIn+x.f.spread(retryLater)-retryLater/2)
+	}
+	return &r
+}
+
+// placeElsewhere asks the placers of other regions, after all engines of the first one were cold and at their limit.
+func (x *exchange) placeElsewhere(regions []engine.Region, first string, r engine.Request) *placement {
+	for _, region := range x.f.reachableRegions(regions) {
+		if region.Name == first {
+			continue
+		}
+		if p := x.placeInRegion(region.Name, r); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// renewPlacement asks for another placement if the present one cannot be used.
+func (x *exchange) renewPlacement() {
+	for range maxPlacements {
+		if x.placement != nil && !x.f.stillReady(x.placement.upstream) {
+			x.f.notifyEnd(x.placement, engine.Cancelled)
+			x.placement = nil
+		}
+		isNew := x.placement == nil || x.failed[x.placement.upstream.ID]
+		if isNew {
+			x.placement = x.requestPlacement()
+		}
+		if x.placement == nil || x.f.coversSend(x.placement) {
+			return
+		}
+		if isNew {
+			x.newlyCold = append(x.newlyCold, x.placement.upstream.ID)
+		}
+		x.f.notifyEnd(x.placement, engine.Cancelled)
+		x.placement = nil
+	}
+	x.noteRoom(retryLater)
+}
+
+// coversSend reports whether a request may be sent with a placement. Sends to a cold engine need one that its present placer has
+// counted, and each needs its own: a placement of an earlier placer, or one from before the engine became cold, is not counted
+// by the placer that now keeps the engine's limit.
+func (f *Forwarder) coversSend(p *placement) bool {
+	if !f.isColdNow(p.upstream) {
+		return true
+	}
+	owner := f.o.Batcher.OwnerInView(p.service, p.region)
+	return p.cold && !p.used && owner.Peer == p.owner && owner.Started == p.ownerStarted
+}
+
+// isColdNow is like isCold, by the newest record of an upstream that was selected earlier.
+func (f *Forwarder) isColdNow(u roster.Upstream) bool {
+	view := f.o.View()
+	if !view.IsPaced(u.Service) {
+		return false
+	}
+	for _, now := range view.Services[u.Service] {
+		if now.ID == u.ID {
+			return f.isCold(now)
+		}
+	}
+	return f.isCold(u)
+}
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -9,7 +9,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/berylledge/berylledge/internal/base/event"
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/wire/peer"
@@ -47,6 +49,10 @@
 	// Due is the time until the request is late. It is shorter than requested if the placer knows an earlier
 	// attempt of the caller.
 	Due time.Duration `cbor:"4,keyasint,omitempty"`
+	// Cold is set if the engine is cold, so that the ticket permits a single send to it.
+	Cold bool `cbor:"5,keyasint,omitempty"`
+	// RoomIn is set if all engines are cold and at their limits. It is the time until one of them has room again.
+	RoomIn time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // placement is the slot at a model engine that was assigned to a request.
@@ -56,6 +62,9 @@
 	upstream               roster.Upstream
 	firstEventReported     bool
 	forecast               engine.Forecast
+	ownerStarted           int64 // start of the process that runs the placer
+	cold                   bool  // the placer knew that the engine is cold
+	used                   bool  // a request was sent
 }
 
 type placeKey struct{ service, region string }
@@ -73,10 +82,14 @@
 	r := x.engineRequest()
 	regions := f.engineRegions(x.service, x.route.Stages)
 	homeRegion := r.HomeRegion(f.o.Region, f.reachableRegions(regions))
+	x.roomIn = 0
 	p := x.placeInRegion(homeRegion, r)
 	if p == nil && !f.reachable(homeRegion) {
 		p = x.placeInRegion(r.HomeRegion(f.o.Region, f.reachableRegions(regions)), r)
 	}
+	if p == nil && x.roomIn > 0 {
+		p = x.placeElsewhere(regions, homeRegion, r)
+	}
 	return p
 }
 
@@ -94,7 +107,8 @@
 	}
 	for _, u := range f.o.View().Services[x.service] {
 		if u.ID == reply.ID {
-			p.ticket, p.upstream, p.forecast = reply.Ticket, u, reply.Forecast
+			p.ticket, p.upstream, p.forecast, p.cold = reply.Ticket, u, reply.Forecast, reply.Cold
+			p.ownerStarted = f.o.Batcher.OwnerInView(p.service, p.region).Started
 			return p
 		}
 	}
@@ -102,6 +116,7 @@
 		p.ticket = reply.Ticket
 		f.notifyEnd(p, engine.Cancelled)
 	}
+	x.noteRoom(reply.RoomIn)
 	return nil
 }
 
@@ -197,6 +212,7 @@
 	for id := range x.failed {
 		r.Exclude = append(r.Exclude, id)
 	}
+	r.Exclude = append(r.Exclude, x.newlyCold...)
 	return r
 }
 
@@ -208,36 +224,41 @@
 	p := f.placer(placeKey{q.Service, q.Region})
 	assigned, ok := p.Place(now, *q.Request)
 	if !ok {
-		return placeReply{}
+		if assigned.RoomFrom.IsZero() {
+			return placeReply{}
+		}
+		return placeReply{RoomIn: max(assigned.RoomFrom.Sub(now), time.Millisecond)}
 	}
-	return placeReply{assigned.Ticket, assigned.ID, assigned.Forecast, assigned.Due.Sub(now)}
+	return placeReply{assigned.Ticket, assigned.ID, assigned.Forecast, assigned.Due.Sub(now), assigned.Cold, 0}
 }
 
 // placer returns the placer of a service with its engine list updated. f.mu must be held.
 func (f *Forwarder) placer(k placeKey) *engine.Placer {
 	p := f.placers[k]
 	if p == nil {
-		p = engine.New()
+		p = engine.NewPaced(f.o.Pace)
 		f.placers[k] = p
 		f.o.Events.Emit(event.PlacerOpened, event.F("service", k.service), event.F("region", k.region),
 			event.F("engines", len(f.engineTargets(f.o.View(), k))))
 	}
 	p.SetTargets(f.engineTargets(f.o.View(), k))
 	p.SetPools(f.stagePools(k.region))
+	f.updateOwned(f.o.Clock.Now(), f.o.View(), k, p)
 	return p
 }
 
 func (f *Forwarder) engineTargets(v *poller.View, k placeKey) []engine.Target {
 	var out []engine.Target
 	slots, tokens := 0, int64(0)
+	var s *conf.Service
 	if v.Table != nil {
-		if s := v.Table.Service(k.service); s != nil && s.Engine != nil {
+		if s = v.Table.Service(k.service); s != nil && s.Engine != nil {
 			slots, tokens = s.Engine.Slots, s.Engine.CacheTokens
 		}
 	}
 	for _, u := range v.Services[k.service] {
 		if u.State == roster.Ready && f.o.RegionOf[u.DataCentre] == k.region {
-			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent})
+			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, Pace: pace.Of(u, s)})
 		}
 	}
 	return out
--- a/internal/gate/proxy/placement_test.go
+++ b/internal/gate/proxy/placement_test.go
@@ -58,6 +58,7 @@
 	hub("e3", "a")
 	hub("e4", "b")
 	hub("e5", "b")
+	p.view.Entries[0].Ready = false // this node serves callers but runs no placer
 	d := proto.Own()
 	load := func() *poller.View { return p.view }
 	pool := upcon.New(upcon.Options{Clock: c})
@@ -73,7 +74,6 @@
 		mk.Close()
 		pool.Close()
 	})
-	p.view.Entries[0].Ready = false // this node serves callers but runs no placer
 	return p
 }
 
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -39,6 +39,7 @@
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/deny"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/pick"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
@@ -67,6 +68,7 @@
 	// RefreshCrashes waits until Crashes holds what a control node knew a moment ago, or until the context is
 	// done.
 	RefreshCrashes func(context.Context)
+	Pace           pace.Bounds
 	Seed           uint64
 }
 
@@ -86,6 +88,7 @@
 	retries *retryLimiter
 	rng     *rand.Rand
 	placers map[placeKey]*engine.Placer // placers that this node runs
+	pace    paceState
 	// unreachableUntil holds the time until which no request is placed in a region, because its placers timed
 	// out.
 	unreachableUntil map[string]time.Time
@@ -100,7 +103,7 @@
 // New creates a Forwarder and starts its background work.
 func New(o Options) *Forwarder {
 	f := &Forwarder{
-		o: o, chooser: pick.New(), retries: newRetryLimiter(o.RetryBudget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
+		o: o, chooser: pick.New(o.Pace, o.Node), retries: newRetryLimiter(o.RetryBudget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
 		placers: map[placeKey]*engine.Placer{}, unreachableUntil: map[string]time.Time{}, drain: newDrainState(),
 	}
 	for _, region := range o.RegionOf {
@@ -116,6 +119,7 @@
 			f.checkSilentRuns(o.Clock.Now())
 			f.mu.Lock()
 			f.chooser.Sweep(o.Clock.Now())
+			f.updatePace(o.Clock.Now())
 			f.mu.Unlock()
 		}
 	})
@@ -159,13 +163,15 @@
 // chooseUpstream selects an upstream of a service and counts a request to it.
 func (f *Forwarder) chooseUpstream(service string, w pick.Criteria) (roster.Upstream, bool) {
 	w.Distance = f.distanceFunc(w)
-	list := f.o.View().Services[service]
+	view := f.o.View()
+	list := view.Services[service]
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.setNodes(now, view)
 	u, ok := f.chooser.Choose(now, list, w)
 	if ok {
-		f.chooser.Begin(u.ID)
+		f.chooser.Begin(now, u.ID)
 	}
 	return u, ok
 }
@@ -182,9 +188,10 @@
 
 // beginRequest counts a request to an upstream that the placer selected.
 func (f *Forwarder) beginRequest(id string) {
+	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.chooser.Begin(id)
+	f.chooser.Begin(now, id)
 }
 
 func (f *Forwarder) endRequest(id string, r pick.Result, took time.Duration) {
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -34,6 +34,7 @@
 	server    *httptest.Server
 	events    *event.Log
 	refreshes *atomic.Int32 // number of calls to RefreshCrashes
+	view      *atomic.Pointer[poller.View]
 }
 
 // newTestProxy starts a Forwarder with one route, which change may modify.
@@ -68,7 +69,9 @@
 	events := event.New(event.Options{Node: "e1", Clock: c})
 	d := proto.Own()
 	pool := upcon.New(upcon.Options{Clock: c, IDHeader: d.Headers.RequestID})
-	load := func() *poller.View { return view }
+	current := new(atomic.Pointer[poller.View])
+	current.Store(view)
+	load := current.Load
 	regions := map[string]string{"a": "n"}
 	mk := batch.New(batch.Options{Node: "e1", Peer: "self", RegionOf: regions, Dialect: d, Clock: c, Events: events, View: load, Pool: pool})
 	asked := new(atomic.Int32)
@@ -84,7 +87,7 @@
 		mk.Close()
 		pool.Close()
 	})
-	return &testProxy{t, f, server, events, asked}
+	return &testProxy{t, f, server, events, asked, current}
 }
 
 type result struct {
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -51,8 +51,7 @@
 	}
 	u, ok := x.upstreamFor(affinity)
 	if !ok {
-		r := x.gatewayError("no upstream of the service accepts requests", retryLater)
-		return nil, &r
+		return nil, x.noUpstream()
 	}
 	if (x.sent > 0 || x.refusals > 0) && !x.f.allowRetry(x.service) {
 		x.finishAttempt(&response{upstream: u}, pick.Cancelled)
@@ -81,19 +80,21 @@
 // requests another placement.
 func (x *exchange) upstreamFor(affinity string) (roster.Upstream, bool) {
 	if x.usesEngines() {
-		if x.placement != nil && !x.f.stillReady(x.placement.upstream) {
-			x.f.notifyEnd(x.placement, engine.Cancelled)
-			x.placement = nil
-		}
-		if x.placement == nil || x.failed[x.placement.upstream.ID] {
-			x.placement = x.requestPlacement()
-		}
+		x.renewPlacement()
 		if x.placement != nil {
+			x.placement.used = true
 			x.f.beginRequest(x.placement.upstream.ID)
 			return x.placement.upstream, true
 		}
 	}
-	return x.f.chooseUpstream(x.service, pick.Criteria{Affinity: affinity, Exclude: x.failed})
+	w := pick.Criteria{
+		Affinity: affinity, Exclude: x.failed, Service: x.f.serviceNow(x.service), SkipCold: x.usesEngines(),
+	}
+	u, ok := x.f.chooseUpstream(x.service, w)
+	if !ok {
+		x.noteRoom(x.f.roomIn(x.service, w))
+	}
+	return u, ok
 }
 
 // placementResults maps the result of an attempt to the one reported to the placer.
--- a/internal/gate/roster/delta.go
+++ b/internal/gate/roster/delta.go
@@ -58,7 +58,7 @@
 	}
 	for _, r := range reg.upstreams {
 		if onPage(&r.recordMeta) {
-			d.Upstreams = append(d.Upstreams, r.Upstream)
+			d.Upstreams = append(d.Upstreams, r.forMessage(now))
 		}
 	}
 	for _, r := range reg.entries {
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -48,17 +48,51 @@
 
 // Upstream describes one run of a process that serves requests. A restart is a new run.
 type Upstream struct {
-	ID            string `cbor:"1,keyasint" json:"id"`
-	Service       string `cbor:"2,keyasint" json:"service"`
-	Address       string `cbor:"3,keyasint" json:"address"`
-	DataCentre    string `cbor:"4,keyasint" json:"data_centre"`
-	Slots         int    `cbor:"5,keyasint,omitempty" json:"slots"`
-	State         State  `cbor:"6,keyasint" json:"state"`
-	StartedMs     int64  `cbor:"7,keyasint,omitempty" json:"born_ms"`  // start time of the process, Unix milliseconds
-	Sequence      int64  `cbor:"8,keyasint,omitempty" json:"sequence"` // increases with each heartbeat of a run
-	WarmupUntilMs int64  `cbor:"9,keyasint,omitempty" json:"cold_ms"`  // end of the slow warm-up phase, Unix milliseconds
-	Silent        bool   `cbor:"10,keyasint,omitempty" json:"silent"`  // no heartbeat for SilentAfter
-	AgeMs         int64  `cbor:"11,keyasint,omitempty" json:"-"`       // milliseconds since the last heartbeat; set in messages only
+	ID         string `cbor:"1,keyasint" json:"id"`
+	Service    string `cbor:"2,keyasint" json:"service"`
+	Address    string `cbor:"3,keyasint" json:"address"`
+	DataCentre string `cbor:"4,keyasint" json:"data_centre"`
+	Slots      int    `cbor:"5,keyasint,omitempty" json:"slots"`
+	State      State  `cbor:"6,keyasint" json:"state"`
+	StartedMs  int64  `cbor:"7,keyasint,omitempty" json:"born_ms"`  // start time of the process, Unix milliseconds
+	Sequence   int64  `cbor:"8,keyasint,omitempty" json:"sequence"` // increases with each heartbeat of a run
+	Silent     bool   `cbor:"10,keyasint,omitempty" json:"silent"`  // no heartbeat for SilentAfter
+	AgeMs      int64  `cbor:"11,keyasint,omitempty" json:"-"`       // milliseconds since the last heartbeat; set in messages only
+	// ColdMs is for how many milliseconds from now the upstream stays cold; set in messages only, because clocks differ. The
+	// key is not 9, which earlier releases use for a Unix time.
+	ColdMs int64 `cbor:"12,keyasint,omitempty" json:"cold_ms"`
+	// ColdUntil is the end of the cold time by the local clock; zero: not cold.
+	ColdUntil time.Time `cbor:"-" json:"-"`
+}
+
+// coldShift is by how much the end of a cold time must move before the record counts as changed. It exceeds the usual variation
+// of the delay of heartbeats.
+const coldShift = 300 * time.Millisecond
+
+// Received returns a record from a message with the end of the cold time by the local clock.
+func (u Upstream) Received(now time.Time) Upstream {
+	u.ColdUntil = time.Time{}
+	if u.ColdMs > 0 {
+		u.ColdUntil = now.Add(time.Duration(u.ColdMs) * time.Millisecond)
+	}
+	u.ColdMs = 0
+	return u
+}
+
+// forMessage returns a record as it is sent.
+func (u Upstream) forMessage(now time.Time) Upstream {
+	u.ColdMs = max(u.ColdUntil.Sub(now).Milliseconds(), 0)
+	u.ColdUntil = time.Time{}
+	return u
+}
+
+// ColdChanged reports whether the end of the cold time of a newer record differs from that of an earlier one by more than the
+// variation of the delay of messages: it is later, or the cold time has ended early.
+func ColdChanged(now time.Time, earlier, newer Upstream) bool {
+	if newer.ColdUntil.IsZero() {
+		return earlier.ColdUntil.Sub(now) > coldShift
+	}
+	return newer.ColdUntil.Sub(now) > 0 && newer.ColdUntil.Sub(earlier.ColdUntil) > coldShift
 }
 
 // Entry describes an entry node, as reported by that node.
@@ -128,7 +162,7 @@
 
 // Heartbeat processes a heartbeat received by this node. It reports whether more than the time of the record changed.
 func (reg *Registry) Heartbeat(now time.Time, u Upstream) bool {
-	return reg.mergeUpstream(now, u, reg.cfg.Self)
+	return reg.mergeUpstream(now, now, u.Received(now), reg.cfg.Self)
 }
 
 // Leave marks the current run of an upstream as gone. It returns false if the upstream is unknown or already gone.
@@ -153,11 +187,12 @@
 		}
 		owner = r.owner
 	}
-	return reg.mergeUpstream(now, u, owner)
+	u.ColdMs = 0 // as of the time when the record was stored, which may be long ago
+	return reg.mergeUpstream(now, now, u.Received(now), owner)
 }
 
 // mergeUpstream merges a record received from the control node that hears the upstream.
-func (reg *Registry) mergeUpstream(heard time.Time, u Upstream, from string) bool {
+func (reg *Registry) mergeUpstream(now, heard time.Time, u Upstream, from string) bool {
 	r := reg.upstreams[u.ID]
 	if r == nil {
 		if other := reg.upstreams[reg.addresses[u.Address]]; other != nil && other.State != Gone && other.StartedMs > u.StartedMs {
@@ -175,8 +210,8 @@
 	if r.State == Gone && u.StartedMs <= r.StartedMs {
 		return false
 	}
-	if significantFields(u) == significantFields(r.Upstream) && !r.Silent {
-		r.Sequence, r.WarmupUntilMs = u.Sequence, u.WarmupUntilMs
+	if significantFields(u) == significantFields(r.Upstream) && !r.Silent && !ColdChanged(now, r.Upstream, u) {
+		r.Sequence = u.Sequence // ColdUntil stays as readers know it, so that small shifts add up to a change
 		reg.setOwner(&r.recordMeta, heard, from, u.Silent)
 		return false
 	}
@@ -226,7 +261,7 @@
 
 // significantFields returns a record with only the fields whose changes are sent to readers.
 func significantFields(u Upstream) Upstream {
-	u.Sequence, u.AgeMs, u.WarmupUntilMs, u.Silent = 0, 0, 0, false
+	u.Sequence, u.AgeMs, u.Silent, u.ColdUntil = 0, 0, false, time.Time{}
 	return u
 }
 
@@ -302,7 +337,7 @@
 
 // withAge returns a copy of a record with its age, for sending.
 func (r *upstreamRecord) withAge(now, heard time.Time) Upstream {
-	u := r.Upstream
+	u := r.forMessage(now)
 	u.AgeMs = now.Sub(heard).Milliseconds()
 	return u
 }
@@ -317,7 +352,7 @@
 func (reg *Registry) Merge(now time.Time, from string, batch Batch) bool {
 	changed := false
 	for _, u := range batch.Upstreams {
-		if reg.mergeUpstream(timeOfAge(now, u.AgeMs), u, from) {
+		if reg.mergeUpstream(now, timeOfAge(now, u.AgeMs), u.Received(now), from) {
 			changed = true
 		}
 	}
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -95,6 +95,7 @@
 	q.classify(now)
 	q.sortGroups("")
 	rate := float64(ready*q.pool.Batch) / q.callTime(q.pool.Batch).Seconds()
+	rate -= q.coldLoss(now)
 	if q.rate > 0 {
 		rate = min(rate, q.rate)
 	}
@@ -112,6 +113,18 @@
 	return out
 }
 
+// coldLoss returns by how many pieces a second the limits of cold upstreams lower the rate of the upstreams.
+func (q *Queue) coldLoss(now time.Time) float64 {
+	loss := 0.0
+	for _, t := range q.targets {
+		if t.present && !t.Avoid && t.pace.IsCold(now) {
+			full := 1 / q.callTime(q.pool.Batch).Seconds()
+			loss += max(full-t.pace.ColdPerSecond, 0) * float64(q.pool.Batch)
+		}
+	}
+	return loss
+}
+
 // cannotFinishInTime reports whether a group that starts at the given time is useless: its inputs have expired or, if
 // it has none, it is late.
 func (q *Queue) cannotFinishInTime(g *group, begins time.Time) bool {
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 )
 
 // Job is a piece that waits to be computed.
@@ -48,6 +49,7 @@
 	Address    string
 	DataCentre string
 	Avoid      bool // it does not respond or is draining
+	Pace       pace.Upstream
 }
 
 // CallResult tells how a call ended.
@@ -85,6 +87,7 @@
 	memoryFullUntil time.Time               // no results are placed here until then, unless one is freed
 	durationRatio   float64                 // moving average of actual to expected call duration
 	lastCallEnd     time.Time
+	pace            pace.State
 }
 
 type storedResult struct {
@@ -120,6 +123,7 @@
 	rate      float64   // recently completed pieces per second while others waited; 0: unknown
 	rateCount int       // pieces completed since rateStart
 	rateStart time.Time // start of the current rate interval; zero: nothing waited
+	owner     *pace.Owner
 }
 
 const bytesPerMB = 1e6
@@ -137,10 +141,16 @@
 func NewQueue(pool conf.Pool) *Queue {
 	return &Queue{
 		pool: pool, targets: map[string]*target{}, attempts: map[Key]int{}, open: map[uint64]openCall{}, cancelled: map[Key]bool{},
-		memoryHolders: map[string]int{}, byRequest: map[string][]*group{},
+		memoryHolders: map[string]int{}, byRequest: map[string][]*group{}, owner: pace.NewOwner(pace.Bounds{}),
 	}
 }
 
+// SetOwned tells whether this node is the one that owns the queue, by its own view. Before, cold upstreams get no calls.
+func (q *Queue) SetOwned(now time.Time, owned bool) { q.owner.Set(now, owned) }
+
+// SetBounds sets the bounds of cold upstreams.
+func (q *Queue) SetBounds(b pace.Bounds) { q.owner = pace.NewOwner(b) }
+
 // SetPool updates the properties of the upstreams.
 func (q *Queue) SetPool(pool conf.Pool) { q.pool = pool }
 
@@ -156,9 +166,10 @@
 			q.targets[t.ID] = have
 		}
 		have.Target, have.present = t, true
+		have.pace.Update(t.Pace)
 	}
 	for id, t := range q.targets {
-		if !t.present && t.calls == 0 {
+		if !t.present && t.calls == 0 && !t.pace.HasRecentSends(q.lastExpiry) {
 			q.releaseTarget(t)
 			delete(q.targets, id)
 		}
@@ -236,7 +247,7 @@
 }
 
 func (q *Queue) available(t *target, now time.Time) bool {
-	return t.present && !t.Avoid && !now.Before(t.pausedUntil)
+	return t.present && !t.Avoid && !now.Before(t.pausedUntil) && t.pace.Allow(now, q.owner).OK
 }
 
 // targetsByLoad returns the targets sorted by calls in flight, then used memory, then ID.
@@ -305,6 +316,7 @@
 func (q *Queue) startCall(t *target, jobs []Job, now time.Time) Call {
 	q.lastID++
 	t.calls++
+	t.pace.Sent(now, q.owner)
 	for _, j := range jobs {
 		t.usedBytes += j.Bytes
 		q.attempts[keyOf(j)]++
@@ -372,7 +384,7 @@
 		}
 		replies = append(replies, q.reply(now, o.sentAt, j, out, o.target))
 	}
-	if !t.present && t.calls == 0 {
+	if !t.present && t.calls == 0 && !t.pace.HasRecentSends(now) {
 		q.releaseTarget(t)
 		delete(q.targets, t.ID)
 	}
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -227,7 +227,7 @@
 	close(assigned)
 	p.batcher = batch.New(batch.Options{
 		Node: p.s.Node, Peer: address, RegionOf: p.s.Regions, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.poller.View,
-		Hub: p.hub, Pool: p.pool,
+		Hub: p.hub, Pool: p.pool, Pace: p.s.Bounds.pace(),
 	})
 	b := p.s.Bounds
 	ratio := b.RetryRatio
@@ -238,6 +238,7 @@
 		Node: p.s.Node, DataCentre: p.s.DataCentre, Region: p.s.Region, RegionOf: p.s.Regions, Dialect: p.o.Dialect,
 		Clock: p.o.Clock, Events: p.events, View: p.poller.View, Pool: p.pool, Batcher: p.batcher, Hub: p.hub,
 		RetryBudget: proxy.RetryBudget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
+		Pace:        b.pace(),
 		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 	})
 	p.callers = &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
--- a/internal/node/gwnode/settings.go
+++ b/internal/node/gwnode/settings.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 )
 
 // Settings are all settings of a process, as its settings file holds them. Unknown fields are ignored.
@@ -64,6 +65,11 @@
 	ColdSlack    float64 `json:"cold_slack"`     // and this many requests besides
 }
 
+// pace returns the bounds of upstreams that are cold.
+func (b Bounds) pace() pace.Bounds {
+	return pace.Bounds{ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack}
+}
+
 // Limits are the resources of the VM; 0: unknown.
 type Limits struct {
 	CPUShare    float64 `json:"cpu_share"` // of each core
