--- a/internal/gate/proto/valid.go
+++ b/internal/gate/proto/valid.go
@@ -1,6 +1,7 @@
 package proto
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 	"unicode"
@@ -17,6 +18,7 @@
 	maxNameBytes = 256
 	maxSlots     = 1 << 20
 	maxInteger   = 1 << 53 // larger integers are not exact in every JSON implementation
+	maxColdMs    = 10 * 60 * 1000
 )
 
 // ValidateHeartbeat returns an error if the heartbeat does not describe a usable upstream.
@@ -40,6 +42,8 @@
 		return errors.Newf("the slots must be 0 to %d", maxSlots)
 	case !isExact(u.StartedMs) || !isExact(u.Sequence):
 		return errors.New("the start and the sequence must be 0 to 2^53")
+	case u.ColdMs < 0 || u.ColdMs > maxColdMs:
+		return errors.New("the cold time must be 0 to 10 minutes")
 	}
 	return nil
 }
@@ -49,6 +53,15 @@
 	return s != "" && len(s) <= maxNameBytes && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
 }
 
+// ColdMs returns the milliseconds for which an upstream says that it stays cold, or -1 if the value is not allowed. Parts of a
+// millisecond count as a whole one.
+func ColdMs(ms float64) int64 {
+	if !(ms >= 0 && ms <= maxColdMs) { // also false if it is not a number
+		return -1
+	}
+	return int64(math.Ceil(ms))
+}
+
 func isExact(n int64) bool { return n >= 0 && n <= maxInteger }
 
 // ValidateID returns an error if an upstream's id cannot be sent in a header.
--- a/internal/gate/proto/valid_test.go
+++ b/internal/gate/proto/valid_test.go
@@ -40,6 +40,8 @@
 		"start too large":          func(u *roster.Upstream) { u.StartedMs = 1 << 60 },
 		"negative start":           func(u *roster.Upstream) { u.StartedMs = -1 },
 		"sequence too large":       func(u *roster.Upstream) { u.Sequence = 1 << 60 },
+		"negative cold time":       func(u *roster.Upstream) { u.ColdMs = -1 },
+		"cold for too long":        func(u *roster.Upstream) { u.ColdMs = 600_001 },
 	} {
 		u := goodUpstream()
 		change(&u)
--- a/internal/gate/proxy/regions.go
+++ b/internal/gate/proxy/regions.go
@@ -75,13 +75,3 @@
 	}
 	return nil
 }
-
-// noUpstream returns the response for a request for which no upstream of a service is left. All requests of a restricted route
-// get it at the same time, so that their callers' return is spread.
-func (x *exchange) noUpstream(service string) refusal {
-	allowed := x.allowedRegions()
-	if !allowed.Limited() {
-		return x.gatewayError("no upstream of the service accepts requests", retryLater)
-	}
-	return x.gatewayError("no upstream of service "+service+" accepts requests in the allowed regions: "+allowed.String(), x.f.spread(retryLater))
-}
--- a/internal/gate/proxy/regions_test.go
+++ b/internal/gate/proxy/regions_test.go
@@ -80,7 +80,7 @@
 		mk.Close()
 		pool.Close()
 	})
-	p.testProxy = &testProxy{t, f, server, events, new(atomic.Int32)}
+	p.testProxy = &testProxy{t, f, server, events, new(atomic.Int32), &p.view}
 	return p
 }
 
