--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -99,6 +99,8 @@
 	ResultsAdopted  Code = 8107
 	ResultsDropped  Code = 8108
 	EngineSpeed     Code = 8109
+	UpstreamCold    Code = 8201
+	UpstreamWarm    Code = 8202
 )
 
 var catalogue = []Kind{
@@ -180,6 +182,9 @@
 	{ResultsAdopted, "results_adopted", hclog.Info, "A node that uses results has told this one, which keeps the queue of their service now.", []string{"service", "region", "results"}, ""},
 	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
 	{EngineSpeed, "engine_speed", hclog.Info, "The node that places requests has learnt another speed of a model engine: factor is how long the engine takes to read a token, relative to the median engine of the service in the region. Logged when it has changed by a fifth.", []string{"service", "region", "upstream", "factor"}, "A factor far above 1 that stays: look at that engine's machine."},
+
+	{UpstreamCold, "upstream_cold", hclog.Info, "An upstream is cold. Of all nodes together it gets no more requests a second than it bears, for the time that is left.", []string{"upstream", "per_second", "left_ms"}, ""},
+	{UpstreamWarm, "upstream_warm", hclog.Info, "An upstream is no longer cold, or has gone.", []string{"upstream"}, ""},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -38,6 +38,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/speed"
 )
 
@@ -67,9 +68,8 @@
 	ID          string
 	Slots       int
 	CacheTokens int64
-	Avoid       bool // used only if no other engine is available
-	// StartedMs identifies the run of the process. What was learnt of the speed of an earlier run does not apply.
-	StartedMs int64
+	Avoid       bool          // used only if no other engine is available
+	Pace        pace.Upstream // its ID is that of the engine, and its start identifies the run that a learnt speed belongs to
 }
 
 // Result tells how a request ended at its engine.
@@ -107,7 +107,7 @@
 	started       bool           // at least one stage is complete
 	late          bool           // could not be on time at placement
 	forecastTotal time.Duration  // forecast duration of its stages
-	stagesDone    time.Time      // when its last stage was completed; zero: not yet
+	stagesDone    time.Time      // when its last stage was completed, and the request sent; zero: not yet
 }
 
 type target struct {
@@ -119,6 +119,7 @@
 	useCount     uint64           // logical clock of part uses, for eviction
 	pausedUntil  time.Time
 	failures     int
+	pace         pace.State
 	reading      readMeter
 	loggedSpeed  float64 // last factor returned by SpeedChanges; 0: none
 }
@@ -143,6 +144,7 @@
 	meanLateFraction float64   // fraction of streams that a prompt makes late, averaged over recent prompts
 	unanswered       unansweredRequests
 	lastExpiry       time.Time // when expired tickets were last removed
+	owner            *pace.Owner
 }
 
 // Placement is the engine chosen for a request.
@@ -151,15 +153,27 @@
 	ID       string // engine ID
 	Forecast Forecast
 	Due      time.Time // when the response becomes late
+	// Cold is set if the engine is cold, so that the ticket permits a single send to it.
+	Cold bool
+	// RoomFrom is set if there is no placement because all engines are cold and at their limits. It is when one of them has
+	// room again.
+	RoomFrom time.Time
 }
 
 // New returns a Placer without engines.
-func New() *Placer {
+func New() *Placer { return NewPaced(pace.Bounds{}) }
+
+// NewPaced returns a Placer without engines that keeps to the bounds of cold engines. It uses no cold engine before SetOwned.
+func NewPaced(b pace.Bounds) *Placer {
 	return &Placer{
-		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, speeds: speed.New(), readPeriod: linearFit{decay: readPeriodDecay},
+		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, owner: pace.NewOwner(b), speeds: speed.New(),
+		readPeriod: linearFit{decay: readPeriodDecay},
 	}
 }
 
+// SetOwned tells whether this node is the one that places the requests on these engines, by its own view.
+func (p *Placer) SetOwned(now time.Time, owned bool) { p.owner.Set(now, owned) }
+
 // SetTargets replaces the set of engines. The cached parts of an engine are kept while it is in the set or has
 // requests.
 func (p *Placer) SetTargets(list []Target) {
@@ -172,14 +186,15 @@
 			have = &target{tickets: map[uint64]*ticket{}, parts: map[string]*part{}}
 			p.targets[t.ID] = have
 		}
-		if have.StartedMs != t.StartedMs {
+		if have.Pace.StartedMs != t.Pace.StartedMs {
 			p.speeds.Forget(t.ID)
 			have.reading = readMeter{}
 		}
 		have.Target, have.present = t, true
+		have.pace.Update(t.Pace)
 	}
 	for id, t := range p.targets {
-		if !t.present && len(t.tickets) == 0 {
+		if !t.present && len(t.tickets) == 0 && !t.pace.HasRecentSends(p.lastExpiry) {
 			delete(p.targets, id)
 			p.speeds.Forget(id)
 		}
@@ -196,16 +211,19 @@
 		best = p.best(now, r, chains, true)
 	}
 	if best == nil {
-		return Placement{}, false
+		return Placement{RoomFrom: p.roomFrom(now, r)}, false
 	}
 	own := ownPart(chains)
 	due := p.unanswered.due(own, now.Add(r.Due))
 	r.Due = due.Sub(now)
+	cold := best.pace.IsCold(now)
+	best.pace.Reserve()
 	p.lastID++
 	t := &ticket{ownPart: own, target: best.ID, unread: best.unreadTokens(r, chains), rank: r.Rank, tokens: r.Prompt + r.Output, placedAt: now, due: due, gap: r.Gap}
 	t.pending = slices.Clone(r.PendingStages)
 	if !t.hasPendingStages() {
 		t.stagesDone = now
+		best.pace.SentReserved(now, p.owner)
 	}
 	forecast := p.forecastAt(now, r, best, t.unread)
 	p.updatePauseStats(forecast.Speed*float64(t.unread), r.Gap)
@@ -213,11 +231,25 @@
 	p.tickets[p.lastID] = t
 	best.tickets[p.lastID] = t
 	best.cacheParts(r, chains)
-	return Placement{p.lastID, best.ID, forecast, due}, true
+	return Placement{Ticket: p.lastID, ID: best.ID, Forecast: forecast, Due: due, Cold: cold}, true
+}
+
+// roomFrom returns when a cold engine has room again; zero if none is at its limit.
+func (p *Placer) roomFrom(now time.Time, r Request) time.Time {
+	var out time.Time
+	for _, t := range p.targets {
+		if !t.present || slices.Contains(r.Exclude, t.ID) {
+			continue
+		}
+		if v := t.pace.Allow(now, p.owner); !v.OK && (out.IsZero() || v.From.Before(out)) {
+			out = v.From
+		}
+	}
+	return out
 }
 
 // best returns the engine with the lowest cost. Engines that are backing off, full or marked Avoid are included only if
-// paused is true.
+// paused is true, cold engines at their limit never.
 func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
 	var out *target
 	var minCost float64
@@ -227,7 +259,7 @@
 			continue
 		}
 		usable := !t.Avoid && !now.Before(t.pausedUntil) && (t.Slots == 0 || len(t.tickets) < t.Slots)
-		if !usable && !paused {
+		if !usable && !paused || !t.pace.Allow(now, p.owner).OK {
 			continue
 		}
 		cost := t.cost(r, chains, stats, p.speeds.Factor(now, t.ID))
@@ -362,7 +394,7 @@
 	if t == nil {
 		return
 	}
-	p.removeTicket(id)
+	p.removeTicket(now, id, r == Cancelled)
 	if r == Served {
 		p.unanswered.remove(t.ownPart)
 	} else {
@@ -386,14 +418,24 @@
 	}
 }
 
-func (p *Placer) removeTicket(id uint64) {
+// removeTicket ends a ticket. A request whose stages were not complete has not been sent if it was cancelled.
+func (p *Placer) removeTicket(now time.Time, id uint64, cancelled bool) {
 	t := p.tickets[id]
 	delete(p.tickets, id)
-	if at := p.targets[t.target]; at != nil {
-		delete(at.tickets, id)
-		if t.unread > 0 && !t.stagesDone.IsZero() {
-			at.reading.interrupted = true
-		}
+	at := p.targets[t.target]
+	if at == nil {
+		return
+	}
+	delete(at.tickets, id)
+	if t.unread > 0 && !t.stagesDone.IsZero() {
+		at.reading.interrupted = true
+	}
+	switch {
+	case !t.stagesDone.IsZero():
+	case cancelled:
+		at.pace.Release()
+	default:
+		at.pace.SentReserved(now, p.owner)
 	}
 }
 
@@ -406,7 +448,7 @@
 	p.unanswered.expire(now)
 	for id, t := range p.tickets {
 		if now.Sub(t.placedAt) > ticketTTL {
-			p.removeTicket(id)
+			p.removeTicket(now, id, false)
 		}
 	}
 }
--- a/internal/gate/engine/speed_test.go
+++ b/internal/gate/engine/speed_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/speed"
 	"github.com/berylledge/berylledge/internal/test/eventq"
 )
@@ -362,7 +363,7 @@
 // Guards against a restarted engine that is judged by its former run, and against operators who do not see speeds.
 func TestRestartedEngineBeginsAtTheUsualSpeed(t *testing.T) {
 	p := newPlacer(3)
-	list := []Target{{ID: "e0", StartedMs: 1}, {ID: "e1", StartedMs: 1}, {ID: "e2", StartedMs: 1}}
+	list := []Target{{ID: "e0", Pace: pace.Upstream{StartedMs: 1}}, {ID: "e1", Pace: pace.Upstream{StartedMs: 1}}, {ID: "e2", Pace: pace.Upstream{StartedMs: 1}}}
 	p.SetTargets(list)
 	for range 40 {
 		for i, perToken := range []time.Duration{tokenReadTime, 2 * tokenReadTime, tokenReadTime} {
@@ -378,7 +379,7 @@
 	seat, _ := p.Place(t0, r)
 	assert.Equal(t, seat.Forecast.Speed, changes[0].Factor)
 	assert.Equal(t, len(p.SpeedChanges(t0.Add(time.Second))), 0)
-	list[1].StartedMs = 2
+	list[1].Pace.StartedMs = 2
 	p.SetTargets(list)
 	assert.Equal(t, p.speeds.Factor(t0, "e1"), 1.0)
 	assert.DeepEqual(t, p.SpeedChanges(t0.Add(2*time.Second)), []SpeedChange{{"e1", 1}})
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -31,6 +31,7 @@
 	route    *conf.Route
 	service  string
 	team     *conf.Team
+	regions  regionCheck
 	body     []byte
 	deadline time.Time // by when the final response must be sent
 	// due is the time after which the response counts as late. The target latency counts from the caller's first
@@ -42,6 +43,10 @@
 
 	stages    *stageRun
 	placement *placement // slot at a model engine; nil if none was assigned
+	// roomIn is the time after which a cold upstream has room again, if no other one can be used.
+	roomIn time.Duration
+	// newlyCold are engines that this node knows to be cold and their placer does not yet.
+	newlyCold []string
 	// moved is set once the request has been moved to another region after a refusal.
 	moved            bool
 	sent             int  // attempts that reached an upstream and may have run
@@ -89,6 +94,10 @@
 		x.refuse(*refused)
 		return
 	}
+	if refused := x.checkRegions(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
 	x.f.countRequest(x.service)
 	if refused := x.checkBlocked(); refused != nil {
 		x.refuse(*refused)
@@ -209,6 +218,10 @@
 		x.placement = x.requestPlacement()
 		x.placedAfter = x.f.o.Clock.Now().Sub(x.start)
 		defer func() { x.f.notifyEnd(x.placement, engine.Cancelled) }() // has no effect if the ticket has already ended
+		if x.placement == nil && x.roomIn > 0 && !x.hasWarm() {
+			x.refuse(x.noUpstream(x.service))
+			return
+		}
 	}
 	if len(x.route.Stages) > 0 {
 		refused := x.runStages()
