Stop sending work to an evacuated data centre on an operator's order

Cause: the order to evacuate a data centre was answered with 404.

Change: POST and DELETE /v1/traffic/evacuations/DATA_CENTRE store an order and its revocation with the control group, as a permanent notice of vdoc: it is never dropped, survives compaction, and carries the log index of the last change. Each answer to an entry node carries the set if its version is higher, and the entry node shows ready upstreams of these data centres as draining, which all choosers obey. Log lines evacuation_order, evacuation_stored and evacuation_in_force, gauge evacuated_data_centres.

The literals of vdoc.Result in vdoc_test.go name their fields, since the type has one more; what they check is the same.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -81,6 +81,10 @@
 	ConfigOrder    Code = 6004
 	ConfigLate     Code = 6005
 
+	EvacuationOrder   Code = 6101
+	EvacuationStored  Code = 6102
+	EvacuationInForce Code = 6103
+
 	OperatorChange Code = 7001
 
 	ForwardFinished Code = 8001
@@ -161,6 +165,10 @@
 	{ConfigOrder, "config_order", hclog.Info, "An operator sent a configuration; stored is the highest version known after it.", []string{"version", "stored", "status", "reason"}, ""},
 	{ConfigLate, "config_late", hclog.Warn, "A control node has had a newer configuration for a second, and it is not in force here. control is the one that this node follows and control_revision what it has; arrived counts the bytes of the next configuration.", []string{"revision", "in_force", "age_ms", "peer", "control", "control_revision", "sure", "arrived"}, "Find out whether the followed control node lacks it (leader_changed there) or the bytes do not arrive (peer_traffic)."},
 
+	{EvacuationOrder, "evacuation_order", hclog.Info, "An operator ordered (evacuate) or revoked (revoke) the evacuation of a data centre. After status 503 it may or may not be in force.", []string{"data_centre", "action", "status", "reason"}, "After 503, send the order again to any control node."},
+	{EvacuationStored, "evacuation_stored", hclog.Info, "The control group has stored a change of the evacuated data centres, as this member has applied it; after a start also the set that was stored before.", []string{"version", "data_centres"}, ""},
+	{EvacuationInForce, "evacuation_in_force", hclog.Info, "This entry node sends nothing more to the upstreams of these data centres; none if the list is empty.", []string{"version", "data_centres", "peer"}, "Compare version with evacuation_stored on the control nodes."},
+
 	{OperatorChange, "operator_change", hclog.Info, "An operator changed something through this process.", []string{"operator", "action", "target", "outcome"}, ""},
 
 	{ForwardFinished, "forward_finished", hclog.Info, "A forwarded request has its final answer; ran says whether an upstream ran it. age_ms is how long before the caller sent its first attempt, from which target_ms counts. Times from its arrival: its place at an engine (seat_ms), its stages' end (stage_ms), the last send (sent_ms), the first event (first_ms). Along the chain of stages that ended last: until it was asked for (before_ms; hold_ms of it was waiting for the later stages), in queues (queued_ms), in calls (called_ms), between entry nodes (handed_ms). pause_ms is the longest time between two events. late names what made it late: before (refusals before it), stages, upstream (its first event or answer), or pause. unread and ahead are prompt tokens that the engine had to read for this request and for those before it when its place was given, streams the requests there that got events then.", []string{"request", "route", "team", "status", "upstream", "attempts", "target_ms", "age_ms", "seat_ms", "hold_ms", "before_ms", "queued_ms", "called_ms", "handed_ms", "stage_ms", "sent_ms", "first_ms", "pause_ms", "elapsed_ms", "late", "unread", "ahead", "streams", "ran", "reason"}, "See docs/OPERATIONS.md."},
--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -19,8 +19,8 @@
 // # Acknowledgements
 //
 // A configuration is acknowledged once the control group has committed it, or a higher version. So is the departure of
-// an upstream (leave.go), which must also be known to a majority of the group by then. Other heartbeats are
-// acknowledged at once.
+// an upstream (leave.go), which must also be known to a majority of the group by then, and the order to evacuate a data
+// centre (evacuation.go). Other heartbeats are acknowledged at once.
 package ctlsrv
 
 import (
@@ -34,6 +34,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/deny"
+	"github.com/berylledge/berylledge/internal/gate/evac"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -50,9 +51,10 @@
 	Hub               *peer.Hub
 	HeartbeatAddress  string // address that upstreams are told to send heartbeats to; if empty, they choose
 	HeartbeatInterval time.Duration
-	EntryValid        time.Duration // how long callers may cache the list of entry nodes
-	Address           string        // this node's peer address, as known to other control nodes
-	Place             poller.Place  // location of this node
+	EntryValid        time.Duration     // how long callers may cache the list of entry nodes
+	Address           string            // this node's peer address, as known to other control nodes
+	Place             poller.Place      // location of this node
+	RegionOf          map[string]string // by data centre; the keys are the data centres that may be evacuated
 }
 
 // Intervals, timeouts and limits.
@@ -91,7 +93,8 @@
 	sharedVersion uint64          // roster version up to which changes were sent to the other nodes
 	fetching      map[string]bool // control nodes that all records are being requested from, by address
 
-	noticesSeen uint64 // number of the last notice that was applied; owned by run
+	noticesSeen uint64   // number of the last notice that was applied; owned by run
+	evacuations evac.Set // the set that was logged last; owned by run
 
 	statusMu sync.Mutex
 	statusAt time.Time
@@ -121,12 +124,13 @@
 	s.wg.Wait()
 }
 
-// run applies the group's notices, sends local changes to the other control nodes and marks silent upstreams.
+// run applies the group's notices, logs evacuations, sends local changes to the other control nodes and marks silent upstreams.
 func (s *Server) run() {
 	var synced time.Time
 	for clock.Sleep(s.ctx, s.o.Clock, shareInterval) == nil {
 		now := s.o.Clock.Now()
 		s.applyNotices(now)
+		s.logEvacuations()
 		due := now.Sub(synced) >= syncInterval
 		if due {
 			synced = now
@@ -311,6 +315,9 @@
 	}
 	reply.Suspects, reply.SuspectsVersion = s.crashes.Suspects(now, poll.SuspectsSeen)
 	reply.Delta, reply.Apart = s.records(now, &poll, control)
+	if set := s.Evacuations(); set.Version > poll.Evacuations {
+		reply.Evacuations = &set
+	}
 	if poll.Text != nil {
 		reply.Text = s.pieces.piece(latest, poll.Version, *poll.Text)
 	}
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -26,6 +26,8 @@
 		{Method: http.MethodGet, Path: paths.Config, Handler: s.getConfig},
 		{Method: http.MethodPut, Path: paths.Upstream, Handler: s.putUpstream},
 		{Method: http.MethodDelete, Path: paths.Upstream, Handler: s.deleteUpstream},
+		{Method: http.MethodPost, Path: paths.Evacuation, Handler: s.evacuate},
+		{Method: http.MethodDelete, Path: paths.Evacuation, Handler: s.revokeEvacuation},
 	}
 }
 
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/base/pack"
 	"github.com/berylledge/berylledge/internal/gate/deny"
+	"github.com/berylledge/berylledge/internal/gate/evac"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
@@ -27,10 +29,11 @@
 	Version uint64        `cbor:"4,keyasint,omitempty"` // of the configuration in force here
 	// Crashes are this node's notes of contents that crashed upstreams, those that the control node may not have.
 	Crashes      []deny.Record `cbor:"5,keyasint,omitempty"`
-	SuspectsSeen uint64        `cbor:"6,keyasint,omitempty"` // version of the last Suspects
-	Held         bool          `cbor:"7,keyasint,omitempty"` // asks for the records that the control node hears itself
-	Control      uint64        `cbor:"8,keyasint,omitempty"` // ControlSum of the addresses known here
-	Text         *Want         `cbor:"9,keyasint,omitempty"` // asks for a newer configuration
+	SuspectsSeen uint64        `cbor:"6,keyasint,omitempty"`  // version of the last Suspects
+	Held         bool          `cbor:"7,keyasint,omitempty"`  // asks for the records that the control node hears itself
+	Control      uint64        `cbor:"8,keyasint,omitempty"`  // ControlSum of the addresses known here
+	Text         *Want         `cbor:"9,keyasint,omitempty"`  // asks for a newer configuration
+	Evacuations  uint64        `cbor:"10,keyasint,omitempty"` // version of the set of evacuated data centres in force here
 }
 
 // Reply is the answer.
@@ -47,6 +50,7 @@
 	Apart           []roster.SyncPosition `cbor:"9,keyasint,omitempty"` // control nodes that it does not hear, and what it has of them
 	Text            *Piece                `cbor:"10,keyasint,omitempty"`
 	Packed          []byte                `cbor:"11,keyasint,omitempty"` // a compressed Delta, in place of Delta
+	Evacuations     *evac.Set             `cbor:"12,keyasint,omitempty"` // if newer than the question's
 }
 
 // Place is where a process runs.
@@ -151,7 +155,10 @@
 func (p *Poller) question(s *source) (duty, Query) {
 	primary := p.primary()
 	as := p.duty(primary, s)
-	q := Query{Epoch: s.epoch, Version: p.version, SuspectsSeen: s.blame, Control: ControlSum(slices.Collect(maps.Keys(p.sources)))}
+	q := Query{
+		Epoch: s.epoch, Version: p.version, SuspectsSeen: s.blame, Control: ControlSum(slices.Collect(maps.Keys(p.sources))),
+		Evacuations: p.evacuations.Version,
+	}
 	switch as {
 	case followAll:
 		p.report++
@@ -194,7 +201,9 @@
 		}
 	}
 	s.blame = reply.SuspectsVersion
-	changed := p.takePage(now, s, as, reply)
+	// The set is taken before the configuration of the same answer, because the first configuration makes this node serve.
+	changed := p.takeEvacuations(s.address, reply.Evacuations)
+	changed = p.takePage(now, s, as, reply) || changed
 	more := reply.Delta.More && s.seen+s.held > seen
 	if reply.Text != nil && p.trusts(now, reply) {
 		used, next := p.takePiece(s.address, reply.Text)
@@ -206,6 +215,21 @@
 	return more
 }
 
+// takeEvacuations puts a newer set of evacuated data centres in force, and reports whether it did. The set of a control node that is
+// not sure counts as well: whatever the log of the group holds was stored, and a higher version is later in the log.
+func (p *Poller) takeEvacuations(from string, set *evac.Set) bool {
+	if set == nil {
+		return false
+	}
+	next, changed := p.evacuations.Merge(*set)
+	if changed {
+		p.evacuations = next
+		p.o.Events.Emit(event.EvacuationInForce, event.F("version", next.Version), event.F("data_centres", strings.Join(next.DataCentres, ",")),
+			event.F("peer", from))
+	}
+	return changed
+}
+
 // takePage takes the records of an answer.
 func (p *Poller) takePage(now time.Time, s *source, as duty, reply Reply) bool {
 	switch as {
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -27,6 +27,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/deny"
+	"github.com/berylledge/berylledge/internal/gate/evac"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/wire/peer"
@@ -57,6 +58,8 @@
 	Table    *conf.Table // nil before the first configuration
 	Services map[string][]roster.Upstream
 	Entries  []roster.Entry // that report themselves ready or not, sorted by name
+	// Evacuations are the evacuated data centres, whose ready upstreams are shown as draining.
+	Evacuations evac.Set
 }
 
 // Poller is a running poller.
@@ -69,24 +72,25 @@
 	wake   chan struct{}
 	ready  atomic.Bool
 
-	mu        sync.Mutex
-	report    int64
-	started   time.Time
-	table     *conf.Table
-	version   uint64
-	document  []byte // of version, as the operator sent it
-	text      text   // the next one, as far as it has arrived
-	newest    newest
-	upstreams map[string]*known
-	entries   map[string]*knownEntry
-	sources   map[string]*source             // by peer address
-	apart     map[string]roster.SyncPosition // control nodes that the primary does not hear, by address
-	turned    time.Time                      // when a control node was last looked in on
-	answered  time.Time
-	asked     time.Time     // when the latest question that was answered was asked
-	news      chan struct{} // closed with each answer of the primary
-	lost      bool
-	followed  string // the primary that was logged last
+	mu          sync.Mutex
+	report      int64
+	started     time.Time
+	table       *conf.Table
+	version     uint64
+	document    []byte // of version, as the operator sent it
+	text        text   // the next one, as far as it has arrived
+	newest      newest
+	upstreams   map[string]*known
+	entries     map[string]*knownEntry
+	sources     map[string]*source // by peer address
+	evacuations evac.Set
+	apart       map[string]roster.SyncPosition // control nodes that the primary does not hear, by address
+	turned      time.Time                      // when a control node was last looked in on
+	answered    time.Time
+	asked       time.Time     // when the latest question that was answered was asked
+	news        chan struct{} // closed with each answer of the primary
+	lost        bool
+	followed    string // the primary that was logged last
 }
 
 // known is an upstream as control nodes told of it.
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -167,7 +167,7 @@
 }
 
 func (p *Poller) publish(now time.Time) {
-	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}}
+	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}, Evacuations: p.evacuations}
 	for _, u := range p.upstreams {
 		out := u.Upstream
 		out.Silent = p.silent(now, u)
@@ -175,6 +175,9 @@
 			u.logged = now
 			LogUpstream(p.o.Events, out)
 		}
+		if out.State == roster.Ready && p.evacuations.Contains(out.DataCentre) {
+			out.State = roster.Draining // not logged for each upstream, since a data centre may have a thousand
+		}
 		if u.State != roster.Gone {
 			v.Services[u.Service] = append(v.Services[u.Service], out)
 		}
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -186,7 +186,7 @@
 	p.control = ctlsrv.New(ctlsrv.Options{
 		Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Member: p.member, Hub: p.hub, HeartbeatAddress: p.s.Listen.Control,
 		HeartbeatInterval: beat, EntryValid: valid, Address: address,
-		Place: poller.Place{DataCentre: p.s.DataCentre, Region: p.s.Region},
+		Place: poller.Place{DataCentre: p.s.DataCentre, Region: p.s.Region}, RegionOf: p.s.Regions,
 	})
 	if err := p.serve("control", p.s.Listen.Control, p.control.ControlRoutes()); err != nil {
 		return err
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -30,6 +30,7 @@
 	configBehind  = "config_behind_seconds"
 	upstreams     = "upstreams"
 	suspects      = "suspect_contents"
+	evacuated     = "evacuated_data_centres"
 	stageWaiting  = "stage_waiting"
 	stageOldest   = "stage_oldest_seconds"
 	stageCalls    = "stage_calls_total"
@@ -61,6 +62,7 @@
 	{Name: configBehind, Type: stats.Gauge, Help: "For how long an entry node has known of a newer configuration than the one in force; 0 if of none."},
 	{Name: upstreams, Type: stats.Gauge, Labels: []string{"state"}, Help: "Registered upstreams by state: 1 ready, 2 leaving, 3 gone."},
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
+	{Name: evacuated, Type: stats.Gauge, Help: "Evacuated data centres: stored by a control node, in force on an entry node."},
 	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
 	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
 	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
@@ -133,6 +135,7 @@
 		page.Set(upstreams, float64(states[state]), stats.Tags{"state": strconv.Itoa(int(state))})
 	}
 	page.Set(suspects, float64(p.control.Suspects()), nil)
+	page.Set(evacuated, float64(len(p.control.Evacuations().DataCentres)), nil)
 }
 
 func (p *Process) sampleEntry(page *stats.Page) {
@@ -141,6 +144,7 @@
 	page.Set(configVersion, float64(p.poller.Version()), nil)
 	page.Set(configBehind, p.poller.Behind().Seconds(), nil)
 	page.Set(suspects, float64(p.blocklist.Len()), nil)
+	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
--- a/internal/state/quorum/quorum.go
+++ b/internal/state/quorum/quorum.go
@@ -221,6 +221,35 @@
 	return err
 }
 
+var errFull = errors.Newf("the control group stores %d permanent notices, which is the limit", vdoc.MaxPermanent)
+
+// ProposePermanent stores a permanent notice; once it returns nil, the notice survives a restart of all members until it is removed.
+// After an error the notice may or may not take effect.
+func (m *Member) ProposePermanent(ctx context.Context, n vdoc.Notice) error {
+	body, err := vdoc.EncodePermanent(n)
+	if err != nil {
+		return err
+	}
+	result, err := m.propose(ctx, body)
+	if err == nil && result.Full {
+		return errFull
+	}
+	return err
+}
+
+// ProposeRemoval removes the permanent notice under a key. After an error the removal may or may not take effect.
+func (m *Member) ProposeRemoval(ctx context.Context, key string) error {
+	body, err := vdoc.EncodeRemoval(key)
+	if err != nil {
+		return err
+	}
+	_, err = m.propose(ctx, body)
+	return err
+}
+
+// Permanent returns the permanent notices that this member has applied, and the log index of the last change of them.
+func (m *Member) Permanent() (list []vdoc.Notice, index uint64) { return m.replica.Permanent() }
+
 func (m *Member) propose(ctx context.Context, command []byte) (vdoc.Result, error) {
 	g := m.node.Load()
 	if g == nil {
--- a/internal/state/vdoc/vdoc.go
+++ b/internal/state/vdoc/vdoc.go
@@ -8,6 +8,9 @@
 // Notices are short messages that must survive a restart of all members, such as the departure of an upstream. They do not
 // depend on the document. Only the newest maxNotices are kept.
 //
+// A permanent notice, such as the order to evacuate a data centre, is kept until it is removed. All permanent notices share the log
+// index of the last command that changed them, which orders their states across members and restarts.
+//
 // Usage:
 //
 //	r := vdoc.New(func(d vdoc.Document) { ... }) // called for each new version, from the group's goroutine
@@ -19,6 +22,10 @@
 //	_, err = group.Propose(ctx, body)
 //	list, last := r.Notices(0)    // all of them
 //	list, last = r.Notices(last)  // those stored since
+//
+//	body, err = vdoc.EncodePermanent(vdoc.Notice{Key: "evacuation/dc-1"})
+//	body, err = vdoc.EncodeRemoval("evacuation/dc-1")
+//	list, index := r.Permanent()
 package vdoc
 
 import (
@@ -37,27 +44,34 @@
 }
 
 // command is the encoding of a Document in the log, of a Notice in the log, and of the whole state in snapshots. Members of
-// releases without notices take a Notice for a document of version 0, which has no effect.
+// releases without notices take a Notice for a document of version 0, which has no effect. Releases without permanent notices take
+// a command with one in the same way.
 type command struct {
 	Version    uint64   `cbor:"1,keyasint"`
 	Body       []byte   `cbor:"2,keyasint"`
 	Compressed bool     `cbor:"3,keyasint,omitempty"` // Body is compressed with package pack
 	Notices    []Notice `cbor:"4,keyasint,omitempty"`
+
+	Permanent []Notice        `cbor:"5,keyasint,omitempty"` // stored by this command
+	Removed   []string        `cbor:"6,keyasint,omitempty"` // keys of permanent notices that this command removes
+	State     *permanentState `cbor:"7,keyasint,omitempty"` // in snapshots
 }
 
 // Result is the outcome of a command.
 type Result struct {
-	Changed bool   `cbor:"1,keyasint"` // the command's document was stored
-	Version uint64 `cbor:"2,keyasint"` // stored version after the command
+	Changed bool   `cbor:"1,keyasint"`           // the command's document was stored
+	Version uint64 `cbor:"2,keyasint"`           // stored version after the command
+	Full    bool   `cbor:"3,keyasint,omitempty"` // a permanent notice was rejected, because there are MaxPermanent
 }
 
 // Replica implements raftd.Replica. Latest may be called from any goroutine.
 type Replica struct {
 	notify func(Document)
 
-	mu      sync.Mutex
-	latest  Document
-	notices noticeList
+	mu        sync.Mutex
+	latest    Document
+	notices   noticeList
+	permanent permanentSet
 }
 
 // New returns an empty replica. notify is called after each change with the new document, which must not be modified.
@@ -71,7 +85,7 @@
 }
 
 // Apply applies one command and returns an encoded Result. A malformed command changes nothing.
-func (r *Replica) Apply(_ uint64, data []byte) []byte {
+func (r *Replica) Apply(index uint64, data []byte) []byte {
 	c, err := decodeCommand(data)
 	if err != nil {
 		// Every member applies the same bytes, so all of them reject the command alike and their states stay equal.
@@ -79,7 +93,7 @@
 	}
 	changed := r.storeIfNewer(c.document())
 	r.storeNotices(c.Notices)
-	return encodeResult(Result{Changed: changed, Version: r.Latest().Version})
+	return encodeResult(Result{Changed: changed, Version: r.Latest().Version, Full: r.applyPermanent(index, c)})
 }
 
 // storeIfNewer stores d if its version is higher than the stored one, and reports whether it did.
@@ -96,14 +110,24 @@
 	return changed
 }
 
+func (r *Replica) applyPermanent(index uint64, c command) (full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.permanent.apply(index, c)
+}
+
 // Snapshot returns the stored document and the notices, encoded like a command.
 func (r *Replica) Snapshot() ([]byte, error) {
 	c := newCommand(r.Latest())
 	c.Notices, _ = r.Notices(0)
+	if list, index := r.Permanent(); index > 0 {
+		c.State = &permanentState{List: list, Index: index}
+	}
 	return cbor.Marshal(c)
 }
 
-// Restore stores the document of a snapshot unless the stored one is at least as new, and its notices.
+// Restore stores the document of a snapshot unless the stored one is at least as new, its notices, and its permanent notices unless
+// the present ones are at least as new.
 func (r *Replica) Restore(data []byte) error {
 	c, err := decodeCommand(data)
 	if err != nil {
@@ -111,6 +135,11 @@
 	}
 	r.storeIfNewer(c.document())
 	r.storeNotices(c.Notices)
+	if c.State != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.permanent.restore(*c.State)
+	}
 	return nil
 }
 
--- a/internal/state/vdoc/vdoc_test.go
+++ b/internal/state/vdoc/vdoc_test.go
@@ -26,11 +26,11 @@
 		body    string
 		want    Result
 	}{
-		{3, "a", Result{true, 3}},
-		{3, "other", Result{false, 3}},
-		{2, "old", Result{false, 3}},
-		{9, "b", Result{true, 9}},
-		{3, "a", Result{false, 9}},
+		{3, "a", Result{Changed: true, Version: 3}},
+		{3, "other", Result{Changed: false, Version: 3}},
+		{2, "old", Result{Changed: false, Version: 3}},
+		{9, "b", Result{Changed: true, Version: 9}},
+		{3, "a", Result{Changed: false, Version: 9}},
 	} {
 		assert.Equal(t, apply(t, r, c.version, c.body), c.want)
 	}
@@ -56,7 +56,7 @@
 	apply(t, r, 4, "x")
 	result, err := DecodeResult(r.Apply(2, []byte{0xff, 0x01}))
 	assert.NilError(t, err)
-	assert.Equal(t, result, Result{false, 4})
+	assert.Equal(t, result, Result{Changed: false, Version: 4})
 }
 
 // Guards against uncompressed configurations in the log: 10 versions of 1,400 routes within 5 s exceed the capacity of a link
