--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -31,6 +31,7 @@
 	upstreams     = "upstreams"
 	suspects      = "suspect_contents"
 	coldUpstreams = "cold_upstreams"
+	evacuated     = "evacuated_data_centres"
 	stageWaiting  = "stage_waiting"
 	stageOldest   = "stage_oldest_seconds"
 	stageCalls    = "stage_calls_total"
@@ -64,6 +65,7 @@
 	{Name: upstreams, Type: stats.Gauge, Labels: []string{"state"}, Help: "Registered upstreams by state: 1 ready, 2 leaving, 3 gone."},
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
 	{Name: coldUpstreams, Type: stats.Gauge, Help: "Upstreams that are cold and whose requests are limited, as an entry node sees them."},
+	{Name: evacuated, Type: stats.Gauge, Help: "Evacuated data centres: stored by a control node, in force on an entry node."},
 	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
 	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
 	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
@@ -137,6 +139,7 @@
 		page.Set(upstreams, float64(states[state]), stats.Tags{"state": strconv.Itoa(int(state))})
 	}
 	page.Set(suspects, float64(p.control.Suspects()), nil)
+	page.Set(evacuated, float64(len(p.control.Evacuations().DataCentres)), nil)
 }
 
 func (p *Process) sampleEntry(page *stats.Page) {
@@ -150,6 +153,7 @@
 		page.Set(engineSpeed, s.Most, stats.Tags{"service": s.Service, "region": s.Region, "bound": "most"})
 	}
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
+	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
