Apply changed region lists to requests that wait for stages

Cause: pieces that were queued before a change of the lists were still called in a region that is no longer allowed, and results made there were still handed to the next upstream. Requests of callers in a region that their route forbids were all placed in one of the allowed regions.

Change: a request with stages compares the regions of its pieces with the lists in force before each group of pieces, before its results are named to an upstream, and every 250 ms. If one is no longer allowed, its queued pieces there are cancelled (Batcher.CancelQueue, one queue only), its results are freed, and its stages begin again.

Measured: tests only. Not covered: ending the local wait for a cancelled group, and the repetition of the cancel message.

--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -252,12 +252,26 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.cancelLocal(request)
+	m.cancelLocal(request, queueKey{})
 }
 
-func (m *Batcher) cancelLocal(request string) {
-	for _, q := range m.queues {
-		q.Cancel(request)
+// CancelQueue removes the waiting pieces of a request from the queue of a service in a region, here and at the node that they were
+// forwarded to. Its pieces in other queues are kept.
+func (m *Batcher) CancelQueue(request, service, region, owner string) {
+	if owner != m.o.Peer {
+		m.sendMessage(owner, message{Cancel: request, Service: service, Region: region})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancelLocal(request, queueKey{service, region})
+}
+
+// cancelLocal removes the waiting pieces of a request from one queue, or from all if only is zero.
+func (m *Batcher) cancelLocal(request string, only queueKey) {
+	for p, q := range m.queues {
+		if only == (queueKey{}) || only == p {
+			q.Cancel(request)
+		}
 	}
 }
 
@@ -289,7 +303,7 @@
 		m.freeService(q.Service, q.Free)
 		m.forget(q.Service, q.Forget)
 		if q.Cancel != "" {
-			m.cancelLocal(q.Cancel)
+			m.cancelLocal(q.Cancel, queueKey{q.Service, q.Region})
 		}
 		return nil, nil
 	}
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -72,10 +72,10 @@
 	f := x.f
 	r := x.engineRequest()
 	regions := f.engineRegions(x.allowedRegions(), x.service, x.route.Stages)
-	homeRegion := r.HomeRegion(f.o.Region, f.reachableRegions(regions))
+	homeRegion := x.homeRegion(r, f.reachableRegions(regions))
 	p := x.placeInRegion(homeRegion, r)
 	if p == nil && !f.reachable(homeRegion) {
-		p = x.placeInRegion(r.HomeRegion(f.o.Region, f.reachableRegions(regions)), r)
+		p = x.placeInRegion(x.homeRegion(r, f.reachableRegions(regions)), r)
 	}
 	return p
 }
--- a/internal/gate/proxy/regions.go
+++ b/internal/gate/proxy/regions.go
@@ -1,9 +1,16 @@
 package proxy
 
 import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/rendez"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/region"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/stage"
 )
 
 // regionCheck caches the regions that a request may use, by the table that they were read from.
@@ -85,3 +92,91 @@
 	}
 	return x.gatewayError("no upstream of service "+service+" accepts requests in the allowed regions: "+allowed.String(), x.f.spread(retryLater))
 }
+
+// homeRegion returns the region to place the request in. HomeRegion sends all requests without shared parts that cannot run in the
+// node's own region to one other region; those that may not run there are distributed over the allowed regions.
+func (x *exchange) homeRegion(r engine.Request, regions []engine.Region) string {
+	if len(r.Parts) > 1 || x.allowedRegions().Allows(x.f.o.Region) {
+		return r.HomeRegion(x.f.o.Region, regions)
+	}
+	sizes := make([]rendez.WeightedNode, len(regions))
+	for i, a := range regions {
+		sizes[i] = rendez.WeightedNode{Name: a.Name, Weight: float64(a.Engines)}
+	}
+	return rendez.Pick(x.id, sizes)
+}
+
+// regionCheckInterval is how often a request that waits for its stages compares their regions with the lists in force. It is short
+// compared with the 3 s within which a changed list takes effect.
+const regionCheckInterval = 250 * time.Millisecond
+
+// stageGroup is a group of pieces that was requested from a queue.
+type stageGroup struct {
+	service, region, owner string
+	cancel                 context.CancelFunc
+}
+
+// followRegions applies a changed list of regions to a request with stages. If a piece was requested from a region that is no longer
+// allowed, all stages begin again, because the later ones read results of the earlier ones; the result is then true, and the pieces
+// of the new plan have not been requested. A placement in such a region is replaced.
+func (s *stageRun) followRegions() bool {
+	x := s.x
+	allowed := x.allowedRegions()
+	forbidden := func(g stageGroup) bool { return !allowed.Allows(g.region) }
+	s.repeatCancels()
+	restart := slices.ContainsFunc(s.groups, forbidden)
+	if restart {
+		s.restart(forbidden)
+	}
+	if x.placement != nil && !x.mayUse(x.placement.upstream) {
+		x.f.notifyEnd(x.placement, engine.Cancelled)
+		if restart {
+			x.stages = nil // makes the placer count the stages again
+		}
+		x.placement = x.requestPlacement()
+		x.stages = s
+		s.homeDataCentre = x.homeDataCentre()
+	}
+	return restart
+}
+
+// restart cancels the groups that are no longer allowed, frees all results and begins a new plan. Pieces in other regions are
+// not cancelled, because their queues get pieces of the same names again; their results are freed when they arrive.
+func (s *stageRun) restart(forbidden func(stageGroup) bool) {
+	x := s.x
+	for _, g := range s.groups {
+		if forbidden(g) {
+			g.cancel()
+			x.f.o.Batcher.CancelQueue(x.id, g.service, g.region, g.owner)
+			s.cancelled = append(s.cancelled, g)
+		}
+	}
+	s.releaseResults()
+	s.freePending()
+	plan, err := stage.NewPlan(x.id, x.r.Header.Get(x.f.o.Dialect.Headers.PieceKey), x.route.Stages, s.counts)
+	if err != nil { // cannot happen: the same counts were accepted before
+		panic(err)
+	}
+	s.plan, s.results, s.pending, s.groups, s.reason = plan, make(chan stageResult, cap(s.results)), 0, nil, stage.ReasonNone
+}
+
+// repeatCancels cancels the groups of the last restart once more: the owner of a queue may handle the first message before it has
+// added the pieces.
+func (s *stageRun) repeatCancels() {
+	x := s.x
+	for _, g := range s.cancelled {
+		if !x.allowedRegions().Allows(g.region) {
+			x.f.o.Batcher.CancelQueue(x.id, g.service, g.region, g.owner)
+		}
+	}
+	s.cancelled = nil
+}
+
+// renewStages runs the stages again if their results are in a region that is no longer allowed. It is called before the results are
+// named to an upstream.
+func (x *exchange) renewStages() *refusal {
+	if x.stages == nil || !x.stages.followRegions() {
+		return nil
+	}
+	return x.stages.run()
+}
--- a/internal/gate/proxy/regions_test.go
+++ b/internal/gate/proxy/regions_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
@@ -24,6 +25,7 @@
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/test/rawup"
+	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
 
@@ -31,8 +33,10 @@
 type regionProxy struct {
 	*testProxy
 	view   atomic.Pointer[poller.View]
+	owner  *batch.Batcher             // runs the queues of region n
 	ups    map[string]*rawup.Upstream // by ID, which is the service and the data centre
 	onView func()                     // called before the Forwarder reads the view; may be nil
+	stream bool                       // all routes are streams that may resume
 }
 
 var testRegions = map[string]string{"a": "n", "b": "s", "c": "w"}
@@ -40,6 +44,11 @@
 // newRegionProxy starts a Forwarder with a route for each kind of choice: /plain/, /engine/ and /stages/, the last one with an
 // engine and two stages. answer replaces the answers of upstreams; false leaves the request to the usual answer.
 func newRegionProxy(t *testing.T, answer func(id string, c *rawup.Conn, r *rawup.Request) bool) *regionProxy {
+	return newRegionProxyBeside(t, false, answer)
+}
+
+// newRegionProxyBeside starts a Forwarder whose node owns all queues, or one beside a node that owns those of region n.
+func newRegionProxyBeside(t *testing.T, remoteOwner bool, answer func(id string, c *rawup.Conn, r *rawup.Request) bool) *regionProxy {
 	p := &regionProxy{ups: map[string]*rawup.Upstream{}}
 	view := &poller.View{Services: map[string][]roster.Upstream{}}
 	for _, service := range []string{"desk", "models", "prepare", "join"} {
@@ -65,12 +74,37 @@
 	events := event.New(event.Options{Node: "e1", Clock: c})
 	d := proto.Own()
 	pool := upcon.New(upcon.Options{Clock: c, IDHeader: d.Headers.RequestID})
-	mk := batch.New(batch.Options{
-		Node: "e1", Peer: "self", RegionOf: testRegions, Dialect: d, Clock: c, Events: events, View: p.view.Load, Pool: pool,
-	})
+	hub := func(name string, handle func(context.Context, []byte) ([]byte, error)) *peer.Hub {
+		h, err := peer.New(peer.Options{
+			ID: name, Address: "127.0.0.1:0", Clock: c, Events: events,
+			Handle: func(ctx context.Context, _ string, kind peer.Kind, body []byte) ([]byte, error) {
+				if kind == peer.KindPlace {
+					return cbor.Marshal(placeReply{Ticket: 7, ID: "models-a"})
+				}
+				return handle(ctx, body)
+			},
+		})
+		assert.NilError(t, err)
+		t.Cleanup(h.Close)
+		return h
+	}
+	batcher := func(name string, h *peer.Hub) *batch.Batcher {
+		return batch.New(batch.Options{
+			Node: name, Peer: h.Address(), RegionOf: testRegions, Dialect: d, Clock: c, Events: events, View: p.view.Load, Hub: h, Pool: pool,
+		})
+	}
+	own := hub("e1", func(context.Context, []byte) ([]byte, error) { return nil, nil })
+	mk := batcher("e1", own)
+	p.owner = mk
+	if remoteOwner {
+		h := hub("e2", func(ctx context.Context, body []byte) ([]byte, error) { return p.owner.Handle(ctx, body) })
+		p.owner = batcher("e2", h)
+		t.Cleanup(p.owner.Close)
+		view.Entries = []roster.Entry{{Node: "e2", Peer: h.Address(), DataCentre: "a", Region: "n", Ready: true}}
+	}
 	f := New(Options{
 		Node: "e1", DataCentre: "a", Region: "n", RegionOf: testRegions, Dialect: d, Clock: c, Events: events,
-		View: p.loadView, Pool: pool, Batcher: mk, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
+		View: p.loadView, Pool: pool, Batcher: mk, Hub: own, RetryBudget: RetryBudget{Ratio: 1, Window: time.Second, Slack: 100},
 		Crashes: deny.New(), ReportCrashes: func() {}, RefreshCrashes: func(context.Context) {},
 	})
 	server := httptest.NewServer(f)
@@ -103,7 +137,8 @@
 }
 
 func regionConfig(change func(*conf.Config)) *conf.Config {
-	pool := &conf.Pool{Slots: 1, Queue: 1, Batch: 8, CallTime: 10, ItemTime: 1, ResultMemoryMB: 1, HandleTTL: 4000, LinkMbps: 1000}
+	// The length of the queue makes an unanswered call last 2.2 s, longer than a change of the lists takes.
+	pool := &conf.Pool{Slots: 1, Queue: 30, Batch: 8, CallTime: 10, ItemTime: 1, ResultMemoryMB: 1, HandleTTL: 4000, LinkMbps: 1000}
 	cfg := &conf.Config{
 		Version: 1,
 		Services: []conf.Service{
@@ -134,6 +169,9 @@
 	p.configure(func(cfg *conf.Config) {
 		for i := range cfg.Routes {
 			cfg.Routes[i].Regions = routes
+			if p.stream {
+				cfg.Routes[i].Kind, cfg.Routes[i].Resume = conf.Stream, true
+			}
 		}
 		cfg.Teams[0].Regions = team
 	})
@@ -344,3 +382,142 @@
 		assert.Assert(t, last > 3)
 	}
 }
+
+// Guards against pieces that are called in a region after the list excludes it. One request is in a call that is never answered, the
+// others wait behind it; all must be served in the region that is allowed now, well before their time is over.
+func TestQueuedPiecesLeaveARegionThatIsNoLongerAllowed(t *testing.T) {
+	for _, remoteOwner := range []bool{false, true} {
+		t.Run(fmt.Sprint("remote owner ", remoteOwner), func(t *testing.T) { testQueuedPiecesLeave(t, remoteOwner) })
+	}
+}
+
+func testQueuedPiecesLeave(t *testing.T, remoteOwner bool) {
+	called := make(chan bool, 100)
+	p := newRegionProxyBeside(t, remoteOwner, func(id string, c *rawup.Conn, r *rawup.Request) bool {
+		if id != "prepare-a" {
+			return false
+		}
+		called <- true
+		_, _ = c.Read(make([]byte, 1)) // until the connection ends
+		return true
+	})
+	p.allow([]string{"n"}, nil)
+	var answers []<-chan result
+	for i := range 4 {
+		answers = append(answers, p.start(p.pieces(p.request("/stages/", fmt.Sprint("id", i)))))
+	}
+	wait(t, called)
+	waitUntil(t, func() bool { return p.queued("prepare", "n") == 6+1 })
+	assert.NilError(t, clock.Sleep(t.Context(), clock.Real(), 2*regionCheckInterval)) // the lists are compared more than once
+	changed := time.Now()
+	p.allow([]string{"s"}, nil)
+	for _, answer := range answers {
+		got := wait(t, answer)
+		assert.Equal(t, got.status, 200, got.body)
+	}
+	assert.Assert(t, time.Since(changed) < 3*time.Second)
+	waitUntil(t, func() bool { return p.queued("prepare", "n") == 0 }) // all pieces there have been called or cancelled
+	assert.Equal(t, len(p.ups["prepare-a"].Requests()), 1)
+	for id, up := range p.ups {
+		if id != "prepare-a" && id != "prepare-b" && id != "join-b" && id != "models-b" {
+			assert.Equal(t, len(up.Requests()), 0, id)
+		}
+	}
+}
+
+// queued returns the number of pieces that wait in a queue, and of its calls in flight.
+func (p *regionProxy) queued(service, region string) int {
+	n := 0
+	for _, q := range p.owner.Queues() {
+		if q.Service == service && q.Region == region {
+			n += q.CallsInFlight
+			for _, waiting := range q.Waiting {
+				n += waiting
+			}
+		}
+	}
+	return n
+}
+
+func waitUntil(t *testing.T, check func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	for !check() {
+		assert.NilError(t, clock.Sleep(ctx, clock.Real(), 5*time.Millisecond))
+	}
+}
+
+// The list changes while the engine refuses the request, when all stages are done. Guards against a second attempt in the new region
+// that reads the results in the old one.
+func TestResultsInARegionThatIsNoLongerAllowedAreMadeAgain(t *testing.T) {
+	var p *regionProxy
+	p = newRegionProxy(t, func(id string, c *rawup.Conn, r *rawup.Request) bool {
+		switch id {
+		case "models-a":
+			p.allow([]string{"s"}, nil)
+			c.WriteString(rawResponse(503, r.Header.Get("Berylledge-Request"), "full", "Berylledge-Not-Run: 1"))
+			return true
+		case "models-b":
+			c.WriteString(streamHead(r.Header.Get("Berylledge-Request")) + chunk(events(1, 2)) + "0\r\n\r\n")
+			return true
+		}
+		return false
+	})
+	p.stream = true
+	p.allow([]string{"n"}, nil)
+	got := p.ask("stages", "id1")
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Equal(t, got.body, events(1, 2))
+	sent := p.ups["models-b"].Requests()
+	assert.Equal(t, len(sent), 1)
+	inputs := sent[0].Header.Get("Berylledge-Inputs")
+	assert.Assert(t, strings.HasPrefix(inputs, "join-b-"), inputs)
+	assert.Equal(t, len(p.ups["prepare-b"].Requests()) > 0, true)
+}
+
+// Guards against a stream that resumes in a forbidden region, and against one that may not follow a changed list.
+func TestBrokenStreamResumesInAllowedRegions(t *testing.T) {
+	for _, moves := range []bool{false, true} {
+		var p *regionProxy
+		p = newRegionProxy(t, func(id string, c *rawup.Conn, r *rawup.Request) bool {
+			head := streamHead(r.Header.Get("Berylledge-Request"))
+			if id != "desk-a" {
+				c.WriteString(head + chunk(events(4, 6)) + "0\r\n\r\n")
+				return true
+			}
+			if moves {
+				p.allow([]string{"w"}, nil)
+			}
+			c.WriteString(head + chunk(events(1, 3)))
+			c.End()
+			return true
+		})
+		p.stream = true
+		p.allow([]string{"n"}, nil)
+		got := p.ask("plain", "id1")
+		if moves {
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 6))
+			assert.Equal(t, p.reached(), "ac")
+			continue
+		}
+		assert.Assert(t, got.err != nil)
+		assert.Equal(t, got.body, events(1, 3))
+		assert.Equal(t, p.reached(), "a")
+	}
+}
+
+// Callers in a region that a route does not allow send requests without shared parts. Guards against an engine region that gets
+// all of them while another allowed one is idle.
+func TestRequestsFromForbiddenRegionsUseAllAllowedOnes(t *testing.T) {
+	p := newRegionProxy(t, nil)
+	p.allow([]string{"s", "w"}, nil)
+	for i := range 40 {
+		assert.Equal(t, p.ask("engine", fmt.Sprint("id", i)).status, 200)
+	}
+	for _, id := range []string{"models-b", "models-c"} {
+		assert.Assert(t, len(p.ups[id].Requests()) >= 8, "%s: %d of 40", id, len(p.ups[id].Requests()))
+	}
+	assert.Equal(t, p.reached(), "bc")
+}
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +23,9 @@
 	reason         stage.Reason
 	homeDataCentre string // data centre of the engine that is expected to run the request
 	spans          []stage.GroupSpan
+	counts         []int        // pieces of each stage
+	groups         []stageGroup // requested for plan
+	cancelled      []stageGroup // by the last restart
 }
 
 // stageResult holds the results of pieces of one stage that were requested together.
@@ -58,7 +62,9 @@
 	if refused := x.admitOrMove(); refused != nil {
 		return nil, refused
 	}
-	return &stageRun{x: x, plan: plan, homeDataCentre: x.homeDataCentre(), results: make(chan stageResult, len(counts)*(1+maxRounds))}, nil
+	return &stageRun{
+		x: x, plan: plan, homeDataCentre: x.homeDataCentre(), results: make(chan stageResult, len(counts)*(1+maxRounds)), counts: counts,
+	}, nil
 }
 
 // maxRounds limits how often a stage can be requested.
@@ -67,6 +73,8 @@
 // run runs all pieces. When it returns a refusal, the request itself has not been sent to an upstream.
 func (s *stageRun) run() *refusal {
 	s.waitForHold()
+	check := s.x.f.o.Clock.NewTimer(regionCheckInterval)
+	defer check.Stop()
 	if refused := s.startReady(); refused != nil {
 		return refused
 	}
@@ -83,6 +91,11 @@
 			if refused := s.startReady(); refused != nil {
 				return refused
 			}
+		case <-check.C():
+			check.Reset(regionCheckInterval)
+			if refused := s.startReady(); refused != nil {
+				return refused
+			}
 		case <-s.x.f.drain.finishing.Done():
 			return s.x.stopRefusal()
 		case <-s.x.ctx.Done():
@@ -124,6 +137,7 @@
 // use can run them.
 func (s *stageRun) startReady() *refusal {
 	x := s.x
+	s.followRegions()
 	items := s.plan.Ready()
 	for len(items) > 0 {
 		number := items[0].Stage
@@ -146,15 +160,19 @@
 		jobs := s.buildJobs(group)
 		s.pending++
 		asked := x.f.o.Clock.Now()
+		results := s.results
+		ctx, cancel := context.WithCancel(x.ctx)
+		s.groups = append(s.groups, stageGroup{service, region, owner, cancel})
 		x.f.wg.Go(func() {
-			made, err := x.f.o.Batcher.Run(x.ctx, service, region, jobs)
-			if err != nil { // the request has ended
+			defer cancel()
+			made, err := x.f.o.Batcher.Run(ctx, service, region, jobs)
+			if err != nil { // the request has ended, or may no longer use the region
 				made = make([]batch.JobResult, len(group))
 				for i := range made {
 					made[i].Reason = stage.ReasonLost
 				}
 			}
-			s.results <- stageResult{group, made, asked, x.f.o.Clock.Now()}
+			results <- stageResult{group, made, asked, x.f.o.Clock.Now()}
 		})
 	}
 	return nil
@@ -257,15 +275,20 @@
 // end frees all results and cancels pieces that are still running.
 func (s *stageRun) end() {
 	s.releaseResults()
+	s.repeatCancels()
 	if s.pending == 0 {
 		return
 	}
 	s.x.f.o.Batcher.Cancel(s.x.id, s.owners)
-	// Results that arrive after this point are freed as well.
-	left := s.pending
+	s.freePending()
+}
+
+// freePending frees the results of pieces that are still running, when they arrive.
+func (s *stageRun) freePending() {
+	left, results := s.pending, s.results
 	s.x.f.wg.Go(func() {
 		for range left {
-			r := <-s.results
+			r := <-results
 			for i, m := range r.made {
 				if m.Handle != "" {
 					s.freeResults([]stage.Freed{{Service: s.x.route.Stages[r.items[i].Stage].Service, Owner: m.Owner, Handle: m.Handle, Upstream: m.Upstream}})
--- a/internal/gate/proxy/stream.go
+++ b/internal/gate/proxy/stream.go
@@ -30,6 +30,10 @@
 func (x *exchange) forwardStream() {
 	s := &eventStream{x: x, lastID: x.r.Header.Get(x.f.o.Dialect.Headers.LastEvent)}
 	for {
+		if refused := x.renewStages(); refused != nil {
+			x.refuse(*refused)
+			return
+		}
 		resp, refused := x.attempt(x.affinityKey(), s.headers())
 		if refused != nil {
 			x.refuse(*refused)
