Test that cancelled pieces are not taken over by the next queue owner

Cause: no test failed when the local wait for a cancelled group of pieces was not ended. Without that, the group's pieces are forwarded again in the forbidden region when the owner of their queue stops.

Change: TestCancelledPiecesAreNotRunByTheNextOwner.

Measured: the test fails with the cancelling of the wait taken out.

--- a/internal/gate/proxy/regions_test.go
+++ b/internal/gate/proxy/regions_test.go
@@ -521,3 +521,37 @@
 	}
 	assert.Equal(t, p.reached(), "bc")
 }
+
+// The node that owns a queue stops after the list excluded the queue's region, while the request is still in progress elsewhere. Guards
+// against cancelled pieces that the next owner, here the node itself, runs in that region.
+func TestCancelledPiecesAreNotRunByTheNextOwner(t *testing.T) {
+	called, engine, release := make(chan bool, 10), make(chan bool, 10), make(chan bool)
+	p := newRegionProxyBeside(t, true, func(id string, c *rawup.Conn, _ *rawup.Request) bool {
+		switch id {
+		case "prepare-a":
+			called <- true
+			_, _ = c.Read(make([]byte, 1)) // until the connection ends
+			return true
+		case "models-b":
+			engine <- true
+			<-release
+		}
+		return false
+	})
+	p.allow([]string{"n"}, nil)
+	answer := p.start(p.pieces(p.request("/stages/", "id1")))
+	wait(t, called)
+	p.allow([]string{"s"}, nil)
+	wait(t, engine)
+	now := *p.view.Load()
+	now.Entries = nil
+	p.view.Store(&now)
+	p.owner.Close()
+	assert.NilError(t, clock.Sleep(t.Context(), clock.Real(), 200*time.Millisecond)) // longer than the next owner takes to send a call
+	close(release)
+	assert.Equal(t, wait(t, answer).status, 200)
+	for _, q := range p.forwarder.o.Batcher.Queues() {
+		assert.Assert(t, q.Region != "n", "the queue of %s was taken over", q.Service)
+	}
+	assert.Equal(t, len(p.ups["prepare-a"].Requests()), 1)
+}
