--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/batch"
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 )
@@ -188,15 +189,39 @@
 		after = s.plan.TimeAfter(number, *service.Pool)
 	}
 	due := x.due.Add(-after - x.forecast().EngineTime)
+	home := s.plan.DataCentreFor(number, s.homeDataCentre, s.dataCentreOfResults(st))
 	jobs := make([]stage.Job, len(group))
 	for i, item := range group {
 		jobs[i] = stage.Job{
-			Item: item, Rank: x.rank(), Home: s.homeDataCentre, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
+			Item: item, Rank: x.rank(), Home: home, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
 		}
 	}
 	return jobs
 }
 
+// dataCentreOfResults returns a function that returns the data centre of an upstream which keeps inputs of a stage, or "" if no upstream
+// of the stage's service accepts work there.
+func (s *stageRun) dataCentreOfResults(st conf.Stage) func(string) string {
+	x := s.x
+	view := x.f.o.View()
+	return func(upstream string) string {
+		at := ""
+		for _, a := range st.After {
+			for _, u := range view.Services[x.route.Stages[a].Service] {
+				if u.ID == upstream {
+					at = u.DataCentre
+				}
+			}
+		}
+		for _, u := range view.Services[st.Service] {
+			if u.DataCentre == at && u.State == roster.Ready && !u.Silent && x.mayUse(u) {
+				return at
+			}
+		}
+		return ""
+	}
+}
+
 // timeSplit breaks down the time spent in stages.
 func (s *stageRun) timeSplit() stage.LatencyBreakdown {
 	after := func(number int) []int { return s.x.route.Stages[number].After }
