Keep one account of the memory that callers, peers and answers hold

- internal/wire/memory is one account for a process, a structure with a lock and no goroutine.
Its bound is 0.4 times what limits.memory_mb leaves beside 40 MB.
When it is full, idle connections and unfinished heads, bodies and messages yield, by bytes times the seconds since they have last grown.
The last eighth is for holders below 64 KiB.
Answers and messages may have half each, bodies three quarters.
Without limits.memory_mb there is no account and the sum for answers is as before.
- httpd.Guard is between a listener and net/http, for callers, control, directory, ready, metrics and peers, and serve.
It refuses heads of more than 1,000 lines (431), also without an account, since one line of four bytes takes some 200 once it is parsed.
Heads of callers end at twice header_bytes plus 8 KiB of raw bytes, not at the 1 MiB of net/http.
With an account it charges heads and connections, and keeps open and busy connections within limits.descriptors.
- Bodies of callers: a body that yields gets 408, one for which there is no room 503 with Retry-After, both with Connection: close and before an upstream is chosen.
Once whole, a body counts as waiting for an upstream and no longer yields.
Bodies of other listeners and messages of peers are counted likewise.
- gate sets the memory limit of the runtime to limits.memory_mb less 32 MB unless GOMEMLIMIT is set.
- Metrics memory_*, connections, limit_reached_total; event limit_reached, one line a second for each limit.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -68,6 +68,7 @@
 	LinesLeftOut  Code = 4204
 	// ControlFollowed is of entry nodes that forward requests.
 	ControlFollowed Code = 4205
+	LimitReached    Code = 4206
 
 	LeaderChanged  Code = 5001
 	ControlFailed  Code = 5002
@@ -146,6 +147,7 @@
 	{ProcessReload, "process_reload", hclog.Info, "The settings were read again; only the seeds take effect without a restart.", []string{"seeds", "reason"}, ""},
 	{LinesLeftOut, "lines_left_out", hclog.Warn, "Log lines of one kind were left out, because there were more than the limit.", []string{"kind", "count"}, "See the counters at /metrics."},
 	{ControlFollowed, "control_followed", hclog.Info, "This entry node follows another control node from now on; sure says whether that one has all that was acknowledged, revision which configuration it had.", []string{"control", "sure", "data_centre", "revision"}, ""},
+	{LimitReached, "limit_reached", hclog.Warn, "A caller or another peer was refused or cut off because of a limit of this process; held is what it held in bytes, count how many there were since the last line on this limit, of which there is one a second.", []string{"limit", "peer", "held", "count"}, "See docs/OPERATIONS.md, callers outside the limits."},
 
 	{LeaderChanged, "leader_changed", hclog.Info, "The control group has another leader, as this member sees it.", []string{"leader", "term"}, ""},
 	{ControlFailed, "control_failed", hclog.Error, "This member of the control group has stopped, because its disk failed.", []string{"reason"}, "Replace the disk or the VM; see docs/OPERATIONS.md."},
--- a/internal/cli/cmds/gate.go
+++ b/internal/cli/cmds/gate.go
@@ -16,6 +16,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/node/gwnode"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Dialects are the ways to speak that the gate command offers, by name.
@@ -76,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitRuntime(s.Limits.MemoryBytes())
 	sink := event.NewSink(c.Root().Writer)
 	defer sink.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: level, Output: sink, JSONFormat: true})
--- a/internal/gate/proxy/buffers.go
+++ b/internal/gate/proxy/buffers.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Limits of the unfinished answers in memory. Upstreams in trouble may send bytes without end on all connections at the same
@@ -20,17 +22,31 @@
 
 var errBuffersInUse = errors.New("other unfinished answers hold the memory for this event")
 
-// bufferBudget counts the reserved bytes of all requests of a node.
+// bufferBudget counts the reserved bytes of all requests of a node that does not know the memory of its machine.
 type bufferBudget struct{ reserved atomic.Int64 }
 
-// reservation is the share of one request. It belongs to one goroutine.
+// reservation is the share of one request. It belongs to one goroutine. On a machine of known size the bytes are part of the account of
+// the process, and only memory.FreeBytes need no reservation.
 type reservation struct {
-	budget *bufferBudget
-	bytes  int64
+	budget  *bufferBudget
+	account *memory.Account // nil: the size is not known
+	held    *memory.Reservation
+	bytes   int64
+}
+
+// own returns the bytes that need no reservation.
+func (r *reservation) own() int64 {
+	if r.account != nil {
+		return memory.FreeBytes
+	}
+	return ownBufferBytes
 }
 
-// grow reserves one more step and reports whether the budget had it.
+// grow reserves one more step and reports whether there was room for it.
 func (r *reservation) grow() bool {
+	if r.account != nil {
+		return r.growAccount(bufferStepBytes)
+	}
 	if r.budget.reserved.Add(bufferStepBytes) > sharedBufferBytes {
 		r.budget.reserved.Add(-bufferStepBytes)
 		return false
@@ -39,9 +55,20 @@
 	return true
 }
 
-// cover reserves what a buffer of n bytes needs and reports whether the budget had it.
+func (r *reservation) growAccount(n int64) bool {
+	if r.held == nil {
+		r.held = r.account.Reserve(memory.Answer, nil)
+	}
+	if !r.held.Cover(r.bytes + n) {
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
+// cover reserves what a buffer of n bytes needs and reports whether there was room for it.
 func (r *reservation) cover(n int) bool {
-	for int64(n) > ownBufferBytes+r.bytes {
+	for int64(n) > r.own()+r.bytes {
 		if !r.grow() {
 			return false
 		}
@@ -51,6 +78,11 @@
 
 // release gives back all reserved bytes.
 func (r *reservation) release() {
+	if r.account != nil {
+		r.held.Release()
+		r.held, r.bytes = nil, 0
+		return
+	}
 	r.budget.reserved.Add(-r.bytes)
 	r.bytes = 0
 }
@@ -58,10 +90,17 @@
 // readBody reads the body of a response as far as it may be held in memory. If there is more, whole is false.
 func (r *reservation) readBody(resp *response) (body []byte, whole bool, err error) {
 	var b bytes.Buffer
+	held := r.own()
+	if small := min(resp.Length, ownBufferBytes); r.account != nil && small > held {
+		// A known length is reserved at once.
+		if !r.growAccount(small - held) {
+			return nil, false, nil
+		}
+		held = small
+	}
 	if resp.Length > 0 {
-		b.Grow(int(min(resp.Length, ownBufferBytes)) + bytes.MinRead)
+		b.Grow(int(min(resp.Length, held)) + bytes.MinRead)
 	}
-	held := int64(ownBufferBytes)
 	for {
 		_, err = io.CopyN(&b, resp.Body, held-int64(b.Len()))
 		if errors.Is(err, io.EOF) {
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/state/poison"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // exchange holds the state of one caller's request while this node handles it.
@@ -58,6 +59,7 @@
 	longestPause     time.Duration          // longest time between two forwarded events
 	failed           map[string]bool        // upstreams that failed this request
 	buffers          reservation
+	bodyHeld         *memory.Reservation // of body; nil for a small one
 	fingerprint      *poison.Fingerprint // computed on first use
 	crashesRefreshed bool                // crash reports were fetched since the last crash of this content
 }
@@ -148,8 +150,17 @@
 		in = http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, limit)
 	}
 	_ = x.w.control.SetReadDeadline(x.deadline) // if deadlines are not supported, the read has no time limit
-	body, err := io.ReadAll(in)
+	if f := x.f; f.o.Memory != nil && (x.r.ContentLength < 0 || x.r.ContentLength >= memory.FreeBytes) {
+		control := x.w.control
+		x.bodyHeld = f.o.Memory.Reserve(memory.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	}
+	body, err := x.bodyHeld.ReadAll(in, x.r.ContentLength)
+	if err == nil && !x.bodyHeld.Finish(memory.Upstream) {
+		err = os.ErrDeadlineExceeded // cut at the last moment
+	}
 	switch {
+	case errors.Is(err, memory.ErrFull), err != nil && x.bodyHeld.WasCut():
+		x.refuseBody(len(body))
 	case err == nil:
 		_ = x.w.control.SetReadDeadline(time.Time{}) // see above
 		x.body = body
@@ -168,6 +179,20 @@
 	return false
 }
 
+// refuseBody refuses a body for which there is no memory: one that has just begun, or one that yields to others.
+func (x *exchange) refuseBody(read int) {
+	f, limit := refusal{http.StatusServiceUnavailable, "the memory for bodies is in use", retryLater}, httpd.LimitBodies
+	if x.bodyHeld.WasCut() || read > 0 {
+		f, limit = refusal{http.StatusRequestTimeout, "the body did not arrive before others needed the memory", retryLater}, httpd.LimitBody
+	}
+	if x.f.o.Limited != nil {
+		x.f.o.Limited(httpd.Refusal{Limit: limit, Peer: x.r.RemoteAddr, Held: x.bodyHeld.Held()})
+	}
+	x.w.Header().Set("Connection", "close") // the rest of the body may still arrive
+	x.bodyHeld.Release()
+	x.writeRefusal(f) // a failed read has made net/http cancel the request's context, see readBody
+}
+
 // setDeadline sets the deadline of the request: the caller's deadline or the route's timeout, whichever is
 // earlier.
 func (x *exchange) setDeadline() {
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -43,6 +43,8 @@
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
@@ -68,6 +70,10 @@
 	// done.
 	RefreshCrashes func(context.Context)
 	Seed           uint64
+	// Memory counts bodies and answers with what the process holds besides; nil: the machine's size is not known.
+	Memory *memory.Account
+	// Limited is told which callers were refused for want of memory; nil: nobody is.
+	Limited func(httpd.Refusal)
 }
 
 // Forwarder forwards requests; it is an http.Handler.
@@ -238,8 +244,9 @@
 	f.closeWhenDraining(w)
 	x := &exchange{
 		f: f, w: newCallerWriter(w, f.o.Clock), r: r, start: f.o.Clock.Now(), id: r.Header.Get(f.o.Dialect.Headers.RequestID),
-		buffers: reservation{budget: &f.buffers},
+		buffers: reservation{budget: &f.buffers, account: f.o.Memory},
 	}
 	defer x.buffers.release()
+	defer func() { x.bodyHeld.Release() }()
 	x.serve()
 }
--- a/internal/node/gwnode/callers.go
+++ b/internal/node/gwnode/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
 // callerListener accepts callers' connections and closes those that are unused for too long or whose request's head does not
@@ -19,6 +20,7 @@
 	clock  clock.Clock
 	limits func() conf.Limits // 0: no limit
 	open   atomic.Int64       // connections
+	guard  *httpd.Guard       // of Listener; nil in tests of the times alone
 }
 
 // Accept waits for a connection.
@@ -91,6 +93,9 @@
 	if !ok {
 		return
 	}
+	if l.guard != nil {
+		l.guard.ConnState(c.Conn, s)
+	}
 	switch s {
 	case http.StateNew:
 		l.open.Add(1)
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -32,6 +32,7 @@
 	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
@@ -71,6 +72,8 @@
 	http      *http.Server
 	callers   *callerListener
 
+	account  *memory.Account // nil: the memory of the VM is not known
+	refused  *refusalLog
 	page     *stats.Page        // metrics; nil without an address for them
 	sampled  map[queueName]bool // queues whose state was published last; owned by the page's goroutine
 	servers  []*httpd.Server
@@ -87,6 +90,7 @@
 		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger, Keep: keptEvents, PerSecond: linesPerSecond}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.account, p.refused = newAccount(s.Limits, o.Clock), newRefusalLog(o.Clock, p.events)
 	p.setSeeds(s)
 	if err := p.start(); err != nil {
 		p.Close()
@@ -128,6 +132,7 @@
 	address := p.s.ownPeer()
 	p.hub, err = peer.New(peer.Options{
 		ID: p.s.Node, Address: p.s.peerAddress(p.s.IP), Clock: p.o.Clock, Events: p.events, Handle: p.handle, Dial: p.o.Dial,
+		Account: p.account, Refused: p.refused.add,
 	})
 	if err != nil {
 		return err
@@ -155,7 +160,9 @@
 
 // serve starts a server for go-zero routes.
 func (p *Process) serve(name, address string, routes []rest.Route) error {
-	s, err := httpd.New(httpd.Options{Name: name, Address: address, MaxBytes: maxConfigBytes}, routes)
+	s, err := httpd.New(httpd.Options{
+		Name: name, Address: address, MaxBytes: maxConfigBytes, Account: p.account, Refused: p.refused.add,
+	}, routes)
 	if err != nil {
 		return err
 	}
@@ -239,8 +246,10 @@
 		Clock: p.o.Clock, Events: p.events, View: p.poller.View, Pool: p.pool, Batcher: p.batcher, Hub: p.hub,
 		RetryBudget: proxy.RetryBudget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
 		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
+		Memory: p.account, Limited: p.refused.add,
 	})
-	p.callers = &callerListener{Listener: listener, clock: p.o.Clock, limits: p.callerLimits}
+	guard := &httpd.Guard{Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.add}
+	p.callers = &callerListener{Listener: guard.Listen(listener), clock: p.o.Clock, limits: p.callerLimits, guard: guard}
 	p.http = &http.Server{Handler: p.forwarder, ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
 	p.wg.Go(func() { _ = p.http.Serve(p.callers) }) // returns an error once the listener is closed
 	if p.s.Listen.Ready == "" {
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -37,6 +37,12 @@
 	stageEnds     = "stage_ends_total"
 	stageRoom     = "stage_room_bytes"
 	stageLimit    = "stage_room_limit_bytes"
+	memoryHeld    = "memory_held_bytes"
+	memoryBound   = "memory_bound_bytes"
+	memoryCuts    = "memory_cuts_total"
+	memoryRefused = "memory_refusals_total"
+	connections   = "connections"
+	limitReached  = "limit_reached_total"
 )
 
 var (
@@ -68,6 +74,12 @@
 	{Name: stageEnds, Type: stats.Counter, Labels: append([]string{"end"}, byQueue...), Help: "Pieces by their end: made, no_room, late, refused, failed, unwanted."},
 	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
 	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
+	{Name: memoryHeld, Type: stats.Gauge, Labels: byKind, Help: "Bytes that the account of memory holds, by kind: connection (with heads), body, upstream (bodies that wait for one), answer, message; 0 without limits.memory_mb, as are the next four."},
+	{Name: memoryBound, Type: stats.Gauge, Help: "Bytes that the account may hold."},
+	{Name: memoryCuts, Type: stats.Counter, Labels: byKind, Help: "Unfinished or idle holders that were told to end, by kind."},
+	{Name: memoryRefused, Type: stats.Counter, Labels: byKind, Help: "Holders for which there was no room, by kind."},
+	{Name: connections, Type: stats.Gauge, Labels: []string{"state"}, Help: "Incoming connections of all listeners: open, and busy with a request."},
+	{Name: limitReached, Type: stats.Counter, Labels: []string{"limit"}, Help: "Peers that were refused or cut off, by limit: head_lines, head_bytes, heads, connections, idle, bodies, body_cut."},
 }
 
 // MetricsPage renders the catalogue as the page docs/gate_metrics.md.
@@ -115,6 +127,7 @@
 		page.Raise(peerMessages, v.Messages, tags)
 	}
 	page.Raise(peerDropped, c.Dropped, nil)
+	p.sampleMemory(page)
 	if p.member != nil {
 		p.sampleControl(page)
 	}
@@ -123,6 +136,22 @@
 	}
 }
 
+func (p *Process) sampleMemory(page *stats.Page) {
+	u := p.account.Usage()
+	page.Set(memoryBound, float64(u.Bound), nil)
+	for _, k := range u.Kinds {
+		tags := stats.Tags{"kind": k.Kind.String()}
+		page.Set(memoryHeld, float64(k.Bytes), tags)
+		page.Raise(memoryCuts, k.Cuts, tags)
+		page.Raise(memoryRefused, k.Refusals, tags)
+	}
+	page.Set(connections, float64(u.Open), stats.Tags{"state": "open"})
+	page.Set(connections, float64(u.Busy), stats.Tags{"state": "busy"})
+	for limit, n := range p.refused.counts() {
+		page.Raise(limitReached, n, stats.Tags{"limit": limit})
+	}
+}
+
 func (p *Process) sampleControl(page *stats.Page) {
 	s, _ := p.member.Status() // zero values before the group is formed
 	page.Set(groupTerm, float64(s.Raft.Term), nil)
--- /dev/null
+++ b/internal/wire/httpd/guard.go
@@ -0,0 +1,265 @@
+package httpd
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/berylledge/berylledge/internal/wire/memory"
+)
+
+// Limits of a head beside its size. net/http keeps each header line as strings and an entry of a map, some 200 bytes for a line of
+// four, and reads lines for as long as the size allows.
+const (
+	// maxHeadLines is far above the heads of sound callers: 16 KiB hold 400 lines of 40 bytes.
+	maxHeadLines = 1000
+	// headLineBytes and headByteFactor are what a head is charged: the parsed lines and their copy for an upstream.
+	headLineBytes  = 300
+	headByteFactor = 2
+	// headSlack and the doubled limit leave room for what the configured size does not count: colons, white space and line ends.
+	headSlack = 8 << 10
+)
+
+// Names of limits in log lines and metrics.
+const (
+	LimitHeadLines   = "head_lines"
+	LimitHeadBytes   = "head_bytes"
+	LimitHeads       = "heads"       // the memory for heads is in use, or the head yielded
+	LimitConnections = "connections" // no descriptor or memory for a connection
+	LimitIdle        = "idle"        // an idle connection yielded
+	LimitBodies      = "bodies"      // the memory for bodies is in use
+	LimitBody        = "body_cut"    // an unfinished body yielded
+)
+
+// Refusal is a peer that was refused or cut because of a limit.
+type Refusal struct {
+	Limit string
+	Peer  string
+	Held  int64 // bytes
+}
+
+// Guard bounds what connections hold before a handler sees their requests: the size and the lines of a head always, and, with an
+// account, the connections and all heads together.
+type Guard struct {
+	Account *memory.Account
+	// Internal listeners may use descriptors that callers leave free.
+	Internal bool
+	// HeadBytes returns the limit of a head as a configuration counts it, names and values; 0: no limit.
+	HeadBytes func() int
+	// Refused is told each refusal; nil: nobody is. It must not block.
+	Refused func(Refusal)
+}
+
+// Report tells a refusal.
+func (g *Guard) Report(limit, peer string, held int64) {
+	if g.Refused != nil {
+		g.Refused(Refusal{limit, peer, held})
+	}
+}
+
+// Listen returns a listener whose connections are bounded. ConnState must be the hook of the server.
+func (g *Guard) Listen(l net.Listener) net.Listener { return &guardListener{l, g} }
+
+type guardListener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept waits for a connection for which there is room.
+func (l *guardListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		g := &guardedConn{Conn: c, guard: l.guard, inHead: true}
+		g.held, err = l.guard.Account.Connect(l.guard.Internal, func() { _ = c.Close() })
+		if err == nil {
+			return g, nil
+		}
+		_ = c.Close() // before any answer: nothing has run
+		l.guard.Report(LimitConnections, c.RemoteAddr().String(), 0)
+	}
+}
+
+// guardedConn counts the head of each request on a connection.
+type guardedConn struct {
+	net.Conn
+	guard *Guard
+	held  *memory.Reservation
+	once  sync.Once
+
+	mu     sync.Mutex
+	inHead bool
+	bytes  int // of the present head
+	lines  int
+}
+
+var errHeadRefused = errors.New("the head is refused")
+
+// Read counts what belongs to a head. net/http reads only when it has used up what it had, so all bytes before a read in a head are part
+// of that head, while the bytes that a read returns may go beyond it.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	limit := ""
+	if c.inHead {
+		limit = c.exceeded()
+	}
+	c.mu.Unlock()
+	if limit != "" {
+		return 0, c.refuse(limit)
+	}
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	begun := c.bytes > 0
+	fits := !c.inHead || c.count(b[:n])
+	c.mu.Unlock()
+	switch {
+	case err != nil && c.held.WasCut():
+		limit = LimitIdle
+		if begun {
+			limit = LimitHeads
+		}
+		c.once.Do(func() { c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held()) })
+	case !fits:
+		return 0, c.refuse(LimitHeads)
+	}
+	return n, err
+}
+
+// exceeded returns the limit that the present head is over. The lock is held.
+func (c *guardedConn) exceeded() string {
+	if c.lines > maxHeadLines {
+		return LimitHeadLines
+	}
+	if c.guard.HeadBytes != nil {
+		if most := c.guard.HeadBytes(); most > 0 && c.bytes > 2*most+headSlack {
+			return LimitHeadBytes
+		}
+	}
+	return ""
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// count adds bytes to the head and reserves what they take once they are parsed. It reports whether the account had that. The lock is held.
+func (c *guardedConn) count(read []byte) bool {
+	head := bytes.TrimLeft(read, "\r\n") // net/http may pass over empty lines before a request
+	if i := bytes.Index(head, headEnd); i >= 0 {
+		head = head[:i]
+	}
+	c.bytes += len(read)
+	c.lines += bytes.Count(head, []byte{'\n'})
+	charge := int64(c.bytes*headByteFactor + c.lines*headLineBytes)
+	return charge <= memory.FreeBytes || c.held.Cover(memory.IdleBytes+charge)
+}
+
+// refuseTime bounds the write of a refusal to a caller that may not read.
+const refuseTime = 100 * time.Millisecond
+
+// refuse answers in place of net/http and closes the connection. The error is of a kind that net/http passes over.
+func (c *guardedConn) refuse(limit string) error {
+	c.once.Do(func() {
+		if !c.held.WasCut() {
+			text := "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+			if limit == LimitHeads {
+				text = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + RetryAfter + "\r\n"
+			}
+			_ = c.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:forbidigo // a deadline of the kernel
+			_, _ = io.WriteString(c.Conn, text+"Connection: close\r\nContent-Length: 0\r\n\r\n")
+		}
+		c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held())
+	})
+	_ = c.Close()
+	return &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+}
+
+// RetryAfter is sent with refusals for want of memory: a second, in which bodies that arrive are whole.
+const RetryAfter = "1"
+
+// Close ends the connection and gives back what it held.
+func (c *guardedConn) Close() error {
+	err := c.Conn.Close()
+	c.held.Release()
+	return err
+}
+
+// ConnState is the hook of http.Server. A connection is active from the end of a request's head on.
+func (g *Guard) ConnState(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*guardedConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateIdle:
+		c.inHead, c.bytes, c.lines = true, 0, 0
+		c.held.Busy(false)
+	case http.StateActive, http.StateHijacked:
+		c.inHead = false
+		c.held.Busy(true)
+	case http.StateNew, http.StateClosed:
+	}
+}
+
+// countedBody reserves memory for a body while a handler reads it. Handlers decode bodies as they read, so twice the size is
+// reserved.
+type countedBody struct {
+	io.ReadCloser
+	guard *Guard
+	held  *memory.Reservation
+	w     http.ResponseWriter
+	peer  string
+	bytes int64
+	ended bool
+}
+
+const (
+	decodedFactor = 2
+	bodyStep      = 64 << 10
+)
+
+// Read refuses the request when the account has no room, which the handler sees as an error of the body.
+func (b *countedBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, memory.ErrFull
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
+	steps := (b.bytes*decodedFactor + bodyStep - 1) / bodyStep
+	if b.bytes <= memory.FreeBytes || b.held.Cover(steps*bodyStep) {
+		whole := errors.Is(err, io.EOF) && b.held.Finish(memory.Body)
+		if err == nil || whole || !b.held.WasCut() {
+			return n, err
+		}
+	}
+	b.ended = true
+	limit, status := LimitBodies, http.StatusServiceUnavailable
+	if b.held.WasCut() {
+		limit, status = LimitBody, http.StatusRequestTimeout
+	}
+	// Written here, since handlers answer bodies that they cannot read with statuses that say something else.
+	b.w.Header().Set("Connection", "close")
+	b.w.Header().Set("Retry-After", RetryAfter)
+	b.w.Header().Set("Content-Length", "0")
+	b.w.WriteHeader(status)
+	b.guard.Report(limit, b.peer, b.held.Held())
+	return 0, memory.ErrFull
+}
+
+// countBody lets a request's body yield to others.
+func (g *Guard) countBody(w http.ResponseWriter, r *http.Request) (release func()) {
+	if g.Account == nil || r.Body == nil || r.Body == http.NoBody {
+		return func() {}
+	}
+	control := http.NewResponseController(w)
+	held := g.Account.Reserve(memory.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	r.Body = &countedBody{ReadCloser: r.Body, guard: g, held: held, w: w, peer: r.RemoteAddr}
+	return held.Release
+}
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -34,6 +34,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/wire/dial"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Options configure a Server.
@@ -48,6 +49,10 @@
 	NotFound    http.Handler
 	// LongHeader answers requests whose header is over MaxHeaderBytes; nil means a plain answer.
 	LongHeader http.Handler
+	// Account counts connections, heads and bodies with those of other servers; nil: no bound for all together.
+	Account *memory.Account
+	// Refused is told which peers were refused because of a limit; nil: nobody is.
+	Refused func(Refusal)
 }
 
 // Limits that hold for each server. They bound what a slow or hostile peer can take.
@@ -87,7 +92,8 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
-	handler, err := engine(o, routes)
+	guard := &Guard{Account: o.Account, Internal: true, Refused: o.Refused}
+	handler, err := engine(o, guard, routes)
 	if err != nil {
 		return nil, err
 	}
@@ -99,7 +105,9 @@
 	}
 	s := &Server{addr: l.Addr().String()}
 	if o.TLS != nil {
-		l = tls.NewListener(l, o.TLS)
+		l = tls.NewListener(l, o.TLS) // net/http needs the connection itself, so that heads are bounded by hardHeaderBytes alone
+	} else {
+		l = guard.Listen(l)
 	}
 	s.http = &http.Server{
 		Handler:           handler,
@@ -107,16 +115,17 @@
 		ReadTimeout:       o.ReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    hardHeaderBytes,
+		ConnState:         guard.ConnState,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	s.wg.Go(func() { _ = s.http.Serve(l) }) // returns http.ErrServerClosed after Shutdown or Close
 	return s, nil
 }
 
-func engine(o Options, routes []rest.Route) (http.Handler, error) {
+func engine(o Options, guard *Guard, routes []rest.Route) (http.Handler, error) {
 	conf := rest.RestConf{ServiceConf: service.ServiceConf{Name: o.Name, Mode: service.ProMode}}
 	conf.Log = logx.LogConf{ServiceName: o.Name, Mode: "console", Encoding: "plain", Level: "severe"}
-	opts := []rest.RunOption{rest.WithChain(chain.New(handler.RecoverHandler, limitHeader(o.LongHeader), limitBody(o.MaxBytes)))}
+	opts := []rest.RunOption{rest.WithChain(chain.New(handler.RecoverHandler, limitHeader(o.LongHeader), limitBody(o.MaxBytes, guard)))}
 	if o.NotFound != nil {
 		opts = append(opts, rest.WithNotFoundHandler(o.NotFound), rest.WithNotAllowedHandler(o.NotFound))
 	}
@@ -159,10 +168,11 @@
 
 // limitBody bounds request bodies. The handler sees the error when it reads, so that it can answer in its own format, and
 // the connection is closed, because the rest of the body is not read.
-func limitBody(limit int64) chain.Middleware {
+func limitBody(limit int64, guard *Guard) chain.Middleware {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, limit)
+			defer guard.countBody(w, r)()
 			next.ServeHTTP(w, r)
 		})
 	}
--- /dev/null
+++ b/internal/wire/memory/memory.go
@@ -0,0 +1,483 @@
+// Package memory keeps one account of the memory that a process holds for others: connections, heads, bodies, answers and what waits
+// for an upstream. Each holder takes a reservation. When the account is full, unfinished holders yield to it: they are told to end
+// by their cut function, the largest and longest idle first.
+//
+// The account is a plain structure with a lock. It starts no goroutine and knows no socket.
+//
+// Usage:
+//
+//	a := memory.New(memory.Options{Clock: clock.Real(), Bytes: memory.Bound(144_000_000), Descriptors: 3075})
+//	r, err := a.Reserve(memory.Body, func() { conn.SetReadDeadline(past) })
+//	defer r.Release()
+//	body, err := r.ReadAll(in, length) // ErrFull, or the error of in after the cut
+//	r.Finish(memory.Upstream)          // it no longer yields
+//
+// A nil *Account and a nil *Reservation have no bound.
+package memory
+
+import (
+	"errors"
+	"io"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
+)
+
+// Kind is what memory is held for.
+type Kind int
+
+// Kinds of holders.
+const (
+	Connection Kind = iota // of callers, operators and other processes, with the head of the present request
+	Body                   // of a request, unfinished
+	Upstream               // body of a request that waits for an upstream or is sent to one
+	Answer                 // of an upstream
+	Message                // of another process
+	kinds
+)
+
+var kindNames = [kinds]string{"connection", "body", "upstream", "answer", "message"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Connection, Body, Upstream, Answer, Message} }
+
+const (
+	// baseBytes is what a process holds without any load: 29 MB measured for an entry node and a control node, and the tables of a
+	// large fleet.
+	baseBytes = 40_000_000
+	// runtimeBytes is resident memory that the runtime's own limit does not cover, mapped code and thread stacks, and by how much a burst
+	// of large bodies outruns the collector: with 24 MB a crowd of 100 bodies reached 98 MB of 96 MB.
+	runtimeBytes = 32_000_000
+	// countedPart of what is left beside the base may be reserved. The rest is for garbage between two collections and for what is not
+	// counted; with half of it the same crowd reached 98 MB of 96 MB.
+	countedPart = 0.4
+	// FreeBytes is what a holder may use without a reservation, because the charge for its connection includes it.
+	FreeBytes = 4 << 10
+	// IdleBytes is charged for a connection: its goroutine and the buffers of net/http.
+	IdleBytes = 16 << 10
+	// BusyBytes is charged for a connection with a request, with the buffers of the exchange with an upstream.
+	BusyBytes = 48 << 10
+	// largeBytes is the size from which a holder may not use the last eighth of the account, so that ordinary requests are served
+	// beside a crowd of large ones.
+	largeBytes = 64 << 10
+	smallPart  = 8
+	// cuttingPart is the part of the account that holders which were told to end may still have before new large ones are refused.
+	cuttingPart = 4
+	// spareFiles are descriptors for listeners, files and connections to other processes.
+	spareFiles = 16
+	filePart   = 8
+)
+
+// Bound returns the bytes of an account for a process with that much memory.
+func Bound(machine int64) int64 {
+	return max(int64(float64(machine-baseBytes)*countedPart), machine/8)
+}
+
+// RuntimeLimit returns the limit for debug.SetMemoryLimit.
+func RuntimeLimit(machine int64) int64 { return max(machine-runtimeBytes, machine/2) }
+
+// LimitRuntime makes the collector work harder before the memory of the machine is used up. It changes nothing if that is not known or the
+// environment sets GOMEMLIMIT.
+func LimitRuntime(machine int64) {
+	if machine > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(RuntimeLimit(machine))
+	}
+}
+
+// ErrFull says that the account has no room for a holder.
+var ErrFull = errors.New("the memory for requests is in use")
+
+// Options configure an Account.
+type Options struct {
+	Clock       clock.Clock
+	Bytes       int64 // 0: no bound
+	Descriptors int   // 0: no bound
+}
+
+// Account counts reservations. It is safe for concurrent use.
+type Account struct {
+	o Options
+
+	mu       sync.Mutex
+	held     int64 // by all that were not cut
+	cutting  int64 // by those that were cut and have not released it yet
+	byKind   [kinds]int64
+	open     int // connections
+	busy     int // of which with a request; each may need a connection to an upstream
+	yielding map[*Reservation]bool
+	cuts     [kinds]int64
+	refusals [kinds]int64
+}
+
+// New returns an empty account.
+func New(o Options) *Account { return &Account{o: o, yielding: map[*Reservation]bool{}} }
+
+// Reservation is the part of one holder. Its methods may be called by several goroutines.
+type Reservation struct {
+	a       *Account
+	kind    Kind
+	bytes   int64
+	since   time.Time // of the last growth
+	cut     func()
+	wasCut  bool
+	ended   bool
+	isBusy  bool
+	counted bool // as a connection
+}
+
+// Reserve returns an empty reservation that yields when the account is full: cut is then called, once, under the lock of the account. It
+// must make the holder release the reservation soon, must not block and must not call the account. With cut nil it does not yield.
+func (a *Account) Reserve(kind Kind, cut func()) *Reservation {
+	if a == nil {
+		return nil
+	}
+	r := &Reservation{a: a, kind: kind, cut: cut, since: a.o.Clock.Now()}
+	if cut != nil {
+		a.mu.Lock()
+		a.yielding[r] = true
+		a.mu.Unlock()
+	}
+	return r
+}
+
+// Connect returns the reservation of a new connection, or ErrFull. Idle connections yield to it. Those that internal is true for may use
+// some of the descriptors that callers leave free.
+func (a *Account) Connect(internal bool, cut func()) (*Reservation, error) {
+	if a == nil {
+		return nil, nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := &Reservation{a: a, kind: Connection, cut: cut, since: a.o.Clock.Now()}
+	if !a.makeFiles(a.files(internal)-1) || !a.makeRoom(r, IdleBytes) {
+		a.refusals[Connection]++
+		return nil, ErrFull
+	}
+	a.add(r, IdleBytes)
+	a.open++
+	r.counted = true
+	a.yielding[r] = true
+	return r, nil
+}
+
+// files returns how many descriptors connections may use.
+func (a *Account) files(internal bool) int {
+	margin := a.o.Descriptors / filePart
+	if internal {
+		margin /= 2
+	}
+	return a.o.Descriptors - spareFiles - margin
+}
+
+// makeFiles cuts idle connections until at most n descriptors are in use.
+func (a *Account) makeFiles(n int) bool {
+	for a.o.Descriptors > 0 && a.open+a.busy > n {
+		v, _ := a.weakest(func(r *Reservation) bool { return r.kind == Connection })
+		if v == nil {
+			return false
+		}
+		a.end(v)
+	}
+	return true
+}
+
+// Busy says that the connection has a request, which makes it keep what it holds, or is idle again.
+func (r *Reservation) Busy(on bool) {
+	if r == nil {
+		return
+	}
+	a := r.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.ended || r.wasCut || r.isBusy == on {
+		return
+	}
+	r.isBusy = on
+	r.since = a.o.Clock.Now()
+	if !on {
+		a.busy--
+		a.add(r, IdleBytes-r.bytes)
+		a.yielding[r] = true
+		return
+	}
+	delete(a.yielding, r)
+	a.busy++
+	// A request that has arrived is not refused for these; others yield instead.
+	_ = a.makeFiles(a.files(true))
+	_ = a.makeRoom(r, BusyBytes-IdleBytes)
+	a.add(r, BusyBytes-IdleBytes)
+}
+
+// Cover reserves up to n bytes in all and reports whether the account had them and the holder was not cut.
+func (r *Reservation) Cover(n int64) bool {
+	if r == nil {
+		return true
+	}
+	a := r.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.wasCut || r.ended {
+		return false
+	}
+	need := n - r.bytes
+	if need <= 0 {
+		return true
+	}
+	if !a.makeRoom(r, need) {
+		a.refusals[r.kind]++
+		return false
+	}
+	a.add(r, need)
+	r.since = a.o.Clock.Now()
+	return true
+}
+
+// Grow reserves n more bytes.
+func (r *Reservation) Grow(n int64) bool { return r == nil || r.Cover(r.Held()+n) }
+
+// Held returns the bytes of the reservation.
+func (r *Reservation) Held() int64 {
+	if r == nil {
+		return 0
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	return r.bytes
+}
+
+// WasCut reports whether the holder was told to end.
+func (r *Reservation) WasCut() bool {
+	if r == nil {
+		return false
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	return r.wasCut
+}
+
+// Finish says that what is held is whole: it no longer yields and counts under another kind. It returns false if it was cut before.
+func (r *Reservation) Finish(kind Kind) bool {
+	if r == nil {
+		return true
+	}
+	a := r.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.wasCut || r.ended {
+		return false
+	}
+	delete(a.yielding, r)
+	a.byKind[r.kind] -= r.bytes
+	a.byKind[kind] += r.bytes
+	r.kind = kind
+	return true
+}
+
+// Shrink gives back all but n bytes.
+func (r *Reservation) Shrink(n int64) {
+	if r == nil {
+		return
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	if !r.ended && !r.wasCut && r.bytes > n {
+		r.a.add(r, n-r.bytes)
+	}
+}
+
+// Release ends the reservation. Later calls have no effect.
+func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
+	a := r.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	delete(a.yielding, r)
+	if r.wasCut {
+		a.cutting -= r.bytes
+	} else {
+		a.add(r, -r.bytes)
+	}
+	if r.counted && !r.wasCut {
+		a.open--
+	}
+	if r.isBusy {
+		a.busy--
+	}
+}
+
+func (a *Account) add(r *Reservation, n int64) {
+	r.bytes += n
+	a.held += n
+	a.byKind[r.kind] += n
+}
+
+// share is the part of the account that a kind may have at most, so that no kind shuts out the others.
+func (a *Account) share(k Kind) int64 {
+	switch k {
+	case Answer, Message:
+		return a.o.Bytes / 2
+	case Body, Upstream:
+		return a.o.Bytes - a.o.Bytes/4
+	case Connection, kinds:
+	}
+	return a.o.Bytes
+}
+
+// used returns what a kind has, with the bodies that became whole.
+func (a *Account) used(k Kind) int64 {
+	if k == Body || k == Upstream {
+		return a.byKind[Body] + a.byKind[Upstream]
+	}
+	return a.byKind[k]
+}
+
+// makeRoom cuts holders until r may have n more bytes. It returns false if r itself is the one that should yield.
+func (a *Account) makeRoom(r *Reservation, n int64) bool {
+	if a.o.Bytes <= 0 {
+		return true
+	}
+	limit := a.o.Bytes
+	large := r.bytes+n >= largeBytes
+	if large {
+		limit -= limit / smallPart
+	}
+	now := a.o.Clock.Now()
+	for {
+		tooMuch := a.held+n > limit
+		ofKind := large && a.used(r.kind)+n > a.share(r.kind)
+		if !tooMuch && !ofKind {
+			return true
+		}
+		if large && a.cutting > a.o.Bytes/cuttingPart {
+			return false
+		}
+		v, weight := a.weakest(func(v *Reservation) bool { return v != r && (tooMuch || v.kind == r.kind) })
+		if v == nil {
+			return false
+		}
+		if _, yields := a.yielding[r]; yields && weight < weigh(r.bytes+n, r.since, now) {
+			return false
+		}
+		a.end(v)
+	}
+}
+
+// weigh returns how soon a holder yields: the bytes that it holds times the seconds since it has last grown. A caller that is still
+// sending is not cut for those that stand still.
+func weigh(bytes int64, since, now time.Time) float64 {
+	return float64(bytes) * (1 + max(now.Sub(since).Seconds(), 0))
+}
+
+// weakest returns the holder that yields first, of those that fit.
+func (a *Account) weakest(fits func(*Reservation) bool) (*Reservation, float64) {
+	now := a.o.Clock.Now()
+	var found *Reservation
+	var most float64
+	for r := range a.yielding {
+		w := weigh(r.bytes, r.since, now)
+		// Equal weights are ordered by age, so that the choice does not depend on the order of the map.
+		if fits(r) && (found == nil || w > most || w == most && r.since.Before(found.since)) {
+			found, most = r, w
+		}
+	}
+	return found, most
+}
+
+// end cuts a holder.
+func (a *Account) end(r *Reservation) {
+	delete(a.yielding, r)
+	r.wasCut = true
+	a.cuts[r.kind]++
+	a.held -= r.bytes
+	a.byKind[r.kind] -= r.bytes
+	a.cutting += r.bytes
+	if r.counted {
+		a.open--
+	}
+	r.cut()
+}
+
+// Usage is the state of an account.
+type Usage struct {
+	Held, Bound int64
+	Open, Busy  int // connections
+	Kinds       []KindUsage
+}
+
+// KindUsage is the part of one kind.
+type KindUsage struct {
+	Kind     Kind
+	Bytes    int64
+	Cuts     int64 // holders that were told to end
+	Refusals int64 // holders for which there was no room
+}
+
+// Usage returns the present state; of no account, zero values.
+func (a *Account) Usage() Usage {
+	if a == nil {
+		return Usage{}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := Usage{Held: a.held + a.cutting, Bound: a.o.Bytes, Open: a.open, Busy: a.busy}
+	for _, k := range Kinds() {
+		u.Kinds = append(u.Kinds, KindUsage{k, a.byKind[k], a.cuts[k], a.refusals[k]})
+	}
+	return u
+}
+
+// firstRead is the size of the first buffer of a body; larger ones are reserved as the bytes arrive, not as they are announced. growth is
+// the factor from one buffer to the next towards an announced size, where few buffers leave little garbage.
+const (
+	firstRead = 64 << 10
+	growth    = 4
+)
+
+// ReadAll reads all of in and covers the buffer. size is the number of bytes that are announced, or below 0. It returns ErrFull when the
+// account has no room.
+func (r *Reservation) ReadAll(in io.Reader, size int64) ([]byte, error) {
+	if r == nil {
+		return io.ReadAll(in)
+	}
+	want := int64(firstRead)
+	if size >= 0 {
+		want = min(size+1, want) // the byte beside is for reading the end
+	} else {
+		want = FreeBytes
+	}
+	var buf []byte
+	for {
+		if len(buf) == cap(buf) {
+			if want > FreeBytes && !r.Cover(want+int64(len(buf))) { // both buffers are held while one is copied
+				return buf, ErrFull
+			}
+			next := make([]byte, len(buf), want)
+			copy(next, buf)
+			buf = next
+			r.Shrink(want)
+			want *= 2
+			if size >= int64(cap(buf)) {
+				want = min(want*growth/2, size+1)
+			}
+		}
+		n, err := in.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+	}
+}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -32,6 +32,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/wire/dial"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Version is the version of the envelope and of the messages in it. A message of another version is refused.
@@ -80,6 +81,10 @@
 	Clock    clock.Clock
 	Events   *event.Log
 	Handle   Handler
+	// Account counts connections and messages with what the process holds besides; nil: no bound for all together.
+	Account *memory.Account
+	// Refused is told which connections were refused because of a limit; nil: nobody is.
+	Refused func(httpd.Refusal)
 	// Dial opens the connections to other processes; nil: package dial does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -127,7 +132,9 @@
 		h.o.Dial = dial.Dialer{Clock: o.Clock, Timeout: dialTimeout}.DialContext
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.server, err = httpd.New(httpd.Options{Name: "peer", Address: o.Address, Listener: o.Listener}, []rest.Route{
+	h.server, err = httpd.New(httpd.Options{
+		Name: "peer", Address: o.Address, Listener: o.Listener, Account: o.Account, Refused: o.Refused,
+	}, []rest.Route{
 		{Method: http.MethodGet, Path: path, Handler: h.accept},
 	})
 	if err != nil {
@@ -280,22 +287,43 @@
 	in := &inbound{hub: h, conn: c, ctx: ctx}
 	for h.ctx.Err() == nil {
 		_ = c.SetReadDeadline(h.o.Clock.Now().Add(idleTimeout + dialTimeout))
-		_, data, err := c.ReadMessage()
-		if err != nil {
-			if errors.Is(err, websocket.ErrReadLimit) {
-				h.refused(r.RemoteAddr, "larger than the limit")
-			}
+		if !in.receive(r.RemoteAddr) {
 			return
 		}
-		h.bytesIn.Add(int64(len(data)))
-		h.received.Add(1)
-		e, err := h.decode(data)
-		if err != nil {
-			h.refused(r.RemoteAddr, err.Error())
-			return
+	}
+}
+
+// receive reads one message and hands it over. Connections whose message is not whole yield when the memory for them is in use.
+func (in *inbound) receive(from string) bool {
+	h := in.hub
+	_, body, err := in.conn.NextReader()
+	if err != nil {
+		if errors.Is(err, websocket.ErrReadLimit) {
+			h.refused(from, "larger than the limit")
 		}
-		in.take(e)
+		return false
+	}
+	held := h.o.Account.Reserve(memory.Message, func() { _ = in.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer held.Release()
+	data, err := held.ReadAll(body, -1)
+	switch {
+	case errors.Is(err, websocket.ErrReadLimit):
+		h.refused(from, "larger than the limit")
+	case errors.Is(err, memory.ErrFull), held.WasCut():
+		h.refused(from, "the memory for messages is in use")
+	}
+	if err != nil {
+		return false
+	}
+	h.bytesIn.Add(int64(len(data)))
+	h.received.Add(1)
+	e, err := h.decode(data)
+	if err != nil {
+		h.refused(from, err.Error())
+		return false
 	}
+	in.take(e)
+	return true
 }
 
 // inbound is one incoming connection; answers to its questions are written to it.
