--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -325,9 +325,9 @@
 // share is the part of the account that a kind may have at most, so that no kind shuts out the others.
 func (a *Account) share(k Kind) int64 {
 	switch k {
-	case Answer, Message:
+	case Answer:
 		return a.o.Bytes / 2
-	case Body, Upstream:
+	case Body, Upstream, Message: // the smallest VM can read the largest message, of 16 MiB
 		return a.o.Bytes - a.o.Bytes/4
 	case Connection, kinds:
 	}
@@ -442,6 +442,8 @@
 const (
 	firstRead = 64 << 10
 	growth    = 4
+	// probeBytes is read before the buffer of a body without an announced size grows.
+	probeBytes = 512
 )
 
 // ReadAll reads all of in and covers the buffer. size is the number of bytes that are announced, or below 0. It returns ErrFull when the
@@ -458,13 +460,26 @@
 	}
 	var buf []byte
 	for {
+		var rest []byte
 		if len(buf) == cap(buf) {
+			if size < 0 && len(buf) > 0 { // it may have ended here, and no larger buffer is needed
+				probe := make([]byte, probeBytes)
+				n, err := in.Read(probe)
+				if rest = probe[:n]; n == 0 {
+					if errors.Is(err, io.EOF) {
+						return buf, nil
+					}
+					if err != nil {
+						return buf, err
+					}
+				}
+			}
 			if want > FreeBytes && !r.Cover(want+int64(len(buf))) { // both buffers are held while one is copied
 				return buf, ErrFull
 			}
 			next := make([]byte, len(buf), want)
 			copy(next, buf)
-			buf = next
+			buf = append(next, rest...)
 			r.Shrink(want)
 			want *= 2
 			if size >= int64(cap(buf)) {
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -181,10 +181,13 @@
 // Guards against bounds that leave no room on the smallest VM for the largest body.
 func TestBoundFollowsTheMachine(t *testing.T) {
 	assert.Assert(t, Bound(144_000_000) > 2*4*mib)
+	a := New(Options{Clock: clock.Real(), Bytes: Bound(144_000_000)})
+	_, err := a.Reserve(Message, func() {}).ReadAll(strings.NewReader(strings.Repeat("m", 16*mib)), -1)
+	assert.NilError(t, err, "the largest message of another process")
 	assert.Assert(t, Bound(20_000_000) > 0)
 	assert.Assert(t, Bound(424_000_000) > 3*Bound(144_000_000))
 	var none *Account
-	r, err := none.Connect(false, nil)
+	r, err := none.Connect(false, func() {})
 	assert.NilError(t, err)
 	assert.Assert(t, r.Cover(1<<40) && r.Finish(Upstream) && !r.WasCut())
 	got, err := none.Reserve(Body, nil).ReadAll(strings.NewReader("ab"), 2)
