Honour the leaving header and the pauses of upstreams

Cause: the gate read neither the leaving header of answers nor the Retry-After of an upstream's 503. It went on sending to upstreams that had said so until the roster changed, a ready heartbeat or an old record brought them back, and all nodes returned to a paused upstream as soon as their own backoff of 150 ms was over. A 503 of an upstream without proof that the request did not run was forwarded, although callers take it for that promise.

Change: pace.Table holds, for the process, which starts are leaving or paused; all deciders read it through Table.Of, and a State has a window for the return from a pause. The proxy checks the table before each send and tells the placer on another node what to exclude. Requests that can still be on time wait for the end of a pause, others are refused at once with the earliest return, spread. Pieces that cannot are refused with that time (stage.Outcome.RetryIn). A 503 without proof becomes a 502 or is repeated.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -100,6 +100,9 @@
 	ResultsDropped  Code = 8108
 	UpstreamCold    Code = 8201
 	UpstreamWarm    Code = 8202
+	UpstreamAside   Code = 8203
+	UpstreamBack    Code = 8204
+	PauseIgnored    Code = 8205
 )
 
 var catalogue = []Kind{
@@ -183,6 +186,9 @@
 
 	{UpstreamCold, "upstream_cold", hclog.Info, "An upstream is cold. Of all nodes together it gets no more requests a second than it bears, for the time that is left.", []string{"upstream", "per_second", "left_ms"}, ""},
 	{UpstreamWarm, "upstream_warm", hclog.Info, "An upstream is no longer cold, or has gone.", []string{"upstream"}, ""},
+	{UpstreamAside, "upstream_aside", hclog.Info, "An answer of an upstream ended its use by this node: it is leaving, or asked for a pause.", []string{"upstream", "born_ms", "cause", "until"}, "If many upstreams of a service are paused, it lacks capacity."},
+	{UpstreamBack, "upstream_back", hclog.Info, "This node uses an upstream again, or the upstream has started anew or is gone.", []string{"upstream", "born_ms", "cause", "reason"}, ""},
+	{PauseIgnored, "pause_ignored", hclog.Warn, "A 503 of an upstream had a Retry-After that is not a number of seconds above zero.", []string{"upstream", "value"}, "Mend the upstream; its pauses are not kept."},
 }
 
 // Lookup returns the description of a code.
--- a/internal/gate/batch/queue_state.go
+++ b/internal/gate/batch/queue_state.go
@@ -16,6 +16,7 @@
 	m.localResults.expire(now)
 	m.remoteUsers.expire(now)
 	view := m.o.View()
+	m.sweepPaces(now, view)
 	for _, q := range m.queues {
 		m.updateOwned(view, q)
 		s := q.Snapshot(now)
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -51,6 +51,7 @@
 		return stage.CallFailed, nil, err
 	}
 	defer resp.Body.Close()
+	m.NoteAnswer(c.Upstream, c.StartedMs, resp.Status, resp.Header)
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseBytes+len(items)*maxItemBytes)))
 	result, outcomes, err := m.decodeAnswer(resp, answer, err, items)
 	if err == nil && result == stage.Answered {
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -101,6 +101,7 @@
 	started       bool           // at least one stage is complete
 	late          bool           // could not be on time at placement
 	forecastTotal time.Duration  // forecast duration of its stages
+	worked        bool           // its first event counted as completed work
 	stagesDone    time.Time      // when its last stage was completed, and the request sent; zero: not yet
 }
 
@@ -144,9 +145,9 @@
 	Due      time.Time // when the response becomes late
 	// Cold is set if the engine is cold, so that the ticket permits a single send to it.
 	Cold bool
-	// RoomFrom is set if there is no placement because all engines are cold and at their limits. It is when one of them has
-	// room again.
-	RoomFrom time.Time
+	// Blocked tells why there is no placement if all engines are at a limit of package pace, and when one accepts requests again.
+	// Its OK is true if there is none.
+	Blocked pace.Verdict
 }
 
 // New returns a Placer without engines.
@@ -192,7 +193,7 @@
 		best = p.best(now, r, chains, true)
 	}
 	if best == nil {
-		return Placement{RoomFrom: p.roomFrom(now, r)}, false
+		return Placement{Blocked: p.blocked(now, r)}, false
 	}
 	own := ownPart(chains)
 	due := p.unanswered.due(own, now.Add(r.Due))
@@ -215,22 +216,19 @@
 	return Placement{Ticket: p.lastID, ID: best.ID, Forecast: forecast, Due: due, Cold: cold}, true
 }
 
-// roomFrom returns when a cold engine has room again; zero if none is at its limit.
-func (p *Placer) roomFrom(now time.Time, r Request) time.Time {
-	var out time.Time
+// blocked returns the verdict on the engine that accepts requests again before the others.
+func (p *Placer) blocked(now time.Time, r Request) pace.Verdict {
+	out := pace.Verdict{OK: true}
 	for _, t := range p.targets {
-		if !t.present || slices.Contains(r.Exclude, t.ID) {
-			continue
-		}
-		if v := t.pace.Allow(now, p.owner); !v.OK && (out.IsZero() || v.From.Before(out)) {
-			out = v.From
+		if t.present && !slices.Contains(r.Exclude, t.ID) {
+			out = out.Earlier(t.pace.Allow(now, p.owner))
 		}
 	}
 	return out
 }
 
 // best returns the engine with the lowest cost. Engines that are backing off, full or marked Avoid are included only if
-// paused is true, cold engines at their limit never.
+// paused is true, engines at a limit of package pace never.
 func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
 	var out *target
 	var minCost float64
@@ -363,6 +361,10 @@
 		p.engineTimes.add(t.rank, float64(t.initialUnread), took)
 		p.readTime.add(float64(t.initialUnread), float64(took))
 	}
+	if at := p.targets[t.target]; at != nil && !t.worked {
+		t.worked = true
+		at.pace.Worked(2) // the stream keeps its place
+	}
 	t.unread = 0
 }
 
@@ -385,12 +387,17 @@
 	switch r {
 	case Served:
 		at.failures = 0
+		if !t.worked {
+			at.pace.Worked(1)
+		}
 	case Failed:
+		at.pace.Failed()
 		at.pausedUntil = now.Add(min(initialBackoff<<at.failures, maxBackoff))
 		at.failures = min(at.failures+1, 8)
 		// It may have restarted with an empty cache.
 		at.parts, at.cachedTokens = map[string]*part{}, 0
 	case Full:
+		at.pace.Failed()
 		at.pausedUntil = now.Add(fullBackoff)
 	case Cancelled:
 	}
@@ -407,10 +414,12 @@
 	delete(at.tickets, id)
 	switch {
 	case !t.stagesDone.IsZero():
+		at.pace.Ended()
 	case cancelled:
 		at.pace.Release()
 	default:
 		at.pace.SentReserved(now, p.owner)
+		at.pace.Ended()
 	}
 }
 
--- a/internal/gate/pace/fleet_test.go
+++ b/internal/gate/pace/fleet_test.go
@@ -197,7 +197,7 @@
 	}
 	placed, ok := o.placer.Place(f.now, r)
 	if !ok {
-		f.comeBack("models", placed.RoomFrom, tries, f.askEngine)
+		f.comeBack("models", placed.Blocked.From, tries, f.askEngine)
 		return
 	}
 	placer, ownerStart := o.placer, o.start
@@ -232,7 +232,7 @@
 	list := v.view.services["desk"]
 	u, ok := v.chooser.Choose(f.now, list, w)
 	if !ok {
-		f.comeBack("desk", v.chooser.RoomFrom(f.now, list, w), tries, f.askPlain)
+		f.comeBack("desk", v.chooser.Blocked(f.now, list, w).From, tries, f.askPlain)
 		return
 	}
 	v.chooser.Begin(f.now, u.ID)
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -11,6 +11,9 @@
 //		s.Sent(now, owner) // now or later
 //	}
 //
+// A Table holds what answers of upstreams told: that a start of an upstream is leaving, or wants a pause. All deciders of a process
+// read it through Table.Of.
+//
 // # Cold upstreams
 //
 // A cold upstream bears a few requests a second, summed over all senders. Only a decider that knows all sends to an upstream can
@@ -42,14 +45,26 @@
 
 // Causes.
 const (
-	None Cause = iota
-	Cold       // it is cold and at its limit
+	None      Cause = iota
+	Cold            // it is cold and at its limit
+	Leaving         // it said that it is leaving
+	Paused          // it asked for a pause
+	Returning       // its pause is over, and its load grows step by step
+	causes
 )
 
 // String returns the name of the cause as used in log lines.
 func (c Cause) String() string {
-	if c == Cold {
+	switch c {
+	case Cold:
 		return "cold"
+	case Leaving:
+		return "leaving"
+	case Paused:
+		return "paused"
+	case Returning:
+		return "returning"
+	case None, causes:
 	}
 	return "none"
 }
@@ -89,13 +104,22 @@
 	ColdUntil     time.Time     // end of the cold time that it reported, by the local clock; zero: none
 	ColdTime      time.Duration // cold time after a start according to the configuration
 	ColdPerSecond float64       // requests a second that it bears while cold; 0: no limit
+	Slots         int           // requests or calls that it takes at the same time, with its queue; 0: not known
+	Leaving       bool          // it gets no new work
+	PausedUntil   time.Time     // it gets no work before; zero: no pause
 }
 
 // Of returns what a view and the configuration of an upstream's service, which may be nil, tell of an upstream.
 func Of(u roster.Upstream, s *conf.Service) Upstream {
-	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil}
+	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil, Slots: u.Slots}
 	if s != nil {
 		out.ColdTime, out.ColdPerSecond = s.ColdTime.Duration(), s.ColdPerSecond
+		switch {
+		case s.Engine != nil:
+			out.Slots = s.Engine.Slots
+		case s.Pool != nil:
+			out.Slots = s.Pool.Slots + s.Pool.Queue
+		}
 	}
 	return out
 }
@@ -104,21 +128,38 @@
 type Decider interface {
 	// share returns the part of a limit, and when it may be larger.
 	share(now time.Time, s *State, limit int) (int, time.Time)
+	// entry returns after which time the node may send to an upstream that returns, and how many requests at first.
+	entry(s *State) (time.Duration, int)
 	bounds() Bounds
 }
 
 // Verdict tells whether an upstream may get work now.
 type Verdict struct {
 	OK    bool
-	From  time.Time // when it may get work again, at the earliest
+	From  time.Time // when it may get work again, at the earliest; zero: not before its next start
 	Cause Cause
 }
 
+// Earlier returns that of two verdicts against an upstream that ends first. A verdict for one does not count.
+func (v Verdict) Earlier(other Verdict) Verdict {
+	switch {
+	case other.OK:
+		return v
+	case v.OK || v.From.IsZero():
+		return other
+	case !other.From.IsZero() && other.From.Before(v.From):
+		return other
+	}
+	return v
+}
+
 // State is the state of one upstream. The zero value is an upstream without a limit.
 type State struct {
 	Upstream
-	firstSeen time.Time   // first use with the present start
-	reserved  int         // placed and not sent
+	firstSeen time.Time // first use with the present start
+	reserved  int       // placed and not sent
+	inFlight  int       // placed or sent, and not ended
+	window    window
 	sends     []time.Time // ring of the latest sends
 	next      int         // index of the oldest send
 	cached    cachedShare
@@ -128,8 +169,9 @@
 // its address.
 func (s *State) Update(u Upstream) {
 	if u.StartedMs != s.StartedMs {
-		s.firstSeen, s.cached = time.Time{}, cachedShare{}
+		s.firstSeen, s.cached, s.window = time.Time{}, cachedShare{}, window{}
 	}
+	s.window.open(u.PausedUntil)
 	s.Upstream = u
 }
 
@@ -159,6 +201,15 @@
 
 // Allow reports whether one more request may be sent, or placed.
 func (s *State) Allow(now time.Time, d Decider) Verdict {
+	switch {
+	case s.Leaving:
+		return Verdict{Cause: Leaving}
+	case now.Before(s.PausedUntil):
+		return Verdict{From: s.PausedUntil, Cause: Paused}
+	}
+	if v := s.allowWindow(now, d); !v.OK {
+		return v
+	}
 	if s.ColdPerSecond <= 0 {
 		return Verdict{OK: true}
 	}
@@ -190,19 +241,35 @@
 }
 
 // Reserve counts a request that is placed and not sent yet.
-func (s *State) Reserve() { s.reserved++ }
+func (s *State) Reserve() {
+	s.reserved++
+	s.begin()
+}
 
 // Release ends the count of a placed request that will not be sent.
-func (s *State) Release() { s.reserved = max(s.reserved-1, 0) }
+func (s *State) Release() {
+	s.reserved = max(s.reserved-1, 0)
+	s.Ended()
+}
 
 // SentReserved records the send of a placed request.
 func (s *State) SentReserved(now time.Time, d Decider) {
-	s.Release()
-	s.Sent(now, d)
+	s.reserved = max(s.reserved-1, 0)
+	s.record(now, d)
+}
+
+func (s *State) begin() {
+	s.inFlight++
+	s.window.sent++
 }
 
 // Sent records the send of a request that was not placed before. Sends to a warm upstream count too, as it may turn cold.
 func (s *State) Sent(now time.Time, d Decider) {
+	s.begin()
+	s.record(now, d)
+}
+
+func (s *State) record(now time.Time, d Decider) {
 	if s.ColdPerSecond <= 0 {
 		return
 	}
--- a/internal/gate/pace/shares.go
+++ b/internal/gate/pace/shares.go
@@ -75,7 +75,7 @@
 	if len(s.past) > maxPast {
 		return 0
 	}
-	key := id + "\x00" + strconv.FormatInt(started, 10)
+	key := startKey(id, started)
 	out := shareOf(s.self, s.nodes, key, limit)
 	for _, p := range s.past {
 		out = min(out, shareOf(s.self, p.nodes, key, limit))
@@ -83,6 +83,9 @@
 	return out
 }
 
+// startKey returns the key of an upstream's start in the rendezvous order of nodes.
+func startKey(id string, started int64) string { return id + "\x00" + strconv.FormatInt(started, 10) }
+
 // shareOf returns a node's share of a limit: the first nodes in the rendezvous order of a key get equal whole shares, and the
 // first of them what remains. Nodes beyond the limit get 0.
 func shareOf(self string, nodes []string, key string, limit int) int {
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -76,6 +76,7 @@
 type Chooser struct {
 	upstreams map[string]*state
 	shares    *pace.Shares
+	table     *pace.Table
 }
 
 // New returns a Chooser without observations, for a node by this name.
@@ -83,6 +84,9 @@
 	return &Chooser{upstreams: map[string]*state{}, shares: pace.NewShares(b, self)}
 }
 
+// UseTable sets the table of upstreams that are leaving or paused.
+func (c *Chooser) UseTable(t *pace.Table) { c.table = t }
+
 // SetNodes sets the names of the nodes that share the limits of cold upstreams.
 func (c *Chooser) SetNodes(now time.Time, names []string) { c.shares.SetNodes(now, names) }
 
@@ -118,13 +122,19 @@
 	return c.firstToResume(paused)
 }
 
-// pace returns whether an upstream may get a request. The limit of a cold upstream is not a guess, so it always holds.
+// update returns the state of an upstream with what is known of it now.
+func (c *Chooser) update(u roster.Upstream, service *conf.Service) *state {
+	s := c.state(u.ID)
+	s.pace.Update(c.table.Of(u, service))
+	return s
+}
+
+// pace returns whether an upstream may get a request. The limit of a cold upstream and a pause are not guesses, so they always hold.
 func (c *Chooser) pace(now time.Time, u roster.Upstream, w Criteria) pace.Verdict {
-	if w.Service == nil || w.Service.ColdPerSecond <= 0 {
-		return pace.Verdict{OK: true}
+	if (w.Service == nil || w.Service.ColdPerSecond <= 0) && c.table.Len() == 0 {
+		return pace.Verdict{OK: true} // a window ends before its upstream leaves the table
 	}
-	s := c.state(u.ID)
-	s.pace.Update(pace.Of(u, w.Service))
+	s := c.update(u, w.Service)
 	if w.SkipCold && s.pace.IsCold(now) {
 		return pace.Verdict{From: s.pace.ColdEnd(now), Cause: pace.Cold}
 	}
@@ -136,28 +146,23 @@
 	if s == nil || s.ColdPerSecond <= 0 {
 		return false
 	}
-	have := c.state(u.ID)
-	have.pace.Update(pace.Of(u, s))
-	return have.pace.IsCold(now)
+	return c.update(u, s).pace.IsCold(now)
 }
 
 // ColdEnd returns the end of an upstream's cold time.
 func (c *Chooser) ColdEnd(now time.Time, u roster.Upstream, s *conf.Service) time.Time {
-	have := c.state(u.ID)
-	have.pace.Update(pace.Of(u, s))
-	return have.pace.ColdEnd(now)
+	return c.update(u, s).pace.ColdEnd(now)
 }
 
-// RoomFrom returns when a cold upstream has room again; zero if none is at its limit.
-func (c *Chooser) RoomFrom(now time.Time, list []roster.Upstream, w Criteria) time.Time {
-	var out time.Time
+// Blocked returns the verdict on the upstream that accepts requests again before the others: one that is cold and at its limit,
+// paused or returning. Without such, it is the verdict on one that is leaving; its OK is true if there is none either.
+func (c *Chooser) Blocked(now time.Time, list []roster.Upstream, w Criteria) pace.Verdict {
+	out := pace.Verdict{OK: true}
 	for _, u := range list {
-		if u.State != roster.Ready || w.Exclude[u.ID] {
+		if u.State != roster.Ready || w.Exclude[u.ID] || w.Allowed != nil && !w.Allowed(u.DataCentre) {
 			continue
 		}
-		if v := c.pace(now, u, w); !v.OK && (out.IsZero() || v.From.Before(out)) {
-			out = v.From
-		}
+		out = out.Earlier(c.pace(now, u, w))
 	}
 	return out
 }
@@ -259,8 +264,10 @@
 	s := c.state(id)
 	s.inFlight--
 	s.lastEnd = now
+	s.pace.Ended()
 	switch r {
 	case Succeeded:
+		s.pace.Worked(1)
 		s.failures = 0
 		s.errorRate *= 1 - newestWeight
 		ms := float64(took) / float64(time.Millisecond)
@@ -271,8 +278,10 @@
 	case ErrorResponse:
 		s.errorRate += newestWeight * (1 - s.errorRate)
 	case Full:
+		s.pace.Failed()
 		s.pausedUntil = now.Add(fullBackoff)
 	case NoResponse, AddressReused:
+		s.pace.Failed()
 		s.errorRate += newestWeight * (1 - s.errorRate)
 		s.pausedUntil = now.Add(min(initialBackoff<<s.failures, maxBackoff))
 		s.failures = min(s.failures+1, 8)
--- a/internal/gate/proto/proto.go
+++ b/internal/gate/proto/proto.go
@@ -59,6 +59,7 @@
 	Load           string // set by upstreams: requests running and waiting, slots, and optionally the relative duration of work in percent
 	Cold           string // set by upstreams: milliseconds for which they stay cold
 	Leaving        string // set by upstreams that are leaving
+	LeavingAlias   string // another accepted name of Leaving; empty: none
 }
 
 // Paths holds the paths of endpoints. A colon marks a path parameter.
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -43,8 +43,8 @@
 
 	stages    *stageRun
 	placement *placement // slot at a model engine; nil if none was assigned
-	// roomIn is the time after which a cold upstream has room again, if no other one can be used.
-	roomIn time.Duration
+	// blocked is why no upstream could be used in the last choice.
+	blocked blocked
 	// newlyCold are engines that this node knows to be cold and their placer does not yet.
 	newlyCold []string
 	// moved is set once the request has been moved to another region after a refusal.
@@ -216,9 +216,12 @@
 func (x *exchange) forward() {
 	if x.usesEngines() {
 		x.placement = x.requestPlacement()
+		for x.placement == nil && x.ctx.Err() == nil && !x.f.reached(Finishing) && (x.placersBlock() || !x.hasWarm()) && x.waitForReturn() {
+			x.placement = x.requestPlacement()
+		}
 		x.placedAfter = x.f.o.Clock.Now().Sub(x.start)
 		defer func() { x.f.notifyEnd(x.placement, engine.Cancelled) }() // has no effect if the ticket has already ended
-		if x.placement == nil && x.roomIn > 0 && !x.hasWarm() {
+		if x.placersBlock() || x.placement == nil && !x.hasWarm() && x.isBlocked() {
 			x.refuse(x.noUpstream(x.service))
 			return
 		}
--- a/internal/gate/proxy/forecast.go
+++ b/internal/gate/proxy/forecast.go
@@ -112,7 +112,7 @@
 
 // isServing reports whether an upstream is in a region and accepts requests.
 func (f *Forwarder) isServing(u roster.Upstream, region string) bool {
-	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == region
+	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == region && !f.isAside(u)
 }
 
 // engineRegions returns the allowed regions that can serve a request, with the number of engines in each that accept
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -6,6 +6,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/pick"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -112,43 +113,129 @@
 	return f.chooser.IsCold(now, u, s)
 }
 
-// hasWarm reports whether an upstream of the service that is not cold and that the request may use accepts requests.
+// isAside reports whether an answer of an upstream ended its use for now.
+func (f *Forwarder) isAside(u roster.Upstream) bool {
+	cause, _ := f.o.Batcher.Paces().IsAside(f.o.Clock.Now(), u.ID, u.StartedMs)
+	return cause != pace.None
+}
+
+// appendAside appends the upstreams of a service that this node knows to be leaving or paused. A placer on another node may not.
+func (f *Forwarder) appendAside(ids []string, service string) []string {
+	if f.o.Batcher.Paces().Len() == 0 {
+		return ids
+	}
+	for _, u := range f.o.View().Services[service] {
+		if f.isAside(u) {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+// hasWarm reports whether an upstream of the service that is not cold, leaving or paused and that the request may use accepts
+// requests.
 func (x *exchange) hasWarm() bool {
 	for _, u := range x.f.o.View().Services[x.service] {
-		if u.State == roster.Ready && !u.Silent && x.mayUse(u) && !x.f.isCold(u) {
+		if u.State == roster.Ready && !u.Silent && x.mayUse(u) && !x.f.isCold(u) && !x.f.isAside(u) {
 			return true
 		}
 	}
 	return false
 }
 
-// roomIn returns the time after which a cold upstream has room again; 0 if none is at its limit.
-func (f *Forwarder) roomIn(service string, w pick.Criteria) time.Duration {
+// blocked is why no upstream of a service can be used, and for how long at least.
+type blocked struct {
+	cause pace.Cause
+	in    time.Duration // 0: not known
+}
+
+// reasons are the reasons of refusals, by cause.
+var reasons = map[pace.Cause]string{
+	pace.Cold: "all upstreams of the service are cold and at their limit", pace.Leaving: "all upstreams of the service are leaving",
+	pace.Paused: "all upstreams of the service are paused", pace.Returning: "all upstreams of the service return from a pause and are at their limit",
+}
+
+func blockedBy(now time.Time, v pace.Verdict) blocked {
+	switch {
+	case v.OK:
+		return blocked{}
+	case v.From.IsZero():
+		return blocked{cause: v.Cause}
+	}
+	return blocked{v.Cause, max(v.From.Sub(now), time.Millisecond)}
+}
+
+// blockedNow returns why no upstream of a service accepts a request.
+func (f *Forwarder) blockedNow(service string, w pick.Criteria) blocked {
 	list := f.o.View().Services[service]
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	from := f.chooser.RoomFrom(now, list, w)
-	if from.IsZero() {
-		return 0
+	return blockedBy(now, f.chooser.Blocked(now, list, w))
+}
+
+// noteBlocked records why an upstream could not be used. The cause that ends first counts.
+func (x *exchange) noteBlocked(b blocked) {
+	if b.cause != pace.None && (x.blocked.in == 0 || b.in > 0 && b.in < x.blocked.in) {
+		x.blocked = b
 	}
-	return max(from.Sub(now), time.Millisecond)
 }
 
-// noteRoom records after which time a cold upstream has room again; 0: not known.
-func (x *exchange) noteRoom(d time.Duration) {
-	if d > 0 && (x.roomIn == 0 || d < x.roomIn) {
-		x.roomIn = d
+// isBlocked reports whether all upstreams that the request may use are at a limit, leaving or paused. A placer leaves out those that
+// the request excludes, so that it may not know why.
+func (x *exchange) isBlocked() bool {
+	if x.blocked.cause == pace.None {
+		x.noteBlocked(x.f.blockedNow(x.service, x.criteria("")))
+	}
+	return x.blocked.cause != pace.None
+}
+
+// placersBlock reports whether the placers of all regions said that their engines are paused or return from a pause. They know all
+// sends to these engines, so that the node must not choose one by itself.
+func (x *exchange) placersBlock() bool {
+	return x.placement == nil && (x.blocked.cause == pace.Paused || x.blocked.cause == pace.Returning)
+}
+
+// minWait is how long a request waits at least before it asks again for an upstream that returns from a pause.
+const minWait = 10 * time.Millisecond
+
+// waitForReturn waits for the end of a pause if the request can still be on time then. It reports whether the request may try
+// again.
+func (x *exchange) waitForReturn() bool {
+	b := x.blocked
+	if b.cause != pace.Paused && b.cause != pace.Returning || b.in <= 0 || x.f.o.Clock.Now().Add(b.in).After(x.due) {
+		return false
+	}
+	x.blocked = blocked{}
+	timer := x.f.o.Clock.NewTimer(max(b.in, minWait))
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		return true
+	case <-x.f.drain.finishing.Done():
+	case <-x.ctx.Done():
 	}
+	return true // the next attempt refuses the request
+}
+
+// maxRetryIn bounds a Retry-After: an upstream with a long pause may be replaced before its end.
+const maxRetryIn = 30 * time.Second
+
+// retryIn returns when a caller should come back to upstreams that are blocked for a time. Callers are spread over the second
+// after it.
+func (x *exchange) retryIn(in time.Duration) time.Duration {
+	return min(in, maxRetryIn) + x.f.spread(retryLater) - retryLater/2
 }
 
 // noUpstream returns the response for a request for which no upstream of a service is left. Many requests get it at the same time,
-// so that their callers' return is spread. Those that wait for cold upstreams are told when there is room again.
+// so that their callers' return is spread. Those that wait for cold or paused upstreams are told when these accept requests again.
 func (x *exchange) noUpstream(service string) refusal {
 	allowed := x.allowedRegions()
 	switch {
-	case x.roomIn > 0:
-		return x.gatewayError("all upstreams of the service are cold and at their limit", x.roomIn+x.f.spread(retryLater)-retryLater/2)
+	case x.blocked.in > 0:
+		return x.gatewayError(reasons[x.blocked.cause], x.retryIn(x.blocked.in))
+	case x.blocked.cause != pace.None:
+		return x.gatewayError(reasons[x.blocked.cause], x.f.spread(retryLater))
 	case allowed.Limited():
 		return x.gatewayError("no upstream of service "+service+" accepts requests in the allowed regions: "+allowed.String(), x.f.spread(retryLater))
 	}
@@ -171,7 +258,7 @@
 // renewPlacement asks for another placement if the present one cannot be used.
 func (x *exchange) renewPlacement() {
 	for range maxPlacements {
-		if x.placement != nil && (!x.f.stillReady(x.placement.upstream) || !x.mayUse(x.placement.upstream)) {
+		if x.placement != nil && (!x.f.stillReady(x.placement.upstream) || x.f.isAside(x.placement.upstream) || !x.mayUse(x.placement.upstream)) {
 			x.f.notifyEnd(x.placement, engine.Cancelled)
 			x.placement = nil
 		}
@@ -188,7 +275,7 @@
 		x.f.notifyEnd(x.placement, engine.Cancelled)
 		x.placement = nil
 	}
-	x.noteRoom(retryLater)
+	x.noteBlocked(blocked{pace.Cold, retryLater})
 }
 
 // coversSend reports whether a request may be sent with a placement. Sends to a cold engine need one that its present placer has
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -51,8 +51,17 @@
 	Due time.Duration `cbor:"4,keyasint,omitempty"`
 	// Cold is set if the engine is cold, so that the ticket permits a single send to it.
 	Cold bool `cbor:"5,keyasint,omitempty"`
-	// RoomIn is set if all engines are cold and at their limits. It is the time until one of them has room again.
+	// RoomIn is set if all engines are at their limits. It is the time until one of them has room again.
 	RoomIn time.Duration `cbor:"6,keyasint,omitempty"`
+	// Cause is the limit. Earlier releases leave it out and know of cold engines only.
+	Cause pace.Cause `cbor:"7,keyasint,omitempty"`
+}
+
+func (r placeReply) cause() pace.Cause {
+	if r.Cause == pace.None && r.RoomIn > 0 {
+		return pace.Cold
+	}
+	return r.Cause
 }
 
 // placement is the slot at a model engine that was assigned to a request.
@@ -82,12 +91,12 @@
 	r := x.engineRequest()
 	regions := f.engineRegions(x.allowedRegions(), x.service, x.route.Stages)
 	homeRegion := r.HomeRegion(f.o.Region, f.reachableRegions(regions))
-	x.roomIn = 0
+	x.blocked = blocked{}
 	p := x.placeInRegion(homeRegion, r)
 	if p == nil && !f.reachable(homeRegion) {
 		p = x.placeInRegion(r.HomeRegion(f.o.Region, f.reachableRegions(regions)), r)
 	}
-	if p == nil && x.roomIn > 0 {
+	if p == nil && x.blocked.cause != pace.None {
 		p = x.placeElsewhere(regions, homeRegion, r)
 	}
 	return p
@@ -121,7 +130,7 @@
 		p.ticket = reply.Ticket
 		f.notifyEnd(p, engine.Cancelled)
 	}
-	x.noteRoom(reply.RoomIn)
+	x.noteBlocked(blocked{reply.cause(), reply.RoomIn})
 	return nil
 }
 
@@ -217,7 +226,7 @@
 	for id := range x.failed {
 		r.Exclude = append(r.Exclude, id)
 	}
-	r.Exclude = append(r.Exclude, x.newlyCold...)
+	r.Exclude = x.f.appendAside(append(r.Exclude, x.newlyCold...), x.service)
 	return r
 }
 
@@ -229,12 +238,10 @@
 	p := f.placer(placeKey{q.Service, q.Region})
 	assigned, ok := p.Place(now, *q.Request)
 	if !ok {
-		if assigned.RoomFrom.IsZero() {
-			return placeReply{}
-		}
-		return placeReply{RoomIn: max(assigned.RoomFrom.Sub(now), time.Millisecond)}
+		b := blockedBy(now, assigned.Blocked)
+		return placeReply{RoomIn: b.in, Cause: b.cause}
 	}
-	return placeReply{assigned.Ticket, assigned.ID, assigned.Forecast, assigned.Due.Sub(now), assigned.Cold, 0}
+	return placeReply{Ticket: assigned.Ticket, ID: assigned.ID, Forecast: assigned.Forecast, Due: assigned.Due.Sub(now), Cold: assigned.Cold}
 }
 
 // placer returns the placer of a service with its engine list updated. f.mu must be held.
@@ -263,7 +270,7 @@
 	}
 	for _, u := range v.Services[k.service] {
 		if u.State == roster.Ready && f.o.RegionOf[u.DataCentre] == k.region {
-			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, Pace: pace.Of(u, s)})
+			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, Pace: f.o.Batcher.Paces().Of(u, s)})
 		}
 	}
 	return out
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -51,9 +51,16 @@
 	}
 	u, ok := x.upstreamFor(affinity)
 	if !ok {
+		if x.waitForReturn() {
+			return nil, x.checkAttempt()
+		}
 		r := x.noUpstream(x.service)
 		return nil, &r
 	}
+	if x.f.isAside(u) { // an answer to another request has just said so
+		x.finishAttempt(&response{upstream: u}, pick.Cancelled)
+		return nil, x.checkAttempt()
+	}
 	if (x.sent > 0 || x.refusals > 0) && !x.f.allowRetry(x.service) {
 		x.finishAttempt(&response{upstream: u}, pick.Cancelled)
 		r := x.gatewayError("the retry budget is used up", retryLater)
@@ -78,6 +85,7 @@
 	if err != nil {
 		return nil, x.handleSendError(resp, err)
 	}
+	x.f.o.Batcher.NoteAnswer(u.ID, u.StartedMs, resp.Status, resp.Header)
 	x.upstream = u.ID
 	return x.classify(resp)
 }
@@ -93,17 +101,25 @@
 			x.f.beginRequest(x.placement.upstream.ID)
 			return x.placement.upstream, true
 		}
+		if x.placersBlock() {
+			return roster.Upstream{}, false
+		}
 	}
-	w := pick.Criteria{
-		Affinity: affinity, Exclude: x.failed, Service: x.f.serviceNow(x.service), SkipCold: x.usesEngines(), Allowed: x.allowedDataCentres(),
-	}
+	w := x.criteria(affinity)
 	u, ok := x.f.chooseUpstream(x.service, w)
 	if !ok {
-		x.noteRoom(x.f.roomIn(x.service, w))
+		x.noteBlocked(x.f.blockedNow(x.service, w))
 	}
 	return u, ok
 }
 
+// criteria returns what the upstream of the next attempt must satisfy.
+func (x *exchange) criteria(affinity string) pick.Criteria {
+	return pick.Criteria{
+		Affinity: affinity, Exclude: x.failed, Service: x.f.serviceNow(x.service), SkipCold: x.usesEngines(), Allowed: x.allowedDataCentres(),
+	}
+}
+
 // placementResults maps the result of an attempt to the one reported to the placer.
 var placementResults = map[pick.Result]engine.Result{
 	pick.Succeeded: engine.Served, pick.ErrorResponse: engine.Served, pick.Full: engine.Full, pick.Cancelled: engine.Cancelled,
@@ -132,6 +148,8 @@
 		r = x.gatewayError("the upstream did not answer, and the request may have run", 0)
 	case x.sent >= max(x.route.Attempts, 1):
 		r = x.gatewayError("all attempts of the route are used up", 0)
+	case x.refusals >= maxRefusals && !x.hasWarm() && x.isBlocked():
+		r = x.noUpstream(x.service)
 	case x.refusals >= maxRefusals:
 		r = x.gatewayError("the upstreams are full", retrySoon)
 	case len(x.failed) >= maxFailedUpstreams:
@@ -205,6 +223,9 @@
 		drainBody(resp)
 		x.finishAttempt(resp, result)
 		return nil, x.handleNotRun(resp)
+	case resp.Status == http.StatusServiceUnavailable:
+		drainBody(resp)
+		return nil, x.handleUnproven(resp)
 	case resp.Status < 300 && !signed:
 		return nil, x.handleBadResponse(resp, errUnsigned)
 	case resp.Header.Get("Content-Encoding") != "" && resp.Header.Get("Content-Encoding") != "identity":
@@ -217,12 +238,25 @@
 // handleNotRun handles a response that proves that the request did not run.
 func (x *exchange) handleNotRun(resp *response) *refusal {
 	x.refusals++
-	x.exclude(resp.upstream.ID)
+	if !x.f.isAside(resp.upstream) { // else it may be used again after its pause
+		x.exclude(resp.upstream.ID)
+	}
 	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", resp.upstream.ID),
 		event.F("attempt", x.sent+x.refusals), event.F("outcome", "not_run"), event.F("reason", resp.Status))
 	return x.checkAttempt()
 }
 
+// handleUnproven handles a 503 that does not prove that the request did not run. A caller would take it for such a promise.
+func (x *exchange) handleUnproven(resp *response) *refusal {
+	x.exclude(resp.upstream.ID)
+	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", resp.upstream.ID),
+		event.F("attempt", x.sent+1), event.F("outcome", upcon.MaybeRan), event.F("reason", resp.Status))
+	x.finishAttempt(resp, pick.ErrorResponse)
+	x.sent++
+	x.maybeRan = true
+	return x.checkAttempt()
+}
+
 // handleBadResponse handles a response that cannot be forwarded.
 func (x *exchange) handleBadResponse(resp *response, err error) *refusal {
 	_ = resp.Body.Close()
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/batch"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 )
@@ -20,7 +21,8 @@
 	results        chan stageResult
 	owners         []string // nodes that were asked to run pieces
 	reason         stage.Reason
-	homeDataCentre string // data centre of the engine that is expected to run the request
+	retryIn        time.Duration // time until an upstream of the stage returns, if all of them are paused
+	homeDataCentre string        // data centre of the engine that is expected to run the request
 	spans          []stage.GroupSpan
 }
 
@@ -116,7 +118,12 @@
 	if s.reason != stage.ReasonNone {
 		reason = "a piece of a stage was not made: " + s.reason.String()
 	}
-	r := x.gatewayError(reason, retrySoon)
+	after := retrySoon
+	if s.retryIn > 0 {
+		reason += ": " + reasons[pace.Paused]
+		after = x.retryIn(s.retryIn)
+	}
+	r := x.gatewayError(reason, after)
 	return &r
 }
 
@@ -193,7 +200,7 @@
 	allowed := s.x.allowedRegions()
 	best, least := s.homeDataCentre, -1
 	for _, u := range f.o.View().Services[service] {
-		if u.State != roster.Ready || u.Silent || !allowed.Allows(f.o.RegionOf[u.DataCentre]) {
+		if u.State != roster.Ready || u.Silent || f.isAside(u) || !allowed.Allows(f.o.RegionOf[u.DataCentre]) {
 			continue
 		}
 		if d := f.distance(s.homeDataCentre, u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
@@ -219,7 +226,7 @@
 			freed = append(freed, s.plan.RecordResult(item.Stage, item.Piece, m.Handle, m.Owner, m.Upstream)...)
 			continue
 		}
-		s.reason = m.Reason
+		s.reason, s.retryIn = m.Reason, m.RetryIn
 		if !s.plan.RecordFailure(item.Stage, item.Piece, m.Reason) {
 			s.freeResults(freed)
 			return false
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -27,7 +27,9 @@
 	ID       uint64
 	Upstream string
 	Address  string
-	Jobs     []Job
+	// StartedMs is the start of the upstream, Unix milliseconds.
+	StartedMs int64
+	Jobs      []Job
 	// Timeout is how long the call may take before it counts as failed.
 	Timeout time.Duration
 }
@@ -227,6 +229,7 @@
 	if !slices.ContainsFunc(q.targetsByLoad(), func(t *target) bool { return t.present && !t.Avoid }) {
 		return nil, append(replies, q.refuseAll(now)...)
 	}
+	replies = append(replies, q.refuseBlocked(now)...)
 	q.classify(now)
 	var calls []Call
 	for _, t := range q.targetsByLoad() {
@@ -293,6 +296,36 @@
 	return out
 }
 
+// refuseBlocked ends the jobs that no upstream can compute in time, because all of them are paused for longer.
+func (q *Queue) refuseBlocked(now time.Time) []Reply {
+	first := pace.Verdict{OK: true}
+	for _, t := range q.targets {
+		if !t.present || t.Avoid {
+			continue
+		}
+		v := t.pace.Allow(now, q.owner)
+		if v.Cause != pace.Paused && v.Cause != pace.Leaving {
+			return nil
+		}
+		first = first.Earlier(v)
+	}
+	if first.OK || first.From.IsZero() {
+		return nil
+	}
+	var out []Reply
+	q.filterGroups(func(g *group) bool {
+		if !first.From.Add(q.callTime(1)).After(g.first().Deadline) {
+			return true
+		}
+		for _, r := range q.endGroup(now, g, ReasonRefused) {
+			r.RetryIn = first.From.Sub(now)
+			out = append(out, r)
+		}
+		return false
+	})
+	return out
+}
+
 // endGroup returns replies that end all jobs of a group with a reason.
 func (q *Queue) endGroup(now time.Time, g *group, reason Reason) []Reply {
 	out := make([]Reply, len(g.jobs))
@@ -326,7 +359,7 @@
 	q.counters.Calls++
 	q.counters.Pieces += len(jobs)
 	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*timeoutFactor/2 + timeoutMargin
-	return Call{ID: q.lastID, Upstream: t.ID, Address: t.Address, Jobs: jobs, Timeout: patience}
+	return Call{ID: q.lastID, Upstream: t.ID, Address: t.Address, StartedMs: t.Pace.StartedMs, Jobs: jobs, Timeout: patience}
 }
 
 // Done records the end of a call. It returns replies for the finished jobs, and the handles of results whose requests
@@ -336,17 +369,21 @@
 	delete(q.open, id)
 	t := q.targets[o.target]
 	t.calls--
+	t.pace.Ended()
 	if result == Answered && len(outcomes) != len(o.jobs) {
 		result = CallFailed
 	}
 	switch result {
 	case Answered:
+		t.pace.Worked(1)
 		t.failures = 0
 		q.updateRate(now, len(o.jobs))
 		q.updateDurationRatio(t, o, now, outcomes)
 	case QueueFull:
+		t.pace.Failed()
 		t.pausedUntil = now.Add(fullBackoff)
 	case AddressReused, CallFailed:
+		t.pace.Failed()
 		t.pausedUntil = now.Add(min(initialBackoff<<t.failures, maxBackoff))
 		t.failures = min(t.failures+1, 8)
 	}
--- a/internal/gate/stage/types.go
+++ b/internal/gate/stage/types.go
@@ -30,6 +30,8 @@
 type Outcome struct {
 	Handle string `cbor:"1,keyasint,omitempty"`
 	Reason Reason `cbor:"2,keyasint,omitempty"`
+	// RetryIn is the time until an upstream accepts work again, if all of them are paused; 0: not known.
+	RetryIn time.Duration `cbor:"8,keyasint,omitempty"` // 3 to 7 are left to messages that embed an Outcome
 }
 
 // PieceTiming breaks down the time that a piece spent in a queue.
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -31,6 +31,8 @@
 	upstreams     = "upstreams"
 	suspects      = "suspect_contents"
 	coldUpstreams = "cold_upstreams"
+	asideNow      = "upstreams_aside"
+	asideTotal    = "upstreams_aside_total"
 	stageWaiting  = "stage_waiting"
 	stageOldest   = "stage_oldest_seconds"
 	stageCalls    = "stage_calls_total"
@@ -43,6 +45,7 @@
 var (
 	byStatus = []string{"status"}
 	byKind   = []string{"kind"}
+	byCause  = []string{"cause"}
 	byQueue  = []string{"service", "region"}
 )
 
@@ -63,6 +66,8 @@
 	{Name: upstreams, Type: stats.Gauge, Labels: []string{"state"}, Help: "Registered upstreams by state: 1 ready, 2 leaving, 3 gone."},
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
 	{Name: coldUpstreams, Type: stats.Gauge, Help: "Upstreams that are cold and whose requests are limited, as an entry node sees them."},
+	{Name: asideNow, Type: stats.Gauge, Labels: byCause, Help: "Upstreams to which this node sends nothing after an answer that said so, by cause: leaving, paused."},
+	{Name: asideTotal, Type: stats.Counter, Labels: byCause, Help: "Times that this began, by cause."},
 	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
 	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
 	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
@@ -144,6 +149,12 @@
 	page.Set(configBehind, p.poller.Behind().Seconds(), nil)
 	page.Set(suspects, float64(p.blocklist.Len()), nil)
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
+	for cause, n := range p.batcher.Paces().Counts(p.o.Clock.Now()) {
+		page.Set(asideNow, float64(n), stats.Tags{"cause": cause.String()})
+	}
+	for cause, n := range p.batcher.Paces().Totals() {
+		page.Raise(asideTotal, n, stats.Tags{"cause": cause.String()})
+	}
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
