--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -32,6 +32,8 @@
 	suspects      = "suspect_contents"
 	coldUpstreams = "cold_upstreams"
 	evacuated     = "evacuated_data_centres"
+	asideNow      = "upstreams_aside"
+	asideTotal    = "upstreams_aside_total"
 	stageWaiting  = "stage_waiting"
 	stageOldest   = "stage_oldest_seconds"
 	stageCalls    = "stage_calls_total"
@@ -51,6 +53,7 @@
 var (
 	byStatus = []string{"status"}
 	byKind   = []string{"kind"}
+	byCause  = []string{"cause"}
 	byQueue  = []string{"service", "region"}
 )
 
@@ -72,6 +75,8 @@
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
 	{Name: coldUpstreams, Type: stats.Gauge, Help: "Upstreams that are cold and whose requests are limited, as an entry node sees them."},
 	{Name: evacuated, Type: stats.Gauge, Help: "Evacuated data centres: stored by a control node, in force on an entry node."},
+	{Name: asideNow, Type: stats.Gauge, Labels: byCause, Help: "Upstreams to which this node sends nothing after an answer that said so, by cause: leaving, paused."},
+	{Name: asideTotal, Type: stats.Counter, Labels: byCause, Help: "Times that this began, by cause."},
 	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
 	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
 	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
@@ -183,6 +188,12 @@
 	}
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
 	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
+	for cause, n := range p.batcher.Paces().Counts(p.o.Clock.Now()) {
+		page.Set(asideNow, float64(n), stats.Tags{"cause": cause.String()})
+	}
+	for cause, n := range p.batcher.Paces().Totals() {
+		page.Raise(asideTotal, n, stats.Tags{"cause": cause.String()})
+	}
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
