--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -20,6 +20,7 @@
 	highFillRatio         = 0.5
 	fillRatioWeight       = 0.1  // of the newest call in the moving average
 	localWaitFraction     = 0.25 // of a job's spare time that it may wait for the next call near its engine
+	minExcessRounds       = 1    // rounds of calls by which more must wait at home than elsewhere before work runs elsewhere
 	minQueuedRounds       = 2    // rounds of full calls that may always wait; pieces beyond them that would be late are refused
 	rateInterval          = 500 * time.Millisecond
 	rateWeight            = 0.5  // of the newest interval in the moving average
@@ -194,7 +195,7 @@
 			break
 		}
 		j := g.first()
-		if places <= 0 || j.Bytes > 0 && blocked || q.shouldWaitForHome(*j, t, waiting, now, at[j.Home], all) {
+		if places <= 0 || j.Bytes > 0 && blocked || q.shouldWaitForHome(*j, t, waiting, now, at, all) {
 			continue
 		}
 		n := min(len(g.jobs), places)
@@ -305,10 +306,17 @@
 // piece reads all results of the preceding stage, so a piece that runs in another data centre transfers all of them. A
 // job waits if an upstream at home can take it now, or in its next calls while the job has time to spare. When few
 // upstreams are idle and calls are well filled, filling calls takes precedence.
-func (q *Queue) shouldWaitForHome(j Job, t *target, waiting map[string]int, now time.Time, home, all capacity) bool {
-	if j.Home == t.DataCentre || waiting[j.Home] > home.places {
+func (q *Queue) shouldWaitForHome(j Job, t *target, waiting map[string]int, now time.Time, at map[string]capacity, all capacity) bool {
+	home := at[j.Home]
+	if j.Home == t.DataCentre || home.places == 0 {
 		return false
 	}
+	if waiting[j.Home] > home.places {
+		// All data centres may have more waiting than fits into the next calls. Work that changes places then moves its inputs
+		// and gains nothing, unless clearly more waits at home.
+		there := at[t.DataCentre]
+		return float64(waiting[j.Home])/float64(home.places) < float64(waiting[t.DataCentre])/float64(max(there.places, 1))+minExcessRounds
+	}
 	full := q.callTime(q.pool.Batch)
 	busy := float64(all.idlePlaces) < lowIdleFraction*float64(all.places)
 	switch {
