Bound what holders that were told to end still hold

A holder that yields counts until it has given its memory back. New holders could take its room as long as less than a quarter of the account was ending, so that one large holder more could end beside it. Now the quarter holds, except for one holder that is larger by itself. TestHoldersThatEndAreBounded shows it without sockets.

TestHeadsShareTheAccount failed once in ten runs: it read the account at the moment at which a head had yielded and its connection had not ended yet, and compared that with the bound. It now waits until what is held is within the bound.

--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -151,7 +151,12 @@
 		conns = append(conns, c)
 	}
 	told.await(t, httpd.LimitHeads)
-	assert.Assert(t, a.Usage().Held <= 600<<10)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if u := a.Usage(); u.Held > 600<<10 { // a head that yields counts until its connection has ended
+			return poll.Continue("%+v", u)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
 	for _, c := range conns {
 		_ = c.Close()
 	}
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -66,7 +66,8 @@
 	// beside a crowd of large ones.
 	largeBytes = 64 << 10
 	smallPart  = 8
-	// cuttingPart is the part of the account that holders which were told to end may still have before new large ones are refused.
+	// cuttingPart is the part of the account that holders which were told to end may still have, beyond its bound. One that is larger may
+	// end alone.
 	cuttingPart = 4
 	// spareFiles are descriptors for listeners, files and connections to other processes.
 	spareFiles = 16
@@ -359,11 +360,8 @@
 		if !tooMuch && !ofKind {
 			return true
 		}
-		if large && a.cutting > a.o.Bytes/cuttingPart {
-			return false
-		}
 		v, weight := a.weakest(func(v *Reservation) bool { return v != r && (tooMuch || v.kind == r.kind) })
-		if v == nil {
+		if v == nil || large && a.cutting > 0 && a.cutting+v.bytes > a.o.Bytes/cuttingPart {
 			return false
 		}
 		if _, yields := a.yielding[r]; yields && weight < weigh(r.bytes+n, r.since, now) {
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -77,6 +77,28 @@
 	assert.Equal(t, sending.told, 0)
 }
 
+// Guards against a burst that tells many holders to end and takes their room before they have given it back.
+func TestHoldersThatEndAreBounded(t *testing.T) {
+	a, c := newAccount()
+	var still []*holder
+	for range 6 {
+		still = append(still, a.body(t, mib))
+	}
+	c.Advance(10 * time.Second)
+	burst := a.Reserve(Body, func() {})
+	assert.Assert(t, !burst.Cover(3*mib), "three would have to end")
+	assert.Equal(t, a.Usage().Held, int64(6*mib))
+	assert.Assert(t, burst.Cover(2*mib), "two may")
+	assert.Equal(t, a.Usage().Held, int64(8*mib))
+	assert.Assert(t, !a.Reserve(Body, func() {}).Cover(mib))
+	for _, h := range still {
+		if h.WasCut() {
+			h.Release()
+		}
+	}
+	assert.Assert(t, a.Reserve(Body, func() {}).Cover(mib))
+}
+
 // Guards against large holders that leave no room for ordinary requests: the last part is kept for small ones.
 func TestSmallHoldersHaveRoomBesideLargeOnes(t *testing.T) {
 	a, _ := newAccount()
