--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -42,6 +42,8 @@
 	Events  *event.Log
 	Hub     *peer.Hub
 	Crashes *deny.Blocklist
+	// HoldAfterFreeze shows all upstreams as draining after the process was frozen, until a control node has answered.
+	HoldAfterFreeze bool
 	// Changed is called after each change of the view. It must not block, and may call View and SetReady only.
 	Changed func(*View)
 }
@@ -80,6 +82,7 @@
 	wg     sync.WaitGroup
 	wake   chan struct{}
 	ready  atomic.Bool
+	away   absence
 
 	mu          sync.Mutex
 	report      int64
@@ -132,6 +135,7 @@
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
 		news: make(chan struct{}),
 	}
+	p.away.enabled = o.HoldAfterFreeze
 	p.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.run)
@@ -144,8 +148,15 @@
 	p.wg.Wait()
 }
 
-// View returns the present knowledge.
-func (p *Poller) View() *View { return p.view.Load() }
+// View returns the present knowledge. After a time in which the process was frozen, all upstreams are shown as draining until a
+// control node has answered.
+func (p *Poller) View() *View {
+	v := p.view.Load()
+	if p.away.check(p.o.Clock.Now()) {
+		return p.away.hold(v)
+	}
+	return v
+}
 
 // Version returns the version of the configuration in force here, 0 before the first one.
 func (p *Poller) Version() uint64 {
@@ -209,6 +220,8 @@
 		case <-p.ctx.Done():
 			return
 		}
-		p.askDue(p.o.Clock.Now())
+		now := p.o.Clock.Now()
+		p.away.tick(now)
+		p.askDue(now)
 	}
 }
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -230,6 +230,7 @@
 			Node: p.s.Node, Address: p.s.Listen.Callers, Peer: address, DataCentre: p.s.DataCentre, Region: p.s.Region,
 		},
 		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Crashes: p.blocklist, Changed: changed,
+		HoldAfterFreeze: p.s.Bounds.EvacuationMS > 0,
 	})
 	close(assigned)
 	p.batcher = batch.New(batch.Options{
@@ -251,7 +252,7 @@
 	})
 	guard := &httpd.Guard{Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.add}
 	p.callers = &callerListener{Listener: guard.Listen(listener), clock: p.o.Clock, limits: p.callerLimits, guard: guard}
-	p.http = &http.Server{Handler: p.forwarder, ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
+	p.http = &http.Server{Handler: http.HandlerFunc(p.serveCaller), ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
 	p.wg.Go(func() { _ = p.http.Serve(p.callers) }) // returns an error once the listener is closed
 	if p.s.Listen.Ready == "" {
 		return nil
@@ -261,6 +262,12 @@
 	})
 }
 
+// serveCaller handles the request of a caller. One that has waited while the process was frozen is served once the view is current.
+func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
+	p.poller.AwaitCurrent(r.Context())
+	p.forwarder.ServeHTTP(w, r)
+}
+
 // viewChanged makes the node ready once it has a configuration and knows an upstream.
 func (p *Process) viewChanged(v *poller.View) {
 	if v.Table != nil && len(v.Services) > 0 && !p.draining.Load() {
@@ -301,6 +308,9 @@
 			return reply, err
 		}
 	}
+	if p.poller != nil {
+		p.poller.AwaitCurrent(ctx)
+	}
 	if p.batcher != nil && kind == peer.KindPieces {
 		return p.batcher.Handle(ctx, body)
 	}
--- a/internal/node/gwnode/settings.go
+++ b/internal/node/gwnode/settings.go
@@ -61,6 +61,7 @@
 	RetryWindowS float64 `json:"retry_window_s"` // in which they are counted
 	RetrySlack   float64 `json:"retry_slack"`    // repeats that are allowed besides
 	EntryValidS  float64 `json:"entry_valid_s"`  // longest time that callers keep an address
+	EvacuationMS conf.MS `json:"evacuation_ms"`  // time within which an evacuation must be obeyed; 0: none is ordered
 	ColdOverage  float64 `json:"cold_overage"`   // an upstream that is cold may get this multiple of its cold rate in any second
 	ColdSlack    float64 `json:"cold_slack"`     // and this many requests besides
 }
@@ -144,6 +145,7 @@
 	need(s.Listen.Control == "" || s.Data != "", "data", s.Data, "a control node needs a folder")
 	need(s.BeatMS >= 0, "heartbeat_ms", fmt.Sprint(s.BeatMS), "0 or more is allowed")
 	need(s.Losses >= 0 && s.Losses <= maxLosses, "losses", strconv.Itoa(s.Losses), "0 to 3 are allowed")
+	need(s.Bounds.EvacuationMS >= 0, "bounds.evacuation_ms", fmt.Sprint(s.Bounds.EvacuationMS), "0 or more is allowed")
 	need(s.Bounds.ColdOverage >= 0 && s.Bounds.ColdSlack >= 0, "bounds.cold_overage, cold_slack",
 		fmt.Sprint(s.Bounds.ColdOverage, s.Bounds.ColdSlack), "0 or more is allowed")
 	need(s.Limits.CPUShare >= 0 && s.Limits.Cores >= 0 && s.Limits.MemoryMB >= 0 && s.Limits.Descriptors >= 0 && s.Limits.LinkMbps >= 0,
