Begin the load of new upstreams step by step

Cause: an upstream that has just started has nothing in flight, so that each of 300 nodes sent to it at the same moment; one that started anew each second and failed all requests got nearly as many as its peers.

Change: services that state cold_per_s or cold_ms open the window of package pace at each start, and after the cold time. Few nodes begin, twice as many in each 150 ms. A window grows with completed work, shrinks when that took over 2.5 times as long as usual, and does not count if more than half of the upstreams that could take the work are new. Other services are served as before.

--- a/internal/gate/batch/aside_test.go
+++ b/internal/gate/batch/aside_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
@@ -20,6 +22,39 @@
 	return out
 }
 
+// Guards against a header of a leaving upstream that is missed under its other name or taken from another upstream at the address,
+// and against values of Retry-After that are taken for pauses.
+func TestHeadOfAnswerIsRead(t *testing.T) {
+	a, _, _ := newPair(t, answerWithHandles)
+	a.o.Dialect.Headers.LeavingAlias = "X-Leaving"
+	now := time.Now()
+	for i, c := range []struct {
+		status int
+		header http.Header
+		cause  pace.Cause
+	}{
+		{200, http.Header{"Berylledge-Leaving": {"1"}}, pace.Leaving},
+		{418, http.Header{"X-Leaving": {"true"}}, pace.Leaving},
+		{200, http.Header{"Berylledge-Leaving": {"0"}}, pace.None},
+		{200, http.Header{"Berylledge-Leaving": {"False"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}, "Berylledge-Upstream": {"u6"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}, "Berylledge-Upstream": {"u6"}}, pace.Leaving},
+		{503, http.Header{"Retry-After": {"2.5"}}, pace.Paused},
+		{503, http.Header{"Retry-After": {"1e300"}}, pace.Paused},
+		{503, http.Header{"Retry-After": {"1e999"}}, pace.None},
+		{503, http.Header{"Retry-After": {"-1"}}, pace.None},
+		{503, http.Header{"Retry-After": {"NaN"}}, pace.None},
+		{429, http.Header{"Retry-After": {"5"}}, pace.None},
+		{200, http.Header{"Retry-After": {"5"}}, pace.None},
+	} {
+		id := fmt.Sprint("u", i)
+		a.NoteAnswer(id, 7, c.status, c.header)
+		cause, _ := a.Paces().IsAside(now, id, 7)
+		assert.Equal(t, cause, c.cause, "%d: %d %v", i, c.status, c.header)
+	}
+}
+
 // Guards against calls that reach a stage upstream during the pause that it asked for or after it said that it leaves, also in an
 // answer whose body breaks off; against pieces that wait for a pause which is longer than their time; and against results that are
 // not freed at an upstream that leaves.
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -188,9 +188,12 @@
 func (p *Placer) Place(now time.Time, r Request) (Placement, bool) {
 	p.expire(now)
 	chains := r.chains()
-	best := p.best(now, r, chains, false)
+	best := p.best(now, r, chains, onlyIdle)
 	if best == nil {
-		best = p.best(now, r, chains, true)
+		best = p.best(now, r, chains, alsoNew)
+	}
+	if best == nil {
+		best = p.best(now, r, chains, alsoPaused)
 	}
 	if best == nil {
 		return Placement{Blocked: p.blocked(now, r)}, false
@@ -227,18 +230,31 @@
 	return out
 }
 
-// best returns the engine with the lowest cost. Engines that are backing off, full or marked Avoid are included only if
-// paused is true, engines at a limit of package pace never.
-func (p *Placer) best(now time.Time, r Request, chains []string, paused bool) *target {
+// choice is the set of engines among which one is chosen.
+type choice uint8
+
+const (
+	onlyIdle   choice = iota // those with room that are not backing off
+	alsoNew                  // and those that have just started and got as much as they should while others could take the work
+	alsoPaused               // and those that are backing off, full or marked Avoid
+)
+
+// best returns the engine of a choice with the lowest cost. Engines at another limit of package pace than that of new ones are in no
+// choice.
+func (p *Placer) best(now time.Time, r Request, chains []string, among choice) *target {
 	var out *target
 	var minCost float64
 	stats := p.pauseStats()
+	together := p.startedTogether(now)
 	for _, t := range p.targets {
 		if !t.present || slices.Contains(r.Exclude, t.ID) {
 			continue
 		}
 		usable := !t.Avoid && !now.Before(t.pausedUntil) && (t.Slots == 0 || len(t.tickets) < t.Slots)
-		if !usable && !paused || !t.pace.Allow(now, p.owner).OK {
+		if !usable && among < alsoPaused {
+			continue
+		}
+		if v := t.pace.Allow(now, p.owner); !v.OK && (v.Cause != pace.New || among == onlyIdle && !together) {
 			continue
 		}
 		cost := t.cost(r, chains, stats)
@@ -249,6 +265,21 @@
 	return out
 }
 
+// startedTogether reports whether the windows of engines that have just started do not count.
+func (p *Placer) startedTogether(now time.Time) bool {
+	fresh, all := 0, 0
+	for _, t := range p.targets {
+		if !t.present || t.Avoid {
+			continue
+		}
+		all++
+		if t.pace.SlowStart && t.pace.IsNew(now) {
+			fresh++
+		}
+	}
+	return pace.StartedTogether(fresh, all)
+}
+
 // prefersByHash orders engines with equal cost by rendezvous hashing of the shared parts, so that the parts are spread
 // over the engines consistently.
 func prefersByHash(a, b string, chains []string) bool {
@@ -356,14 +387,18 @@
 	if t == nil {
 		return
 	}
+	var took, usual time.Duration
 	if !t.stagesDone.IsZero() {
-		took := now.Sub(t.stagesDone)
+		took = now.Sub(t.stagesDone)
+		if nanos, ok := p.readTime.predict(float64(t.initialUnread)); ok {
+			usual = time.Duration(nanos)
+		}
 		p.engineTimes.add(t.rank, float64(t.initialUnread), took)
 		p.readTime.add(float64(t.initialUnread), float64(took))
 	}
 	if at := p.targets[t.target]; at != nil && !t.worked {
 		t.worked = true
-		at.pace.Worked(2) // the stream keeps its place
+		at.pace.Took(now, took, usual, 2) // the stream keeps its place
 	}
 	t.unread = 0
 }
@@ -391,13 +426,13 @@
 			at.pace.Worked(1)
 		}
 	case Failed:
-		at.pace.Failed()
+		at.pace.Failed(now)
 		at.pausedUntil = now.Add(min(initialBackoff<<at.failures, maxBackoff))
 		at.failures = min(at.failures+1, 8)
 		// It may have restarted with an empty cache.
 		at.parts, at.cachedTokens = map[string]*part{}, 0
 	case Full:
-		at.pace.Failed()
+		at.pace.Failed(now)
 		at.pausedUntil = now.Add(fullBackoff)
 	case Cancelled:
 	}
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -14,6 +14,12 @@
 // A Table holds what answers of upstreams told: that a start of an upstream is leaving, or wants a pause. All deciders of a process
 // read it through Table.Of.
 //
+// # Windows
+//
+// An upstream that returns from a pause or, where its service asks for it, has just started gets its load step by step. Nodes
+// begin in the rendezvous order of its start, twice as many in each step, and the requests of each grow with completed work that
+// was as quick as that of the peers.
+//
 // # Cold upstreams
 //
 // A cold upstream bears a few requests a second, summed over all senders. Only a decider that knows all sends to an upstream can
@@ -43,13 +49,14 @@
 // Cause is the reason why an upstream may not get work.
 type Cause uint8
 
-// Causes.
+// Causes. Nodes send the numbers to each other, so that new ones go to the end.
 const (
 	None      Cause = iota
 	Cold            // it is cold and at its limit
 	Leaving         // it said that it is leaving
 	Paused          // it asked for a pause
 	Returning       // its pause is over, and its load grows step by step
+	New             // it has just started, and peers can take the work
 	causes
 )
 
@@ -64,6 +71,8 @@
 		return "paused"
 	case Returning:
 		return "returning"
+	case New:
+		return "new"
 	case None, causes:
 	}
 	return "none"
@@ -104,16 +113,21 @@
 	ColdUntil     time.Time     // end of the cold time that it reported, by the local clock; zero: none
 	ColdTime      time.Duration // cold time after a start according to the configuration
 	ColdPerSecond float64       // requests a second that it bears while cold; 0: no limit
+	SlowStart     bool          // its load grows step by step after a start
 	Slots         int           // requests or calls that it takes at the same time, with its queue; 0: not known
 	Leaving       bool          // it gets no new work
 	PausedUntil   time.Time     // it gets no work before; zero: no pause
 }
 
+// IsPaced reports whether a service states that its upstreams are cold after a start, so that their load grows step by step.
+func IsPaced(s *conf.Service) bool { return s != nil && (s.ColdPerSecond > 0 || s.ColdTime > 0) }
+
 // Of returns what a view and the configuration of an upstream's service, which may be nil, tell of an upstream.
 func Of(u roster.Upstream, s *conf.Service) Upstream {
 	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil, Slots: u.Slots}
 	if s != nil {
 		out.ColdTime, out.ColdPerSecond = s.ColdTime.Duration(), s.ColdPerSecond
+		out.SlowStart = IsPaced(s)
 		switch {
 		case s.Engine != nil:
 			out.Slots = s.Engine.Slots
@@ -160,9 +174,12 @@
 	reserved  int       // placed and not sent
 	inFlight  int       // placed or sent, and not ended
 	window    window
-	sends     []time.Time // ring of the latest sends
-	next      int         // index of the oldest send
-	cached    cachedShare
+
+	startKnown bool        // it was decided whether the start is new
+	restarted  bool        // an earlier start was known
+	sends      []time.Time // ring of the latest sends
+	next       int         // index of the oldest send
+	cached     cachedShare
 }
 
 // Update sets what is known of the upstream. A newer start does not release the limit, as sends to the earlier one may arrive at
@@ -170,6 +187,7 @@
 func (s *State) Update(u Upstream) {
 	if u.StartedMs != s.StartedMs {
 		s.firstSeen, s.cached, s.window = time.Time{}, cachedShare{}, window{}
+		s.startKnown, s.restarted = false, s.ID != ""
 	}
 	s.window.open(u.PausedUntil)
 	s.Upstream = u
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -50,6 +50,7 @@
 	maxBackoff         = 8 * time.Second
 	fullBackoff        = 150 * time.Millisecond
 	stateTTL           = time.Minute
+	usualWeight        = 0.05 // of the newest sample in the usual response time of a service
 )
 
 // Criteria describes what a request needs.
@@ -70,6 +71,7 @@
 	failures    int
 	lastEnd     time.Time
 	pace        pace.State
+	service     string
 }
 
 // Chooser tracks the state of the upstreams. It is not safe for concurrent use.
@@ -77,11 +79,12 @@
 	upstreams map[string]*state
 	shares    *pace.Shares
 	table     *pace.Table
+	usualMS   map[string]float64 // moving average of response times in milliseconds, by paced service
 }
 
 // New returns a Chooser without observations, for a node by this name.
 func New(b pace.Bounds, self string) *Chooser {
-	return &Chooser{upstreams: map[string]*state{}, shares: pace.NewShares(b, self)}
+	return &Chooser{upstreams: map[string]*state{}, usualMS: map[string]float64{}, shares: pace.NewShares(b, self)}
 }
 
 // UseTable sets the table of upstreams that are leaving or paused.
@@ -101,20 +104,32 @@
 
 // Choose selects an upstream; false if none accepts work.
 func (c *Chooser) Choose(now time.Time, list []roster.Upstream, w Criteria) (roster.Upstream, bool) {
-	var usable, paused []roster.Upstream
+	var usable, held, paused []roster.Upstream
+	fresh := 0
 	for _, u := range list {
 		if u.State != roster.Ready || w.Exclude[u.ID] || w.Allowed != nil && !w.Allowed(u.DataCentre) {
 			continue
 		}
-		if !c.pace(now, u, w).OK {
+		v := c.pace(now, u, w)
+		if !v.OK && v.Cause != pace.New {
 			continue
 		}
 		if now.Before(c.state(u.ID).pausedUntil) || u.Silent {
 			paused = append(paused, u)
 			continue
 		}
+		if pace.IsPaced(w.Service) && c.state(u.ID).pace.IsNew(now) {
+			fresh++
+		}
+		if !v.OK {
+			held = append(held, u)
+			continue
+		}
 		usable = append(usable, u)
 	}
+	if len(held) > 0 && pace.StartedTogether(fresh, len(usable)+len(held)) {
+		usable = append(usable, held...)
+	}
 	if len(usable) > 0 {
 		return c.bestUpstream(nearestUpstreams(usable, w.Distance), w), true
 	}
@@ -126,12 +141,13 @@
 func (c *Chooser) update(u roster.Upstream, service *conf.Service) *state {
 	s := c.state(u.ID)
 	s.pace.Update(c.table.Of(u, service))
+	s.service = u.Service
 	return s
 }
 
 // pace returns whether an upstream may get a request. The limit of a cold upstream and a pause are not guesses, so they always hold.
 func (c *Chooser) pace(now time.Time, u roster.Upstream, w Criteria) pace.Verdict {
-	if (w.Service == nil || w.Service.ColdPerSecond <= 0) && c.table.Len() == 0 {
+	if !pace.IsPaced(w.Service) && c.table.Len() == 0 {
 		return pace.Verdict{OK: true} // a window ends before its upstream leaves the table
 	}
 	s := c.update(u, w.Service)
@@ -267,10 +283,10 @@
 	s.pace.Ended()
 	switch r {
 	case Succeeded:
-		s.pace.Worked(1)
 		s.failures = 0
 		s.errorRate *= 1 - newestWeight
 		ms := float64(took) / float64(time.Millisecond)
+		c.compare(now, s, took, ms)
 		if s.latencyMS == 0 {
 			s.latencyMS = ms
 		}
@@ -278,10 +294,10 @@
 	case ErrorResponse:
 		s.errorRate += newestWeight * (1 - s.errorRate)
 	case Full:
-		s.pace.Failed()
+		s.pace.Failed(now)
 		s.pausedUntil = now.Add(fullBackoff)
 	case NoResponse, AddressReused:
-		s.pace.Failed()
+		s.pace.Failed(now)
 		s.errorRate += newestWeight * (1 - s.errorRate)
 		s.pausedUntil = now.Add(min(initialBackoff<<s.failures, maxBackoff))
 		s.failures = min(s.failures+1, 8)
@@ -289,6 +305,23 @@
 	}
 }
 
+// compare lets the window of an upstream follow its response time in relation to that of its service.
+func (c *Chooser) compare(now time.Time, s *state, took time.Duration, ms float64) {
+	if !s.pace.SlowStart {
+		s.pace.Worked(1)
+		return
+	}
+	usual := c.usualMS[s.service]
+	s.pace.Took(now, took, time.Duration(usual*float64(time.Millisecond)), 1)
+	if s.pace.IsNew(now) {
+		return
+	}
+	if usual == 0 {
+		usual = ms
+	}
+	c.usualMS[s.service] = usual + usualWeight*(ms-usual)
+}
+
 // Sweep drops the state of upstreams that have not been used for a while.
 func (c *Chooser) Sweep(now time.Time) {
 	for id, s := range c.upstreams {
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -152,6 +152,7 @@
 // reasons are the reasons of refusals, by cause.
 var reasons = map[pace.Cause]string{
 	pace.Cold: "all upstreams of the service are cold and at their limit", pace.Leaving: "all upstreams of the service are leaving",
+	pace.New:    "all upstreams of the service have just started and are at their limit",
 	pace.Paused: "all upstreams of the service are paused", pace.Returning: "all upstreams of the service return from a pause and are at their limit",
 }
 
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -250,7 +250,26 @@
 }
 
 func (q *Queue) available(t *target, now time.Time) bool {
-	return t.present && !t.Avoid && !now.Before(t.pausedUntil) && t.pace.Allow(now, q.owner).OK
+	return t.present && !t.Avoid && !now.Before(t.pausedUntil) && q.mayCall(t, now)
+}
+
+// mayCall reports whether the state of an upstream permits a call. The window of one that has just started does not count if most
+// of the others have started, too.
+func (q *Queue) mayCall(t *target, now time.Time) bool {
+	v := t.pace.Allow(now, q.owner)
+	if v.OK || v.Cause != pace.New {
+		return v.OK
+	}
+	fresh, all := 0, 0
+	for _, t := range q.targets {
+		if t.present && !t.Avoid && !now.Before(t.pausedUntil) {
+			all++
+			if t.pace.SlowStart && t.pace.IsNew(now) {
+				fresh++
+			}
+		}
+	}
+	return pace.StartedTogether(fresh, all)
 }
 
 // targetsByLoad returns the targets sorted by calls in flight, then used memory, then ID.
@@ -375,15 +394,15 @@
 	}
 	switch result {
 	case Answered:
-		t.pace.Worked(1)
+		t.pace.Took(now, now.Sub(o.sentAt), q.callTime(len(o.jobs)), 1)
 		t.failures = 0
 		q.updateRate(now, len(o.jobs))
 		q.updateDurationRatio(t, o, now, outcomes)
 	case QueueFull:
-		t.pace.Failed()
+		t.pace.Failed(now)
 		t.pausedUntil = now.Add(fullBackoff)
 	case AddressReused, CallFailed:
-		t.pace.Failed()
+		t.pace.Failed(now)
 		t.pausedUntil = now.Add(min(initialBackoff<<t.failures, maxBackoff))
 		t.failures = min(t.failures+1, 8)
 	}
