Let requests to engines wait for the end of a pause

Cause: a request for engines that this node knew to be paused was refused although it could still be on time, since the placer is not told why the engines are excluded; and after the pause all waiting requests of a node went to the engine at once if the placer was on another node. The refusal of a stage whose upstreams are leaving did not say so and came back after the same 300 ms for all.

Change: the asking node also excludes engines that return from a pause and are at this node's limit, and waits for their return. A refused piece carries the cause. The Retry-After of refused stages is spread.

Measured: TestPauseOfUpstreamIsHonoured and TestAllUpstreamsPausedIsRejectedAtOnce now run with engines as well.

--- a/internal/gate/batch/aside_test.go
+++ b/internal/gate/batch/aside_test.go
@@ -85,6 +85,7 @@
 	made, err := a.Run(t.Context(), "s", "n", jobsUntil("short", 1, 2400*time.Millisecond))
 	assert.NilError(t, err)
 	assert.Equal(t, made[0].Reason, stage.ReasonRefused)
+	assert.Equal(t, made[0].Cause, pace.Paused)
 	assert.Assert(t, made[0].RetryIn > time.Second && made[0].RetryIn < 3*time.Second, "%v", made[0].RetryIn)
 	assert.Assert(t, time.Since(begin) < 2*time.Second, "refused after %v", time.Since(begin))
 	assert.Equal(t, calls.Load(), int32(1))
@@ -101,6 +102,7 @@
 		made, err = b.Run(t.Context(), "s", "n", jobsUntil(fmt.Sprint("after", i), 1, 20*time.Second))
 		assert.NilError(t, err)
 		assert.Equal(t, made[0].Reason, stage.ReasonRefused)
+		assert.Equal(t, made[0].Cause, pace.Leaving)
 	}
 	assert.Equal(t, calls.Load(), before+1)
 	n := len(up.Requests())
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -170,6 +170,11 @@
 	return c.update(u, s).pace.ColdEnd(now)
 }
 
+// Verdict returns whether an upstream of a service may get a request.
+func (c *Chooser) Verdict(now time.Time, u roster.Upstream, s *conf.Service) pace.Verdict {
+	return c.pace(now, u, Criteria{Service: s})
+}
+
 // Blocked returns the verdict on the upstream that accepts requests again before the others: one that is cold and at its limit,
 // paused or returning. Without such, it is the verdict on one that is leaving; its OK is true if there is none either.
 func (c *Chooser) Blocked(now time.Time, list []roster.Upstream, w Criteria) pace.Verdict {
--- a/internal/gate/proxy/aside_test.go
+++ b/internal/gate/proxy/aside_test.go
@@ -176,9 +176,31 @@
 // Guards against requests that reach an upstream before the time that it asked for, whatever waits, and against all of those that
 // wait reaching it in the same moment. A request that can still be on time is held meanwhile.
 func TestPauseOfUpstreamIsHonoured(t *testing.T) {
+	t.Run("plain", func(t *testing.T) { checkPause(t, func(*testProxy) {}) })
+	t.Run("engine", func(t *testing.T) { checkPause(t, setEngines) })
+	for _, invalid := range []string{"0", "-1", "NaN", "Inf", "1e999", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"} {
+		up, times := pausing(t, invalid)
+		s := newTestProxy(t, nil, up)
+		s.do(s.request("/x/", "first"))
+		s.do(s.request("/x/", "second"))
+		assert.Equal(t, len(times()), 2, "%q is no pause", invalid)
+	}
+}
+
+// setEngines makes the upstreams model engines, for which this node places the requests.
+func setEngines(s *testProxy) {
+	next := *s.view.Load()
+	cfg := *next.Table.Config
+	cfg.Services = []conf.Service{{Name: "desk", Engine: &conf.Engine{Slots: 20}}}
+	next.Table = conf.NewTable(&cfg)
+	s.view.Store(&next)
+}
+
+func checkPause(t *testing.T, change func(*testProxy)) {
 	const pause = 800 * time.Millisecond
 	up, times := pausing(t, "0.8")
 	s := newTestProxy(t, func(r *conf.Route) { r.Target, r.Timeout = 4000, 5000 }, up)
+	change(s)
 	begin := time.Now()
 	var wg sync.WaitGroup
 	wg.Go(func() { assert.Check(t, s.do(s.request("/x/", "first")).status == 200) })
@@ -205,13 +227,6 @@
 		}
 	}
 	assert.Assert(t, early[100*time.Millisecond] <= 1 && early[200*time.Millisecond] <= 3, "requests by time after the pause: %v", early)
-	for _, invalid := range []string{"0", "-1", "NaN", "Inf", "1e999", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"} {
-		up, times := pausing(t, invalid)
-		s := newTestProxy(t, nil, up)
-		s.do(s.request("/x/", "first"))
-		s.do(s.request("/x/", "second"))
-		assert.Equal(t, len(times()), 2, "%q is no pause", invalid)
-	}
 }
 
 // Guards against a long pause that outlives the start of the upstream which asked for it.
@@ -234,9 +249,15 @@
 // Guards against callers that wait for upstreams which are all paused for longer than the request has, that are told to return
 // earlier than that, or that return in the same moment.
 func TestAllUpstreamsPausedIsRejectedAtOnce(t *testing.T) {
+	t.Run("plain", func(t *testing.T) { checkAllPaused(t, func(*testProxy) {}) })
+	t.Run("engine", func(t *testing.T) { checkAllPaused(t, setEngines) })
+}
+
+func checkAllPaused(t *testing.T, change func(*testProxy)) {
 	a, timesA := pausing(t, "3")
 	b, timesB := pausing(t, "5")
 	s := newTestProxy(t, nil, a, b)
+	change(s)
 	s.sendMany(2)
 	first := time.Now()
 	seen := map[string]bool{}
@@ -279,3 +300,22 @@
 	s.view.Store(&poller.View{Table: x.table})
 	assert.Equal(t, len(x.engineRequest().Exclude), 0)
 }
+
+// Guards against a request that was placed before its engine said that it leaves, and is sent there once its stages are done.
+func TestWaitingRequestLeavesALeavingEngine(t *testing.T) {
+	s := newTestProxy(t, nil, newGoodUpstream(t), newGoodUpstream(t))
+	setEngines(s)
+	x := &exchange{f: s.forwarder, r: s.request("/x/", "id1"), service: "desk", table: s.view.Load().Table, ctx: t.Context()}
+	x.route = &x.table.Config.Routes[0]
+	x.due = time.Now().Add(time.Minute)
+	x.renewPlacement()
+	assert.Assert(t, x.placement != nil)
+	first := x.placement.upstream.ID
+	s.forwarder.o.Batcher.NoteAnswer(first, 0, 200, http.Header{"Berylledge-Leaving": {"1"}})
+	u, ok := x.upstreamFor("")
+	assert.Assert(t, ok)
+	assert.Assert(t, u.ID != first)
+	s.forwarder.o.Batcher.NoteAnswer(u.ID, 0, 200, http.Header{"Berylledge-Leaving": {"1"}})
+	_, ok = x.upstreamFor("")
+	assert.Assert(t, !ok, "no engine is left")
+}
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -216,7 +216,7 @@
 func (x *exchange) forward() {
 	if x.usesEngines() {
 		x.placement = x.requestPlacement()
-		for x.placement == nil && x.ctx.Err() == nil && !x.f.reached(Finishing) && (x.placersBlock() || !x.hasWarm()) && x.waitForReturn() {
+		for x.placement == nil && x.ctx.Err() == nil && !x.f.reached(Finishing) && (x.placersBlock() || !x.hasWarm() && x.isBlocked()) && x.waitForReturn() {
 			x.placement = x.requestPlacement()
 		}
 		x.placedAfter = x.f.o.Clock.Now().Sub(x.start)
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/event"
@@ -119,24 +120,33 @@
 	return cause != pace.None
 }
 
-// appendAside appends the upstreams of a service that this node knows to be leaving or paused. A placer on another node may not.
-func (f *Forwarder) appendAside(ids []string, service string) []string {
+// heldBack returns the upstreams of a service that get no request now because they told this node that they are leaving or paused, or
+// return from a pause. A placer on another node may not know.
+func (f *Forwarder) heldBack(service string) (ids []string) {
 	if f.o.Batcher.Paces().Len() == 0 {
-		return ids
+		return nil
 	}
-	for _, u := range f.o.View().Services[service] {
-		if f.isAside(u) {
+	s := f.serviceNow(service)
+	list := f.o.View().Services[service]
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range list {
+		switch f.chooser.Verdict(now, u, s).Cause {
+		case pace.Leaving, pace.Paused, pace.Returning:
 			ids = append(ids, u.ID)
+		case pace.None, pace.Cold, pace.New:
 		}
 	}
 	return ids
 }
 
-// hasWarm reports whether an upstream of the service that is not cold, leaving or paused and that the request may use accepts
+// hasWarm reports whether an upstream of the service that is neither cold nor held back and that the request may use accepts
 // requests.
 func (x *exchange) hasWarm() bool {
+	held := x.f.heldBack(x.service)
 	for _, u := range x.f.o.View().Services[x.service] {
-		if u.State == roster.Ready && !u.Silent && x.mayUse(u) && !x.f.isCold(u) && !x.f.isAside(u) {
+		if u.State == roster.Ready && !u.Silent && x.mayUse(u) && !x.f.isCold(u) && !slices.Contains(held, u.ID) {
 			return true
 		}
 	}
@@ -222,9 +232,12 @@
 // maxRetryIn bounds a Retry-After: an upstream with a long pause may be replaced before its end.
 const maxRetryIn = 30 * time.Second
 
-// retryIn returns when a caller should come back to upstreams that are blocked for a time. Callers are spread over the second
+// retryIn returns when a caller should come back to upstreams that are blocked for a time; 0: not known. Callers are spread over the second
 // after it.
 func (x *exchange) retryIn(in time.Duration) time.Duration {
+	if in <= 0 { // not known
+		return x.f.spread(retryLater)
+	}
 	return min(in, maxRetryIn) + x.f.spread(retryLater) - retryLater/2
 }
 
@@ -233,10 +246,8 @@
 func (x *exchange) noUpstream(service string) refusal {
 	allowed := x.allowedRegions()
 	switch {
-	case x.blocked.in > 0:
-		return x.gatewayError(reasons[x.blocked.cause], x.retryIn(x.blocked.in))
 	case x.blocked.cause != pace.None:
-		return x.gatewayError(reasons[x.blocked.cause], x.f.spread(retryLater))
+		return x.gatewayError(reasons[x.blocked.cause], x.retryIn(x.blocked.in))
 	case allowed.Limited():
 		return x.gatewayError("no upstream of service "+service+" accepts requests in the allowed regions: "+allowed.String(), x.f.spread(retryLater))
 	}
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -226,7 +226,7 @@
 	for id := range x.failed {
 		r.Exclude = append(r.Exclude, id)
 	}
-	r.Exclude = x.f.appendAside(append(r.Exclude, x.newlyCold...), x.service)
+	r.Exclude = append(append(r.Exclude, x.newlyCold...), x.f.heldBack(x.service)...)
 	return r
 }
 
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -254,7 +254,11 @@
 	x.finishAttempt(resp, pick.ErrorResponse)
 	x.sent++
 	x.maybeRan = true
-	return x.checkAttempt()
+	r := x.checkAttempt()
+	if r != nil && !x.route.Idempotent() {
+		r.reason = "the upstream answered 503, and the request may have run"
+	}
+	return r
 }
 
 // handleBadResponse handles a response that cannot be forwarded.
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -21,8 +21,8 @@
 	results        chan stageResult
 	owners         []string // nodes that were asked to run pieces
 	reason         stage.Reason
-	retryIn        time.Duration // time until an upstream of the stage returns, if all of them are paused
-	homeDataCentre string        // data centre of the engine that is expected to run the request
+	blocked        blocked // why no upstream of the stage accepted the pieces
+	homeDataCentre string  // data centre of the engine that is expected to run the request
 	spans          []stage.GroupSpan
 }
 
@@ -119,9 +119,12 @@
 		reason = "a piece of a stage was not made: " + s.reason.String()
 	}
 	after := retrySoon
-	if s.retryIn > 0 {
-		reason += ": " + reasons[pace.Paused]
-		after = x.retryIn(s.retryIn)
+	switch {
+	case s.blocked.cause != pace.None:
+		reason += ": " + reasons[s.blocked.cause]
+		after = x.retryIn(s.blocked.in)
+	case s.reason == stage.ReasonRefused: // as many others
+		after = x.f.spread(retrySoon)
 	}
 	r := x.gatewayError(reason, after)
 	return &r
@@ -226,7 +229,7 @@
 			freed = append(freed, s.plan.RecordResult(item.Stage, item.Piece, m.Handle, m.Owner, m.Upstream)...)
 			continue
 		}
-		s.reason, s.retryIn = m.Reason, m.RetryIn
+		s.reason, s.blocked = m.Reason, blocked{m.Cause, m.RetryIn}
 		if !s.plan.RecordFailure(item.Stage, item.Piece, m.Reason) {
 			s.freeResults(freed)
 			return false
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -307,9 +307,18 @@
 }
 
 func (q *Queue) refuseAll(now time.Time) []Reply {
+	cause := pace.None
+	for _, t := range q.targets {
+		if t.present && t.pace.Leaving {
+			cause = pace.Leaving
+		}
+	}
 	var out []Reply
 	q.filterGroups(func(g *group) bool {
-		out = append(out, q.endGroup(now, g, ReasonRefused)...)
+		for _, r := range q.endGroup(now, g, ReasonRefused) {
+			r.Cause = cause
+			out = append(out, r)
+		}
 		return false
 	})
 	return out
@@ -337,7 +346,7 @@
 			return true
 		}
 		for _, r := range q.endGroup(now, g, ReasonRefused) {
-			r.RetryIn = first.From.Sub(now)
+			r.RetryIn, r.Cause = first.From.Sub(now), first.Cause
 			out = append(out, r)
 		}
 		return false
--- a/internal/gate/stage/types.go
+++ b/internal/gate/stage/types.go
@@ -14,7 +14,11 @@
 //	inputs := p.Inputs() // once p.Finished()
 package stage
 
-import "time"
+import (
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/pace"
+)
 
 // Item is one piece of a stage of a request, in the form sent to an upstream.
 type Item struct {
@@ -32,6 +36,8 @@
 	Reason Reason `cbor:"2,keyasint,omitempty"`
 	// RetryIn is the time until an upstream accepts work again, if all of them are paused; 0: not known.
 	RetryIn time.Duration `cbor:"8,keyasint,omitempty"` // 3 to 7 are left to messages that embed an Outcome
+	// Cause is why no upstream accepts work: all of them are paused or leaving.
+	Cause pace.Cause `cbor:"9,keyasint,omitempty"`
 }
 
 // PieceTiming breaks down the time that a piece spent in a queue.
