--- a/internal/gate/batch/aside_test.go
+++ b/internal/gate/batch/aside_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
@@ -20,6 +22,39 @@
 	return out
 }
 
+// Guards against a header of a leaving upstream that is missed under its other name or taken from another upstream at the address,
+// and against values of Retry-After that are taken for pauses.
+func TestHeadOfAnswerIsRead(t *testing.T) {
+	a, _, _ := newPair(t, answerWithHandles)
+	a.o.Dialect.Headers.LeavingAlias = "X-Leaving"
+	now := time.Now()
+	for i, c := range []struct {
+		status int
+		header http.Header
+		cause  pace.Cause
+	}{
+		{200, http.Header{"Berylledge-Leaving": {"1"}}, pace.Leaving},
+		{418, http.Header{"X-Leaving": {"true"}}, pace.Leaving},
+		{200, http.Header{"Berylledge-Leaving": {"0"}}, pace.None},
+		{200, http.Header{"Berylledge-Leaving": {"False"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}, "Berylledge-Upstream": {"u6"}}, pace.None},
+		{421, http.Header{"Berylledge-Leaving": {"1"}, "Berylledge-Upstream": {"u6"}}, pace.Leaving},
+		{503, http.Header{"Retry-After": {"2.5"}}, pace.Paused},
+		{503, http.Header{"Retry-After": {"1e300"}}, pace.Paused},
+		{503, http.Header{"Retry-After": {"1e999"}}, pace.None},
+		{503, http.Header{"Retry-After": {"-1"}}, pace.None},
+		{503, http.Header{"Retry-After": {"NaN"}}, pace.None},
+		{429, http.Header{"Retry-After": {"5"}}, pace.None},
+		{200, http.Header{"Retry-After": {"5"}}, pace.None},
+	} {
+		id := fmt.Sprint("u", i)
+		a.NoteAnswer(id, 7, c.status, c.header)
+		cause, _ := a.Paces().IsAside(now, id, 7)
+		assert.Equal(t, cause, c.cause, "%d: %d %v", i, c.status, c.header)
+	}
+}
+
 // Guards against calls that reach a stage upstream during the pause that it asked for or after it said that it leaves, also in an
 // answer whose body breaks off; against pieces that wait for a pause which is longer than their time; and against results that are
 // not freed at an upstream that leaves.
@@ -50,6 +85,7 @@
 	made, err := a.Run(t.Context(), "s", "n", jobsUntil("short", 1, 2400*time.Millisecond))
 	assert.NilError(t, err)
 	assert.Equal(t, made[0].Reason, stage.ReasonRefused)
+	assert.Equal(t, made[0].Cause, pace.Paused)
 	assert.Assert(t, made[0].RetryIn > time.Second && made[0].RetryIn < 3*time.Second, "%v", made[0].RetryIn)
 	assert.Assert(t, time.Since(begin) < 2*time.Second, "refused after %v", time.Since(begin))
 	assert.Equal(t, calls.Load(), int32(1))
@@ -66,6 +102,7 @@
 		made, err = b.Run(t.Context(), "s", "n", jobsUntil(fmt.Sprint("after", i), 1, 20*time.Second))
 		assert.NilError(t, err)
 		assert.Equal(t, made[0].Reason, stage.ReasonRefused)
+		assert.Equal(t, made[0].Cause, pace.Leaving)
 	}
 	assert.Equal(t, calls.Load(), before+1)
 	n := len(up.Requests())
--- a/internal/gate/engine/speed_test.go
+++ b/internal/gate/engine/speed_test.go
@@ -171,9 +171,9 @@
 	}
 	learnt, chains := s.p.speeds, r.chains()
 	s.p.speeds = speed.New()
-	unlearnt := s.p.best(s.now, r, chains, false)
+	unlearnt := s.p.best(s.now, r, chains, onlyIdle)
 	s.p.speeds = learnt
-	if s.p.best(s.now, r, chains, false) != unlearnt {
+	if s.p.best(s.now, r, chains, onlyIdle) != unlearnt {
 		s.changed++
 	}
 	seat, ok := s.p.Place(s.now, r)
--- a/internal/gate/poller/away.go
+++ b/internal/gate/poller/away.go
@@ -27,10 +27,10 @@
 // absence tracks whether the process was away. Times are Unix nanoseconds of the wall clock, since the monotonic clock stands still
 // while a VM is suspended.
 type absence struct {
-	enabled bool // set before the first use
-	ticked atomic.Int64 // last round of the poller's loop; 0: none yet
-	since  atomic.Int64 // when the return was noticed; 0: not away
-	held   atomic.Pointer[heldView]
+	enabled bool         // set before the first use
+	ticked  atomic.Int64 // last round of the poller's loop; 0: none yet
+	since   atomic.Int64 // when the return was noticed; 0: not away
+	held    atomic.Pointer[heldView]
 }
 
 // heldView is a view in which all upstreams are draining.
