Count a request to a returning engine when its limit is checked

Each request compared the node's limit before it asked the placer, and counted itself after the answer, so that several passed the check at the same time. The check and the count are one step now; a request that comes late waits for the next step.

--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -141,6 +141,20 @@
 	return ids
 }
 
+// beginPlaced counts a request to an engine that a placer selected, unless the engine is paused or returns from a pause and other
+// requests of this node have used its limit since the placer was asked.
+func (f *Forwarder) beginPlaced(u roster.Upstream) blocked {
+	s := f.serviceNow(u.Service)
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.chooser.Verdict(now, u, s); v.Cause == pace.Paused || v.Cause == pace.Returning {
+		return blockedBy(now, v)
+	}
+	f.chooser.Begin(now, u.ID)
+	return blocked{}
+}
+
 // hasWarm reports whether an upstream of the service that is neither cold nor held back and that the request may use accepts
 // requests.
 func (x *exchange) hasWarm() bool {
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -13,6 +13,7 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/pick"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
@@ -97,8 +98,13 @@
 	if x.usesEngines() {
 		x.renewPlacement()
 		if x.placement != nil {
+			if b := x.f.beginPlaced(x.placement.upstream); b.cause != pace.None {
+				x.f.notifyEnd(x.placement, engine.Cancelled)
+				x.placement = nil
+				x.noteBlocked(b)
+				return roster.Upstream{}, false
+			}
 			x.placement.used = true
-			x.f.beginRequest(x.placement.upstream.ID)
 			return x.placement.upstream, true
 		}
 		if x.placersBlock() {
@@ -106,13 +112,21 @@
 		}
 	}
 	w := x.criteria(affinity)
-	u, ok := x.f.chooseUpstream(x.service, w)
-	if !ok {
-		x.noteBlocked(x.f.blockedNow(x.service, w))
+	for range maxChoices {
+		if u, ok := x.f.chooseUpstream(x.service, w); ok {
+			return u, true
+		}
+		if b := x.f.blockedNow(x.service, w); b.cause != pace.None {
+			x.noteBlocked(b)
+			break
+		}
 	}
-	return u, ok
+	return roster.Upstream{}, false
 }
 
+// maxChoices is how often an upstream is chosen: a limit that blocked the first choice may end before its cause is looked for.
+const maxChoices = 2
+
 // criteria returns what the upstream of the next attempt must satisfy.
 func (x *exchange) criteria(affinity string) pick.Criteria {
 	return pick.Criteria{
