Send stage calls where they are forecast to finish first

Queues of stages took all upstreams for equally fast and calls for as long as configured. On a real fleet, calls took 153 ms plus 2.85 ms a piece where 150 and 2.0 are configured, so forecasts of full calls were too good, and a last call to an upstream of 1.6 times the usual time ended long after the faster ones had nothing left to do. Load headers were not read.

- speed.ParseLoad reads the load header.
The fourth figure counts relative to the upstream's usual figure, so that it does not matter whether it contains the speed of the machine, and halves its weight every 250 ms.
An invalid header is ignored as a whole.
- speed.CallTimes learns the fixed time of a call and that of a piece: a weighted fit in which a call counts less the more it deviates from the median, with the configured times as eight calls.
Within 1% the configured times are used, exactly.
LinearFit moves here from the engine package.
- stage.Queue orders upstreams by forecast factor times calls in flight, those of other senders included for half a second.
A call to a slower upstream is not begun while clearly faster ones of the same data centre, also busy ones, complete all that waits before it would end.
Overdue calls and upstreams without memory do not hold it back. refuseLate sums the rates of the upstreams.
- pick.Chooser multiplies its response times by the reported deviation while it is new.
- queue_state has call_us, piece_us, reporting and speeds; metrics stage_call_seconds, stage_piece_seconds, stage_speed_ratio.

Placers still forecast stages by the configured times; they correct their forecasts by the measured times of stages. With equal upstreams and calls as configured, the decisions of 2,000 rounds are the same as without learning.

--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -405,7 +405,7 @@
 
 // call sends one call and passes its outcome to the queue.
 func (m *Batcher) call(q *queue, c stage.Call) {
-	result, outcomes, err := m.send(c)
+	result, outcomes, err := m.send(q, c)
 	if err != nil {
 		m.o.Events.Emit(event.CallFailed, event.F("upstream", c.Upstream), event.F("pieces", len(c.Jobs)),
 			event.F("outcome", result), event.F("reason", err))
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -136,6 +136,20 @@
 	assert.Equal(t, string(up.Requests()[1].Body), `{"handles":["h0"]}`)
 }
 
+// Guards against load headers that are not read, and against invalid ones that harm the call or count.
+func TestLoadHeaderReachesTheQueue(t *testing.T) {
+	for header, want := range map[string]int{"": 0, "0,0,1": 0, "0,0,1,250": 1, "0,0,1,-1": 0, "x": 0} {
+		_, b, _ := newPair(t, func(c *rawup.Conn, r *rawup.Request) {
+			body := `{"items":[{"handle":"h0"}]}`
+			c.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\nBerylledge-Load: %s\r\nContent-Length: %d\r\n\r\n%s", header, len(body), body))
+		})
+		made, err := b.Run(t.Context(), "s", "n", jobs(1))
+		assert.NilError(t, err)
+		assert.Equal(t, made[0].Handle, "h0")
+		assert.Equal(t, b.Queues()[0].Reporting, want, "%q", header)
+	}
+}
+
 // Guards against results that occupy an upstream's memory because the node that accounted for them has restarted.
 func TestUnknownResultsAreFreedAtTheirUpstream(t *testing.T) {
 	_, b, up := newPair(t, answerWithHandles)
--- a/internal/gate/batch/queue_state.go
+++ b/internal/gate/batch/queue_state.go
@@ -30,7 +30,10 @@
 			event.F("made", s.Counters.Completed-last.Completed), event.F("no_room", s.Counters.NoRoom-last.NoRoom), event.F("late", s.Counters.Late-last.Late),
 			event.F("refused", s.Counters.Refused-last.Refused), event.F("unwanted", s.Counters.Unwanted-last.Unwanted),
 			event.F("away", s.Counters.Remote-last.Remote), event.F("away_kb", (s.Counters.RemoteBytes-last.RemoteBytes)/1000),
-			event.F("results", s.Results), event.F("used_kb", s.UsedBytes/1000), event.F("limit_kb", s.LimitBytes/1000))
+			event.F("results", s.Results), event.F("used_kb", s.UsedBytes/1000), event.F("limit_kb", s.LimitBytes/1000),
+			event.F("call_us", s.CallTime.Microseconds()), event.F("piece_us", s.PieceTime.Microseconds()),
+			event.F("reporting", s.Reporting),
+			event.F("speeds", fmt.Sprintf("%.2f/%.2f", s.Least, s.Most)))
 	}
 }
 
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -24,8 +24,8 @@
 	maxItemBytes     = 1 << 10 // for each piece, in addition
 )
 
-// send sends one call to a stage upstream and decodes its response.
-func (m *Batcher) send(c stage.Call) (stage.CallResult, []stage.Outcome, error) {
+// send sends one call of a queue to a stage upstream and decodes its response.
+func (m *Batcher) send(q *queue, c stage.Call) (stage.CallResult, []stage.Outcome, error) {
 	now := m.o.Clock.Now()
 	items := make([]stage.Item, len(c.Jobs))
 	var maxTimeLeft time.Duration
@@ -63,6 +63,7 @@
 		}
 		return result, nil, err
 	}
+	m.noteLoad(q, c.Upstream, resp)
 	if !namesResult(outcomes) {
 		resp.Discard()
 	}
--- a/internal/gate/engine/cost.go
+++ b/internal/gate/engine/cost.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/berylledge/berylledge/internal/gate/speed"
+)
 
 // Cost parameters, in prompt tokens that the engine has to read.
 const (
@@ -66,11 +70,11 @@
 // updatePauseStats records the effect of a placed prompt on streams with the same permitted gap. tokens is the number of
 // tokens that the median engine would read in the same time.
 func (p *Placer) updatePauseStats(tokens float64, gap time.Duration) {
-	p.meanLateFraction += (lateFraction(p.pauseStats().readTime(tokens), gap) - p.meanLateFraction) * (1 - sampleDecay)
+	p.meanLateFraction += (lateFraction(p.pauseStats().readTime(tokens), gap) - p.meanLateFraction) * (1 - speed.SampleDecay)
 }
 
 func (p *Placer) pauseStats() pauseStats {
-	return pauseStats{time.Duration(p.readTime.slope()), p.meanLateFraction}
+	return pauseStats{time.Duration(p.readTime.Slope()), p.meanLateFraction}
 }
 
 // weight returns the fraction of a request's unread prompt that counts as ahead of another one. A request with pending
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -135,13 +135,13 @@
 	tickets          map[uint64]*ticket
 	lastID           uint64
 	pools            map[string]Pool
-	engineTimes      durationModel // time from the end of a request's stages to its first event, by unread prompt tokens
-	stageTimes       durationModel // duration of a request's stages, by the forecast duration
-	readTime         linearFit     // nanoseconds from the end of a request's stages to its first event, by unread prompt tokens; all ranks
+	engineTimes      durationModel   // time from the end of a request's stages to its first event, by unread prompt tokens
+	stageTimes       durationModel   // duration of a request's stages, by the forecast duration
+	readTime         speed.LinearFit // nanoseconds from the end of a request's stages to its first event, by unread prompt tokens; all ranks
 	speeds           *speed.Table
-	readPeriod       linearFit // nanoseconds in which an engine read a prompt without other prompts, by unread prompt tokens
-	lastSpeedChange  time.Time // when SpeedChanges last looked
-	meanLateFraction float64   // fraction of streams that a prompt makes late, averaged over recent prompts
+	readPeriod       speed.LinearFit // nanoseconds in which an engine read a prompt without other prompts, by unread prompt tokens
+	lastSpeedChange  time.Time       // when SpeedChanges last looked
+	meanLateFraction float64         // fraction of streams that a prompt makes late, averaged over recent prompts
 	unanswered       unansweredRequests
 	lastExpiry       time.Time // when expired tickets were last removed
 	owner            *pace.Owner
@@ -167,7 +167,7 @@
 func NewPaced(b pace.Bounds) *Placer {
 	return &Placer{
 		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, owner: pace.NewOwner(b), speeds: speed.New(),
-		readPeriod: linearFit{decay: readPeriodDecay},
+		readPeriod: speed.LinearFit{Decay: readPeriodDecay},
 	}
 }
 
@@ -382,7 +382,7 @@
 		took := now.Sub(t.stagesDone)
 		tokens := p.speeds.Factor(now, t.target) * float64(t.initialUnread)
 		p.engineTimes.add(t.rank, tokens, took)
-		p.readTime.add(tokens, float64(took))
+		p.readTime.Add(tokens, float64(took))
 		p.learnSpeed(now, t)
 	}
 	t.unread = 0
--- a/internal/gate/engine/read_speed.go
+++ b/internal/gate/engine/read_speed.go
@@ -48,13 +48,13 @@
 	}
 	took := now.Sub(began)
 	tokens := p.speeds.Estimate(now, t.target) * float64(t.initialUnread)
-	expected, known := p.readPeriod.predict(tokens)
-	reading := p.readPeriod.slope() * tokens
+	expected, known := p.readPeriod.Predict(tokens)
+	reading := p.readPeriod.Slope() * tokens
 	sample := float64(took)
 	if known && expected > 0 {
 		sample = min(sample, maxDeviation*expected)
 	}
-	p.readPeriod.addWeighted(tokens, sample, shortPrompt/(shortPrompt+tokens))
+	p.readPeriod.AddWeighted(tokens, sample, shortPrompt/(shortPrompt+tokens))
 	if known {
 		p.speeds.Learn(now, t.target, took, time.Duration(max(expected, reading)), time.Duration(reading))
 	}
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -1,5 +1,6 @@
 // Package pick selects an upstream for a request among those of its service, based on what this entry node has
-// observed: its own requests in flight, failures and response times. Load reports of upstreams are not used, since they
+// observed: its own requests in flight, failures and response times. If upstreams report how long work takes on their machine
+// at the moment, the report multiplies the response time while it is new. Reported numbers of requests are not used, since they
 // lag and every node would react to the same reports.
 //
 // Usage:
@@ -25,6 +26,7 @@
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/speed"
 )
 
 // Result tells how a request ended at an upstream.
@@ -69,6 +71,7 @@
 	pausedUntil time.Time
 	failures    int
 	lastEnd     time.Time
+	report      speed.Report // of the duration of work, relative to latencyMS
 	pace        pace.State
 }
 
@@ -112,7 +115,7 @@
 		usable = append(usable, u)
 	}
 	if len(usable) > 0 {
-		return c.bestUpstream(nearestUpstreams(usable, w.Distance), w), true
+		return c.bestUpstream(now, nearestUpstreams(usable, w.Distance), w), true
 	}
 	// All of them failed recently. One is tried anyway, since the length of a backoff is only a guess.
 	return c.firstToResume(paused)
@@ -190,7 +193,7 @@
 	return out, found
 }
 
-func (c *Chooser) bestUpstream(list []roster.Upstream, w Criteria) roster.Upstream {
+func (c *Chooser) bestUpstream(now time.Time, list []roster.Upstream, w Criteria) roster.Upstream {
 	if w.Affinity != "" {
 		return c.affinityUpstream(list, w.Affinity)
 	}
@@ -198,7 +201,7 @@
 	var out roster.Upstream
 	minCost := 0.0
 	for i, u := range list {
-		if cost := c.cost(u, median); i == 0 || cost < minCost {
+		if cost := c.cost(now, u, median); i == 0 || cost < minCost {
 			out, minCost = u, cost
 		}
 	}
@@ -220,13 +223,13 @@
 	return times[(len(times)-1)/2]
 }
 
-func (c *Chooser) cost(u roster.Upstream, median float64) float64 {
+func (c *Chooser) cost(now time.Time, u roster.Upstream, median float64) float64 {
 	s := c.state(u.ID)
 	cost := float64(s.inFlight+1) * (1 + errorRateCost*s.errorRate)
 	if median > 0 && s.latencyMS > 0 {
 		cost *= s.latencyMS / median
 	}
-	return cost
+	return cost * s.report.Blend(now, 1)
 }
 
 // affinityUpstream returns the first upstream in the rendezvous order of the key whose load is not clearly above
@@ -254,6 +257,11 @@
 	s.pace.Sent(now, c.shares)
 }
 
+// ReportDuration records how long work takes at an upstream at the moment, as reported with an answer: a multiple of the usual time.
+func (c *Chooser) ReportDuration(now time.Time, id string, duration float64) {
+	c.state(id).report.Add(now, duration)
+}
+
 // End records the result of a request that Begin counted. took is the time until the response started.
 func (c *Chooser) End(now time.Time, id string, r Result, took time.Duration) {
 	s := c.state(id)
@@ -267,6 +275,9 @@
 		if s.latencyMS == 0 {
 			s.latencyMS = ms
 		}
+		if s.latencyMS > 0 {
+			s.report.Learn(ms / s.latencyMS)
+		}
 		s.latencyMS += newestWeight * (ms - s.latencyMS)
 	case ErrorResponse:
 		s.errorRate += newestWeight * (1 - s.errorRate)
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -108,3 +108,32 @@
 	c.End(t0, "u1", NoResponse, 0)
 	assert.Equal(t, choose(t, c, list, Criteria{}), "u1")
 }
+
+// Guards against requests to a machine that is slow for the moment and says so, against a report that counts for longer, and against
+// all requests going to the upstream that last reported itself fast.
+func TestReportedSlowDownCountsWhileItIsNew(t *testing.T) {
+	c := New(pace.Bounds{}, "")
+	list := newUpstreams("own", "own")
+	served := func(now time.Time, id string, duration float64) {
+		c.Begin(now, id)
+		c.ReportDuration(now, id, duration)
+		c.End(now, id, Succeeded, 50*time.Millisecond)
+	}
+	for range 50 {
+		served(t0, "u0", 1.6) // its usual figure
+		served(t0, "u1", 1)
+	}
+	assert.Equal(t, choose(t, c, list, Criteria{}), "u0")
+	served(t0, "u0", 4)
+	assert.Equal(t, choose(t, c, list, Criteria{}), "u1")
+	later, _ := c.Choose(t0.Add(1100*time.Millisecond), list, Criteria{})
+	assert.Equal(t, later.ID, "u0")
+	served(t0, "u0", 0.8)
+	count := map[string]int{}
+	for range 30 {
+		id := choose(t, c, list, Criteria{})
+		count[id]++
+		c.Begin(t0, id)
+	}
+	assert.Assert(t, count["u1"] >= 8, "%v", count)
+}
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -44,6 +44,7 @@
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/gate/speed"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
@@ -201,6 +202,20 @@
 	f.chooser.End(now, id, r, took)
 }
 
+// noteLoad records what an upstream reported about its load with an answer. Invalid reports are ignored.
+func (f *Forwarder) noteLoad(resp *response) {
+	name := f.o.Dialect.Headers.Load
+	if name == "" {
+		return
+	}
+	if l, ok := speed.ParseLoad(resp.Header.Get(name)); ok && l.Duration > 0 {
+		now := f.o.Clock.Now()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.chooser.ReportDuration(now, resp.upstream.ID, l.Duration)
+	}
+}
+
 // allowRetry takes one retry from the retry budget, if there is one left.
 func (f *Forwarder) allowRetry(service string) bool {
 	now := f.o.Clock.Now()
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -495,3 +495,17 @@
 	assert.Equal(t, resp.Trailer.Get("X-Sum"), "9")
 	assert.Equal(t, string(up.Requests()[0].Body), "in")
 }
+
+// Guards against a load header that is not read, and against an invalid one that counts.
+func TestLoadHeaderOfAPlainServiceIsUsed(t *testing.T) {
+	for header, want := range map[string]int{"1,0,4,400": 1, "1,0,4,-400": 2, "1,0,4": 2} {
+		first := rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+			c.WriteString(rawResponse(200, r.Header.Get("Berylledge-Request"), "ok", signed, "Berylledge-Load: "+header))
+		})
+		s := newTestProxy(t, nil, first, newGoodUpstream(t))
+		for i := range 2 { // without a report, the upstream without measured times does not come first
+			assert.Equal(t, s.do(s.request("/x/", fmt.Sprint("id", i))).status, 200)
+		}
+		assert.Equal(t, len(first.Requests()), want, "%q", header)
+	}
+}
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -210,6 +210,7 @@
 	case resp.Header.Get("Content-Encoding") != "" && resp.Header.Get("Content-Encoding") != "identity":
 		return nil, x.handleBadResponse(resp, errEncoded)
 	}
+	x.f.noteLoad(resp)
 	x.sent++
 	return resp, nil
 }
--- a/internal/gate/stage/counters.go
+++ b/internal/gate/stage/counters.go
@@ -48,6 +48,11 @@
 	Results       int   // results that the queue accounts for
 	UsedBytes     int64 // memory of these results and of those being computed
 	LimitBytes    int64 // estimated memory limit of all upstreams that accept work
+	// CallTime and PieceTime are the learnt fixed time of a call and the time of each piece in it, at the median upstream.
+	CallTime, PieceTime time.Duration
+	// Least and Most are the lowest and the highest learnt duration of work of an upstream, relative to the median one.
+	Least, Most float64
+	Reporting   int // upstreams that reported the duration of their work in the last second
 }
 
 // snapshotRanks is the number of ranks that a snapshot counts separately.
@@ -55,7 +60,8 @@
 
 // Snapshot returns the state of the queue for logs and metrics.
 func (q *Queue) Snapshot(now time.Time) Snapshot {
-	s := Snapshot{Counters: q.counters, Waiting: make([]int, snapshotRanks)}
+	s := Snapshot{Counters: q.counters, Waiting: make([]int, snapshotRanks), Least: 1, Most: 1}
+	s.CallTime, s.PieceTime = q.callTimes.Times()
 	for _, g := range q.groups {
 		s.Waiting[min(max(g.first().Rank, 0), snapshotRanks-1)] += len(g.jobs)
 		s.OldestWait = max(s.OldestWait, now.Sub(g.added))
@@ -66,6 +72,11 @@
 		s.UsedBytes += t.usedBytes
 		if t.present && !t.Avoid {
 			s.Upstreams++
+			factor := q.speeds.Factor(now, t.ID)
+			if t.load.report.IsFresh(now) {
+				s.Reporting++
+			}
+			s.Least, s.Most = min(s.Least, factor), max(s.Most, factor)
 			s.LimitBytes += int64(t.limitBytes)
 		}
 	}
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -82,10 +82,11 @@
 // refuseLate refuses jobs that would be late behind the jobs before them, at the recent completion rate. The first
 // minQueuedRounds rounds of full calls are never refused.
 func (q *Queue) refuseLate(now time.Time) []Reply {
-	ready := 0
+	ready, calls := 0, 0.0 // calls that the upstreams end in the time of one call at the median upstream
 	for _, t := range q.targets {
 		if t.present && !t.Avoid {
 			ready++
+			calls += 1 / q.speeds.Factor(now, t.ID)
 		}
 	}
 	minQueued := ready * q.pool.Batch * minQueuedRounds
@@ -94,7 +95,7 @@
 	}
 	q.classify(now)
 	q.sortGroups("")
-	rate := float64(ready*q.pool.Batch) / q.callTime(q.pool.Batch).Seconds()
+	rate := calls * float64(q.pool.Batch) / q.callTime(q.pool.Batch).Seconds()
 	rate -= q.coldLoss(now)
 	if q.rate > 0 {
 		rate = min(rate, q.rate)
@@ -265,7 +266,7 @@
 func (q *Queue) capacities(now time.Time) (at map[string]capacity, all capacity) {
 	ends := map[string]time.Time{}
 	for _, o := range q.open {
-		end := o.sentAt.Add(q.callTime(len(o.jobs)))
+		end := q.forecastEnd(o)
 		if first, ok := ends[o.target]; !ok || end.Before(first) {
 			ends[o.target] = end
 		}
@@ -344,6 +345,9 @@
 // slow one would end. A slow upstream that has not been called for a while is tried again, because it may have
 // recovered.
 func (q *Queue) othersFinishSooner(t *target, now time.Time) bool {
+	if q.fasterFinishSooner(t, now) {
+		return true
+	}
 	if t.durationRatio < slowDurationRatio || now.Sub(t.lastCallEnd) > slowRetryInterval {
 		return false
 	}
@@ -356,9 +360,9 @@
 	return float64(q.waiting) <= float64(places)*(t.durationRatio-1)
 }
 
-// updateDurationRatio updates the ratio of actual to expected call duration. Calls without any result are ignored,
-// since they end early when memory is full.
-func (q *Queue) updateDurationRatio(t *target, o openCall, now time.Time, outcomes []Outcome) {
+// learnDuration learns from the duration of a call. Calls without any result are ignored, since they end early when memory is
+// full.
+func (q *Queue) learnDuration(t *target, o openCall, now time.Time, outcomes []Outcome) {
 	t.lastCallEnd = now
 	made := 0
 	for _, out := range outcomes {
@@ -369,5 +373,11 @@
 	if made == 0 {
 		return
 	}
-	t.durationRatio += durationRatioWeight * (float64(now.Sub(o.sentAt))/float64(q.callTime(made)) - t.durationRatio)
+	took := now.Sub(o.sentAt)
+	ratio := float64(took) / float64(q.callTime(made))
+	t.durationRatio += durationRatioWeight * (ratio - t.durationRatio)
+	t.load.report.Learn(ratio)
+	if made == len(outcomes) {
+		q.learnSpeed(t, now, made, took)
+	}
 }
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -7,6 +7,7 @@
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/pace"
+	"github.com/berylledge/berylledge/internal/gate/speed"
 )
 
 // Job is a piece that waits to be computed.
@@ -87,6 +88,7 @@
 	memoryFullUntil time.Time               // no results are placed here until then, unless one is freed
 	durationRatio   float64                 // moving average of actual to expected call duration
 	lastCallEnd     time.Time
+	load            load
 	pace            pace.State
 }
 
@@ -100,6 +102,7 @@
 	target string
 	jobs   []Job
 	sentAt time.Time
+	factor float64 // forecast factor of the target when it was sent
 }
 
 // Queue dispatches the pieces of one service in one region to its upstreams. It is not safe for concurrent use.
@@ -124,6 +127,10 @@
 	rateCount int       // pieces completed since rateStart
 	rateStart time.Time // start of the current rate interval; zero: nothing waited
 	owner     *pace.Owner
+
+	callTimes speed.CallTimes
+	speeds    *speed.Table
+	heldBack  map[string]float64 // by data centre, the factor from which upstreams wait for faster ones; during Next
 }
 
 const bytesPerMB = 1e6
@@ -139,10 +146,13 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(pool conf.Pool) *Queue {
-	return &Queue{
-		pool: pool, targets: map[string]*target{}, attempts: map[Key]int{}, open: map[uint64]openCall{}, cancelled: map[Key]bool{},
+	q := &Queue{
+		targets: map[string]*target{}, attempts: map[Key]int{}, open: map[uint64]openCall{}, cancelled: map[Key]bool{},
 		memoryHolders: map[string]int{}, byRequest: map[string][]*group{}, owner: pace.NewOwner(pace.Bounds{}),
+		speeds: speed.New(), heldBack: map[string]float64{},
 	}
+	q.SetPool(pool)
+	return q
 }
 
 // SetOwned tells whether this node is the one that owns the queue, by its own view. Before, cold upstreams get no calls.
@@ -152,7 +162,10 @@
 func (q *Queue) SetBounds(b pace.Bounds) { q.owner = pace.NewOwner(b) }
 
 // SetPool updates the properties of the upstreams.
-func (q *Queue) SetPool(pool conf.Pool) { q.pool = pool }
+func (q *Queue) SetPool(pool conf.Pool) {
+	q.pool = pool
+	q.callTimes.Configure(pool.CallTime.Duration(), pool.ItemTime.Duration())
+}
 
 // SetTargets replaces the set of upstreams. One with calls in flight is removed when they end.
 func (q *Queue) SetTargets(list []Target) {
@@ -165,6 +178,10 @@
 			have = &target{results: map[string]storedResult{}, limitBytes: q.pool.ResultMemoryMB * bytesPerMB, durationRatio: 1}
 			q.targets[t.ID] = have
 		}
+		if have.Pace.StartedMs != t.Pace.StartedMs {
+			q.speeds.Forget(t.ID)
+			have.load = load{}
+		}
 		have.Target, have.present = t, true
 		have.pace.Update(t.Pace)
 	}
@@ -178,6 +195,7 @@
 
 // releaseTarget drops the accounting of an upstream that has been removed.
 func (q *Queue) releaseTarget(t *target) {
+	q.speeds.Forget(t.ID)
 	for _, r := range t.results {
 		q.releaseOne(r.request)
 	}
@@ -224,12 +242,14 @@
 		q.rate, q.rateStart = 0, time.Time{} // nothing waits, so the rate does not reflect the capacity
 		return nil, replies
 	}
-	if !slices.ContainsFunc(q.targetsByLoad(), func(t *target) bool { return t.present && !t.Avoid }) {
+	targets := q.targetsByFinish(now)
+	if !slices.ContainsFunc(targets, func(t *target) bool { return t.present && !t.Avoid }) {
 		return nil, append(replies, q.refuseAll(now)...)
 	}
 	q.classify(now)
+	clear(q.heldBack)
 	var calls []Call
-	for _, t := range q.targetsByLoad() {
+	for _, t := range targets {
 		for q.canCall(t, now) {
 			q.sortGroups(t.DataCentre)
 			jobs := q.fillCall(t, now)
@@ -250,21 +270,24 @@
 	return t.present && !t.Avoid && !now.Before(t.pausedUntil) && t.pace.Allow(now, q.owner).OK
 }
 
-// targetsByLoad returns the targets sorted by calls in flight, then used memory, then ID.
-func (q *Queue) targetsByLoad() []*target {
+// targetsByFinish returns the targets sorted by the forecast duration of the work at each, a further call included, then by used
+// memory and ID. It computes the factors of the targets.
+func (q *Queue) targetsByFinish(now time.Time) []*target {
 	out := make([]*target, 0, len(q.targets))
 	for _, t := range q.targets {
+		t.load.factor = t.load.report.Blend(now, q.speeds.Factor(now, t.ID))
+		t.load.ahead = t.load.factor * float64(t.calls+1+t.load.foreignCalls(now))
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(a.calls, b.calls), cmp.Compare(a.usedBytes, b.usedBytes), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.load.ahead, b.load.ahead), cmp.Compare(a.usedBytes, b.usedBytes), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
 
-// callTime returns the expected duration of a call with n pieces.
+// callTime returns the expected duration of a call with n pieces at the median upstream, as learnt from calls.
 func (q *Queue) callTime(n int) time.Duration {
-	return q.pool.CallTime.Duration() + time.Duration(n)*q.pool.ItemTime.Duration()
+	return q.callTimes.Expected(n)
 }
 
 // dropExpired drops jobs whose results would be useless, and jobs that have waited so long that their inputs will
@@ -316,16 +339,18 @@
 func (q *Queue) startCall(t *target, jobs []Job, now time.Time) Call {
 	q.lastID++
 	t.calls++
+	clear(q.heldBack)
 	t.pace.Sent(now, q.owner)
 	for _, j := range jobs {
 		t.usedBytes += j.Bytes
 		q.attempts[keyOf(j)]++
 	}
-	q.open[q.lastID] = openCall{t.ID, jobs, now}
+	q.open[q.lastID] = openCall{t.ID, jobs, now, t.load.factor}
 	q.fillRatio += fillRatioWeight * (float64(len(jobs))/float64(q.pool.Batch) - q.fillRatio)
 	q.counters.Calls++
 	q.counters.Pieces += len(jobs)
-	patience := time.Duration(q.pool.Queue+1)*q.callTime(q.pool.Batch)*timeoutFactor/2 + timeoutMargin
+	configured := q.pool.CallTime.Duration() + time.Duration(q.pool.Batch)*q.pool.ItemTime.Duration()
+	patience := time.Duration(q.pool.Queue+1)*max(q.callTime(q.pool.Batch), configured)*timeoutFactor/2 + timeoutMargin
 	return Call{ID: q.lastID, Upstream: t.ID, Address: t.Address, Jobs: jobs, Timeout: patience}
 }
 
@@ -343,7 +368,7 @@
 	case Answered:
 		t.failures = 0
 		q.updateRate(now, len(o.jobs))
-		q.updateDurationRatio(t, o, now, outcomes)
+		q.learnDuration(t, o, now, outcomes)
 	case QueueFull:
 		t.pausedUntil = now.Add(fullBackoff)
 	case AddressReused, CallFailed:
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -39,6 +39,9 @@
 	stageRoom     = "stage_room_bytes"
 	stageLimit    = "stage_room_limit_bytes"
 	engineSpeed   = "engine_speed_ratio"
+	stageSpeed    = "stage_speed_ratio"
+	stageCallTime = "stage_call_seconds"
+	stagePiece    = "stage_piece_seconds"
 )
 
 var (
@@ -72,6 +75,9 @@
 	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
 	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
 	{Name: engineSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt time in which the fastest (bound least) and the slowest engine (most) reads a token, relative to the median engine. Of nodes that have placed requests on the engines."},
+	{Name: stageSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt duration of calls at the fastest (bound least) and the slowest stage upstream (most), relative to the median upstream; 0 once another node keeps the queue."},
+	{Name: stageCallTime, Type: stats.Gauge, Labels: byQueue, Help: "Learnt fixed time of a call at the median stage upstream; the configured one until calls differ from it."},
+	{Name: stagePiece, Type: stats.Gauge, Labels: byQueue, Help: "Learnt time of each piece in a call, in addition."},
 }
 
 // MetricsPage renders the catalogue as the page docs/gate_metrics.md.
@@ -177,6 +183,10 @@
 	page.Set(stageOldest, q.OldestWait.Seconds(), tags)
 	page.Set(stageRoom, float64(q.UsedBytes), tags)
 	page.Set(stageLimit, float64(q.LimitBytes), tags)
+	page.Set(stageCallTime, q.CallTime.Seconds(), tags)
+	page.Set(stagePiece, q.PieceTime.Seconds(), tags)
+	page.Set(stageSpeed, q.Least, stats.Tags{"service": q.Service, "region": q.Region, "bound": "least"})
+	page.Set(stageSpeed, q.Most, stats.Tags{"service": q.Service, "region": q.Region, "bound": "most"})
 }
 
 func sampleQueue(page *stats.Page, q *batch.QueueState) {
