Give entry nodes callers and queues in proportion to their size

The directory named all entry nodes equally often, so that a VM with 0.144 cores got as many callers as one with 0.48, and owned as many stage queues and placements.

Entry nodes report their capacity (cpu_share x cores, in thousandths) with their record. If the nodes of a data centre differ, the directory names 4 to 64 of them by weighted rendezvous hashing of the caller. Draws without replacement name large nodes less often than their weights say: with 50 nodes and 17 names, the large ones got 0.86 of their share. The weights are adjusted for that. If all capacities are equal or unknown, answers are as before. An unknown capacity among known ones counts as the smallest.

A list is stable for each caller only if enough callers have asked lately for every node to be named to about ten of them. Otherwise lists are drawn anew with each query, so that callers behind one address do not leave ready nodes without callers.

The owner of a stage queue, and so of a placer, follows capacity in regions where all ready nodes report one. Nodes of earlier releases report none, so all nodes then choose as before. Equal weights give the owner of before.

ReadyEntries takes a Caller instead of five arguments; the tests that call it check the same as before.

--- a/internal/base/rendez/rendez.go
+++ b/internal/base/rendez/rendez.go
@@ -28,6 +28,12 @@
 	Weight float64 // a node with weight 0 owns no keys
 }
 
+// WeightedScore returns the score of a node with a positive weight for a key. With equal weights, nodes are in the order of Score.
+func WeightedScore(key string, n WeightedNode) float64 {
+	uniform := (float64(Score(key, n.Name)) + 0.5) / (1 << 64)
+	return -n.Weight / math.Log(uniform)
+}
+
 // Pick returns the name of the node that owns a key by weighted rendezvous hashing, or "" if no node has a positive weight. A
 // change of one node's weight moves keys only to or from that node.
 func Pick(key string, nodes []WeightedNode) string {
@@ -36,8 +42,7 @@
 		if n.Weight <= 0 {
 			continue
 		}
-		uniform := (float64(Score(key, n.Name)) + 0.5) / (1 << 64)
-		score := -n.Weight / math.Log(uniform)
+		score := WeightedScore(key, n)
 		if best == "" || score > bestScore || score == bestScore && n.Name < best {
 			best, bestScore = n.Name, score
 		}
--- a/internal/base/rendez/rendez_test.go
+++ b/internal/base/rendez/rendez_test.go
@@ -29,3 +29,13 @@
 		assert.Assert(t, count[n] > 850 && count[n] < 1150, "%v", count)
 	}
 }
+
+// Guards against weights that, if equal, change the owner of a key.
+func TestEqualWeightsKeepTheOrder(t *testing.T) {
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		a := WeightedScore(key, WeightedNode{"a", 2})
+		b := WeightedScore(key, WeightedNode{"b", 2})
+		assert.Equal(t, a > b, Compare(key, "a", "b") < 0)
+	}
+}
--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -205,13 +205,19 @@
 }
 
 func (p queueKey) ownerAmong(entries []roster.Entry, usable func(roster.Entry) bool) roster.Entry {
-	best, out := uint64(0), -1
+	// Owners follow capacity only if that of all nodes is known, so that nodes which do not report it choose the same owner.
+	weighted := !slices.ContainsFunc(entries, func(e roster.Entry) bool { return e.Ready && e.Region == p.region && e.Capacity <= 0 })
+	best, out := 0.0, -1
 	for i := range entries {
 		e := &entries[i]
 		if !e.Ready || e.Region != p.region || !usable(*e) {
 			continue
 		}
-		if score := rendez.Score(p.service, e.Node); out < 0 || score > best {
+		n := rendez.WeightedNode{Name: e.Node, Weight: 1}
+		if weighted {
+			n.Weight = float64(e.Capacity)
+		}
+		if score := rendez.WeightedScore(p.service, n); out < 0 || score > best {
 			best, out = score, i
 		}
 	}
--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -86,6 +86,7 @@
 
 	pieces configPieces
 	hosts  hostRegions
+	askers callerCounter
 
 	mu            sync.Mutex
 	roster        *roster.Registry
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -13,7 +13,6 @@
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
-	"github.com/berylledge/berylledge/internal/gate/region"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
@@ -179,7 +178,9 @@
 		caller = r.RemoteAddr
 	}
 	allowed := s.hosts.of(s.o.Member.Latest(), q.Get(s.o.Dialect.Query.Host), s.o.Dialect.DecodeConfig)
-	nodes := s.readyEntryNodes(caller, q.Get(s.o.Dialect.Query.DataCentre), q.Get(s.o.Dialect.Query.Region), allowed)
+	nodes := s.readyEntryNodes(roster.Caller{
+		Name: caller, DataCentre: q.Get(s.o.Dialect.Query.DataCentre), Region: q.Get(s.o.Dialect.Query.Region), Allowed: allowed,
+	})
 	if len(nodes) == 0 {
 		writeText(w, http.StatusServiceUnavailable, "no entry node is known")
 		return
@@ -196,8 +197,10 @@
 	writeJSON(w, body)
 }
 
-func (s *Server) readyEntryNodes(caller, dataCentre, callerRegion string, allowed region.Set) []roster.Entry {
+func (s *Server) readyEntryNodes(caller roster.Caller) []roster.Entry {
+	now := s.o.Clock.Now()
+	caller.Peers, caller.Query = s.askers.add(now, caller.DataCentre, caller.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.ReadyEntries(s.o.Clock.Now(), caller, dataCentre, callerRegion, allowed)
+	return s.roster.ReadyEntries(now, caller)
 }
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -33,8 +33,6 @@
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
-	"github.com/berylledge/berylledge/internal/base/rendez"
-	"github.com/berylledge/berylledge/internal/gate/region"
 )
 
 // State is the lifecycle state that an upstream reports.
@@ -107,6 +105,7 @@
 	Started        int64  `cbor:"7,keyasint" json:"started"`
 	ReportSequence int64  `cbor:"8,keyasint" json:"report"` // increases with each report of a run
 	AgeMs          int64  `cbor:"9,keyasint,omitempty" json:"-"`
+	Capacity       int    `cbor:"10,keyasint,omitempty" json:"capacity"` // thousandths of a processor core; 0: unknown
 }
 
 // Config configures a Registry.
@@ -407,39 +406,6 @@
 	return reg.cfg.EntryTimeout + reg.cfg.OwnerGrace
 }
 
-// ReadyEntries returns the entry nodes that accept callers: first those in the caller's data centre, then those in its region,
-// then those in other regions that the caller's requests may use; if there is none, all others. It stops after the first group
-// that brings the total to two or more. Within a group the order is stable for
-// each caller but differs between callers, so that every node receives callers even if a response holds fewer addresses than
-// there are nodes.
-func (reg *Registry) ReadyEntries(now time.Time, caller, dataCentre, callerRegion string, allowed region.Set) []Entry {
-	var parts [4][]Entry
-	for _, r := range reg.entries {
-		if !r.Ready || now.Sub(reg.lastHeardAt(&r.recordMeta)) > reg.entryTimeout(&r.recordMeta) {
-			continue
-		}
-		switch {
-		case r.DataCentre == dataCentre:
-			parts[0] = append(parts[0], r.Entry)
-		case r.Region == callerRegion:
-			parts[1] = append(parts[1], r.Entry)
-		case allowed.Allows(r.Region):
-			parts[2] = append(parts[2], r.Entry)
-		default:
-			parts[3] = append(parts[3], r.Entry)
-		}
-	}
-	var out []Entry
-	for i, part := range parts {
-		if len(out) >= 2 || i == 3 && len(out) > 0 {
-			break
-		}
-		slices.SortFunc(part, func(a, b Entry) int { return rendez.Compare(caller, a.Node, b.Node) })
-		out = append(out, part...)
-	}
-	return out
-}
-
 // Find returns the record of an upstream.
 func (reg *Registry) Find(id string) (Upstream, bool) {
 	r := reg.upstreams[id]
--- a/internal/gate/roster/roster_test.go
+++ b/internal/gate/roster/roster_test.go
@@ -146,10 +146,10 @@
 	report("a2", "a", "north", true, 1)
 	report("b1", "b", "north", true, 1)
 	report("c1", "c", "south", true, 1)
-	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north", region.Set{})), []string{"a1", "a2"})
+	assert.DeepEqual(t, names(b.ReadyEntries(start, Caller{Name: "caller", DataCentre: "a", Region: "north"})), []string{"a1", "a2"})
 	report("a2", "a", "north", false, 2)
-	assert.DeepEqual(t, names(b.ReadyEntries(start, "caller", "a", "north", region.Set{})), []string{"a1", "b1"})
-	assert.DeepEqual(t, names(b.ReadyEntries(start.Add(3*time.Second), "caller", "a", "north", region.Set{})), []string(nil))
+	assert.DeepEqual(t, names(b.ReadyEntries(start, Caller{Name: "caller", DataCentre: "a", Region: "north"})), []string{"a1", "b1"})
+	assert.DeepEqual(t, names(b.ReadyEntries(start.Add(3*time.Second), Caller{Name: "caller", DataCentre: "a", Region: "north"})), []string(nil))
 }
 
 // Callers of a restricted host must not be sent to an entry node outside its regions and their own, unless no other one is left. Most
@@ -180,7 +180,7 @@
 		{"e", "east", []string{"none"}, "a1 b1 c1 d1"},
 	} {
 		var names []string
-		for _, e := range b.ReadyEntries(start, "caller", c.dataCentre, c.region, region.Of(c.allowed)) {
+		for _, e := range b.ReadyEntries(start, Caller{Name: "caller", DataCentre: c.dataCentre, Region: c.region, Allowed: region.Of(c.allowed)}) {
 			names = append(names, e.Node)
 		}
 		slices.Sort(names)
@@ -198,11 +198,11 @@
 	given := map[string]int{}
 	for i := range callers {
 		caller := fmt.Sprint("10.9.0.", i)
-		first := b.ReadyEntries(start, caller, "a", "north", region.Set{})[:room]
+		first := b.ReadyEntries(start, Caller{Name: caller, DataCentre: "a", Region: "north"})[:room]
 		for _, e := range first {
 			given[e.Node]++
 		}
-		assert.DeepEqual(t, b.ReadyEntries(start, caller, "a", "north", region.Set{})[:room], first) // a stable order lets the caller keep its connections
+		assert.DeepEqual(t, b.ReadyEntries(start, Caller{Name: caller, DataCentre: "a", Region: "north"})[:room], first) // a stable order lets the caller keep its connections
 	}
 	assert.Equal(t, len(given), nodes)
 	for node, n := range given {
--- a/internal/gate/roster/share_test.go
+++ b/internal/gate/roster/share_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/berylledge/berylledge/internal/gate/region"
 )
 
 // testCluster is a set of registries that send sync messages to each other.
@@ -179,12 +177,12 @@
 	b := x.registries["c1"]
 	for ms, want := range map[int]int{1000: 1, 3900: 1, 4100: 0} {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		assert.Equal(t, len(b.ReadyEntries(now, "caller", "a", "north", region.Set{})), want, "after %d ms", ms)
+		assert.Equal(t, len(b.ReadyEntries(now, Caller{Name: "caller", DataCentre: "a", Region: "north"})), want, "after %d ms", ms)
 	}
 	b.Tick(start.Add(5 * time.Second))
-	assert.Equal(t, len(b.ReadyEntries(start.Add(5*time.Second), "caller", "a", "north", region.Set{})), 0)
+	assert.Equal(t, len(b.ReadyEntries(start.Add(5*time.Second), Caller{Name: "caller", DataCentre: "a", Region: "north"})), 0)
 	b.ReportEntry(start.Add(6*time.Second), Entry{Node: "e", Region: "north", Ready: true, ReportSequence: 2})
-	assert.Equal(t, len(b.ReadyEntries(start.Add(6*time.Second), "caller", "a", "north", region.Set{})), 1)
+	assert.Equal(t, len(b.ReadyEntries(start.Add(6*time.Second), Caller{Name: "caller", DataCentre: "a", Region: "north"})), 1)
 }
 
 // During a partition a reader must be able to request only the records that the other control nodes changed.
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -221,6 +221,7 @@
 	p.poller = poller.New(poller.Options{
 		Self: roster.Entry{
 			Node: p.s.Node, Address: p.s.Listen.Callers, Peer: address, DataCentre: p.s.DataCentre, Region: p.s.Region,
+			Capacity: p.s.Limits.capacity(),
 		},
 		Seeds: p.seedPeers, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, Hub: p.hub, Crashes: p.blocklist, Changed: changed,
 	})
--- a/internal/node/gwnode/gwnode_test.go
+++ b/internal/node/gwnode/gwnode_test.go
@@ -43,6 +43,7 @@
 	every conf.MS              // between two heartbeats
 	stopS float64              // seconds of a planned stop
 	links *netem.Net           // nil: the nodes reach each other at full speed
+	sizes map[int]Limits       // of nodes that know their size
 	files map[int]string       // settings files that the nodes watch; nil: they watch none
 }
 
@@ -88,6 +89,7 @@
 		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
 		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: f.every, Losses: 1,
 		Bounds: Bounds{StopS: f.stopS, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
+		Limits: f.sizes[node],
 	}
 	if node < 11 {
 		if f.dirs[node] == "" {
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -39,6 +39,7 @@
 	stageRoom     = "stage_room_bytes"
 	stageLimit    = "stage_room_limit_bytes"
 	engineSpeed   = "engine_speed_ratio"
+	entryCapacity = "entry_capacity_cores"
 	stageSpeed    = "stage_speed_ratio"
 	stageCallTime = "stage_call_seconds"
 	stagePiece    = "stage_piece_seconds"
@@ -75,6 +76,7 @@
 	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
 	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
 	{Name: engineSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt time in which the fastest (bound least) and the slowest engine (most) reads a token, relative to the median engine. Of nodes that have placed requests on the engines."},
+	{Name: entryCapacity, Type: stats.Gauge, Help: "Processor time of the VM, in cores, that an entry node reports for its share of callers and of queues; 0: unknown."},
 	{Name: stageSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt duration of calls at the fastest (bound least) and the slowest stage upstream (most), relative to the median upstream; 0 once another node keeps the queue."},
 	{Name: stageCallTime, Type: stats.Gauge, Labels: byQueue, Help: "Learnt fixed time of a call at the median stage upstream; the configured one until calls differ from it."},
 	{Name: stagePiece, Type: stats.Gauge, Labels: byQueue, Help: "Learnt time of each piece in a call, in addition."},
@@ -156,6 +158,7 @@
 		page.Set(engineSpeed, s.Most, stats.Tags{"service": s.Service, "region": s.Region, "bound": "most"})
 	}
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
+	page.Set(entryCapacity, float64(p.s.Limits.capacity())/1000, nil)
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
--- a/internal/node/gwnode/settings.go
+++ b/internal/node/gwnode/settings.go
@@ -12,6 +12,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -79,6 +80,18 @@
 	LinkMbps    float64 `json:"link_mbps"`
 }
 
+// maxCapacity bounds capacities to what fits into any integer.
+const maxCapacity = 1 << 30
+
+// capacity returns the processor time of the VM in thousandths of a core; 0: unknown.
+func (l Limits) capacity() int {
+	thousandths := l.CPUShare * l.Cores * 1000
+	if !(thousandths > 0) {
+		return 0
+	}
+	return int(min(max(math.Round(thousandths), 1), maxCapacity))
+}
+
 // Problem is a setting that cannot be used.
 type Problem struct{ Field, Value, Allowed string }
 
