--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -88,6 +88,7 @@
 
 	pieces configPieces
 	hosts  hostRegions
+	askers callerCounter
 
 	mu            sync.Mutex
 	roster        *roster.Registry
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -48,6 +48,10 @@
 	memoryRefused = "memory_refusals_total"
 	connections   = "connections"
 	limitReached  = "limit_reached_total"
+	entryCapacity = "entry_capacity_cores"
+	stageSpeed    = "stage_speed_ratio"
+	stageCallTime = "stage_call_seconds"
+	stagePiece    = "stage_piece_seconds"
 )
 
 var (
@@ -91,6 +95,10 @@
 	{Name: memoryRefused, Type: stats.Counter, Labels: byKind, Help: "Holders for which there was no room, by kind."},
 	{Name: connections, Type: stats.Gauge, Labels: []string{"state"}, Help: "Incoming connections of all listeners: open, and busy with a request."},
 	{Name: limitReached, Type: stats.Counter, Labels: []string{"limit"}, Help: "Peers that were refused or cut off, by limit: head_lines, head_bytes, heads, connections, idle, bodies, body_cut."},
+	{Name: entryCapacity, Type: stats.Gauge, Help: "Processor time of the VM, in cores, that an entry node reports for its share of callers and of queues; 0: unknown."},
+	{Name: stageSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt duration of calls at the fastest (bound least) and the slowest stage upstream (most), relative to the median upstream; 0 once another node keeps the queue."},
+	{Name: stageCallTime, Type: stats.Gauge, Labels: byQueue, Help: "Learnt fixed time of a call at the median stage upstream; the configured one until calls differ from it."},
+	{Name: stagePiece, Type: stats.Gauge, Labels: byQueue, Help: "Learnt time of each piece in a call, in addition."},
 }
 
 // MetricsPage renders the catalogue as the page docs/gate_metrics.md.
@@ -194,6 +202,7 @@
 	for cause, n := range p.batcher.Paces().Totals() {
 		page.Raise(asideTotal, n, stats.Tags{"cause": cause.String()})
 	}
+	page.Set(entryCapacity, float64(p.s.Limits.capacity())/1000, nil)
 	now := map[queueName]bool{}
 	for _, q := range p.batcher.Queues() {
 		sampleQueue(page, &q)
@@ -221,6 +230,10 @@
 	page.Set(stageOldest, q.OldestWait.Seconds(), tags)
 	page.Set(stageRoom, float64(q.UsedBytes), tags)
 	page.Set(stageLimit, float64(q.LimitBytes), tags)
+	page.Set(stageCallTime, q.CallTime.Seconds(), tags)
+	page.Set(stagePiece, q.PieceTime.Seconds(), tags)
+	page.Set(stageSpeed, q.Least, stats.Tags{"service": q.Service, "region": q.Region, "bound": "least"})
+	page.Set(stageSpeed, q.Most, stats.Tags{"service": q.Service, "region": q.Region, "bound": "most"})
 }
 
 func sampleQueue(page *stats.Page, q *batch.QueueState) {
