--- a/internal/node/gwnode/growth_test.go
+++ b/internal/node/gwnode/growth_test.go
@@ -110,7 +110,7 @@
 // Guards against a leader with a full disk that loses an acknowledged order, that acknowledges one it could not write, or that keeps
 // the others from acknowledging.
 func TestFullDiskKeepsWhatWasAcknowledged(t *testing.T) {
-	f := newFleet(t, 83)
+	f := newFleet(t, 99)
 	f.room.Store(256 << 10)
 	f.start(3, true) // the only one with little room
 	f.room.Store(0)
--- a/internal/node/gwnode/regions_test.go
+++ b/internal/node/gwnode/regions_test.go
@@ -30,7 +30,7 @@
 // Guards against a list of regions that some control node or entry node reads too late or not at all: the directory would name entry
 // nodes that must send the host's requests to another region, and these would use a region that the route no longer allows.
 func TestRegionsOfARouteTakeEffectOnAllNodes(t *testing.T) {
-	f := newFleet(t, 97)
+	f := newFleet(t, 98)
 	f.place = map[int]poller.Place{2: {DataCentre: "b", Region: "south"}, 12: {DataCentre: "b", Region: "south"}}
 	for _, n := range []int{1, 2, 3, 11, 12} {
 		f.start(n, true)
