Share scarce room of stages between teams and data centres

Cause: all callers of a rank met the same odds, so one team that sent ten times its load had all other teams of its rank refused as often as itself, and callers that were refused together were told the same return time.

Change: internal/gate/share accounts for recent work by rank, team and data centre of the entry VM, in the placer. While requests of a rank are refused for want of room, work of teams below half of their max-min fair share goes first within the rank and work of those above theirs last, in the stage queues and in the placer's forecast, and a team far above its share is refused first. Result Refused tells the placer of refusals. Retry-After of these refusals is spread by a quarter. Event room_scarce and counter share_refusals_total.

Tests: all new, except that engine_test.go passes the new parameter of piecesAhead.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -103,6 +103,7 @@
 	ResultsAdopted  Code = 8107
 	ResultsDropped  Code = 8108
 	EngineSpeed     Code = 8109
+	RoomScarce      Code = 8110
 	UpstreamCold    Code = 8201
 	UpstreamWarm    Code = 8202
 )
@@ -191,6 +192,8 @@
 	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
 	{EngineSpeed, "engine_speed", hclog.Info, "The node that places requests has learnt another speed of a model engine: factor is how long the engine takes to read a token, relative to the median engine of the service in the region. Logged when it has changed by a fifth.", []string{"service", "region", "upstream", "factor"}, "A factor far above 1 that stays: look at that engine's machine."},
 
+	{RoomScarce, "room_scarce", hclog.Info, "The node that places requests has refused requests of this rank, once a second meanwhile. Teams with recent work, those above their fair share and those below half of theirs; the team with most of the work given in the last seconds, with its part and its fair part; the data centre whose entry nodes got most, with its part.", []string{"service", "region", "rank", "teams", "above", "below", "team", "given", "fair", "data_centre", "taken"}, "See docs/OPERATIONS.md."},
+
 	{UpstreamCold, "upstream_cold", hclog.Info, "An upstream is cold. Of all nodes together it gets no more requests a second than it bears, for the time that is left.", []string{"upstream", "per_second", "left_ms"}, ""},
 	{UpstreamWarm, "upstream_warm", hclog.Info, "An upstream is no longer cold, or has gone.", []string{"upstream"}, ""},
 }
--- a/internal/gate/batch/wire.go
+++ b/internal/gate/batch/wire.go
@@ -36,6 +36,7 @@
 	Rank     int           `cbor:"5,keyasint,omitempty"`
 	Home     string        `cbor:"6,keyasint,omitempty"`
 	Inputs   int           `cbor:"7,keyasint,omitempty"` // 1 + index in the message's list; 0: none
+	Order    int           `cbor:"8,keyasint,omitempty"`
 }
 
 // jobResults is the response to forwarded jobs, in the same order.
@@ -53,7 +54,7 @@
 // pack adds jobs to a message.
 func (q *message) pack(jobs []stage.Job, now time.Time) {
 	for _, j := range jobs {
-		w := wireJob{Item: j.Item, Bytes: j.Bytes, Due: j.Due.Sub(now), TimeLeft: j.Deadline.Sub(now), Rank: j.Rank, Home: j.Home}
+		w := wireJob{Item: j.Item, Bytes: j.Bytes, Due: j.Due.Sub(now), TimeLeft: j.Deadline.Sub(now), Rank: j.Rank, Order: j.Order, Home: j.Home}
 		if len(j.Inputs) > 0 {
 			w.Inputs = 1 + slices.IndexFunc(q.Inputs, func(have []string) bool { return slices.Equal(have, j.Inputs) })
 			if w.Inputs == 0 {
@@ -78,7 +79,7 @@
 			j.Item.Inputs = q.Inputs[j.Inputs-1]
 		}
 		jobs[i] = stage.Job{
-			Item: j.Item, Rank: j.Rank, Home: j.Home, Bytes: j.Bytes, Due: now.Add(j.Due), Deadline: now.Add(j.TimeLeft),
+			Item: j.Item, Rank: j.Rank, Order: j.Order, Home: j.Home, Bytes: j.Bytes, Due: now.Add(j.Due), Deadline: now.Add(j.TimeLeft),
 		}
 		maxTimeLeft = max(maxTimeLeft, j.TimeLeft)
 	}
--- a/internal/gate/engine/admit.go
+++ b/internal/gate/engine/admit.go
@@ -13,9 +13,9 @@
 const maxLateWaitCalls = 2
 
 // Admit decides whether to accept a request with the given time until its deadline. A request that will be late is
-// accepted only while the queues are short. Otherwise, Admit returns the time after which its caller should retry.
+// accepted only while the queues are short, one whose team is far above its share is not. Otherwise, Admit returns the time after which its caller should retry.
 func (f Forecast) Admit(timeLeft time.Duration) (bool, time.Duration) {
-	if !f.Late || f.Wait < maxLateWaitCalls*f.Full && f.CorrectedTotal+f.EngineTime < timeLeft {
+	if !f.OverShare && (!f.Late || f.Wait < maxLateWaitCalls*f.Full && f.CorrectedTotal+f.EngineTime < timeLeft) {
 		return true, 0
 	}
 	return false, min(max(f.Wait, minRetryAfter), maxRetryAfter, timeLeft/4)
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -39,6 +39,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/rendez"
 	"github.com/berylledge/berylledge/internal/gate/pace"
+	"github.com/berylledge/berylledge/internal/gate/share"
 	"github.com/berylledge/berylledge/internal/gate/speed"
 )
 
@@ -61,6 +62,11 @@
 	Due time.Duration `cbor:"8,keyasint,omitempty"`
 	// Gap is the longest permitted time between two events; 0: no limit.
 	Gap time.Duration `cbor:"9,keyasint,omitempty"`
+	// Team and DataCentre, that of the entry VM, are those between which scarce room is shared.
+	Team       string `cbor:"10,keyasint,omitempty"`
+	DataCentre string `cbor:"11,keyasint,omitempty"`
+	// Order sorts requests within a rank; lower comes first. The placer sets it.
+	Order int `cbor:"-"`
 }
 
 // Target describes an engine.
@@ -81,6 +87,7 @@
 	Failed           // no response, or it broke off
 	Full             // the engine rejected the request
 	Cancelled        // cancelled by this side
+	Refused          // refused by this side because room is scarce
 )
 
 // Placement parameters.
@@ -108,6 +115,10 @@
 	late          bool           // could not be on time at placement
 	forecastTotal time.Duration  // forecast duration of its stages
 	stagesDone    time.Time      // when its last stage was completed, and the request sent; zero: not yet
+	order         int            // within the rank
+	caller        share.Caller
+	work          float64 // in the account of shares
+	asked         bool    // its work was entered as demand
 }
 
 type target struct {
@@ -145,6 +156,7 @@
 	unanswered       unansweredRequests
 	lastExpiry       time.Time // when expired tickets were last removed
 	owner            *pace.Owner
+	shares           *share.Account
 }
 
 // Placement is the engine chosen for a request.
@@ -167,6 +179,7 @@
 func NewPaced(b pace.Bounds) *Placer {
 	return &Placer{
 		targets: map[string]*target{}, tickets: map[uint64]*ticket{}, owner: pace.NewOwner(b), speeds: speed.New(),
+		shares:     share.New(),
 		readPeriod: linearFit{decay: readPeriodDecay},
 	}
 }
@@ -225,7 +238,11 @@
 		t.stagesDone = now
 		best.pace.SentReserved(now, p.owner)
 	}
+	standing := p.enterShare(now, r, t)
+	t.order = order(standing)
+	r.Order = t.order
 	forecast := p.forecastAt(now, r, best, t.unread)
+	forecast.Order, forecast.OverShare = t.order, exceedsShare(standing, forecast, r.Due)
 	p.updatePauseStats(forecast.Speed*float64(t.unread), r.Gap)
 	t.initialUnread, t.forecastTotal, t.late = t.unread, forecast.Total, forecast.Late
 	p.tickets[p.lastID] = t
@@ -394,11 +411,12 @@
 	if t == nil {
 		return
 	}
-	p.removeTicket(now, id, r == Cancelled)
+	p.removeTicket(now, id, r == Cancelled || r == Refused)
+	p.leaveShare(now, t, r)
 	if r == Served {
 		p.unanswered.remove(t.ownPart)
 	} else {
-		p.unanswered.add(now, t.ownPart, t.due)
+		p.unanswered.add(now, t.ownPart, t.due, t.asked || p.unanswered.asked(t.ownPart))
 	}
 	at := p.targets[t.target]
 	if at == nil {
@@ -414,7 +432,7 @@
 		at.parts, at.cachedTokens = map[string]*part{}, 0
 	case Full:
 		at.pausedUntil = now.Add(fullBackoff)
-	case Cancelled:
+	case Cancelled, Refused:
 	}
 }
 
--- a/internal/gate/engine/engine_test.go
+++ b/internal/gate/engine/engine_test.go
@@ -227,7 +227,7 @@
 	p.StageDone(t0, tickets[0], 1)
 	p.End(t0, tickets[0], Served)
 	p.End(t0, tickets[1], Cancelled)
-	assert.Equal(t, p.processingTime("rerank", p.piecesAhead(t0, stage.UrgencyClass(1, false, false), t0.Add(time.Hour))["rerank"]), 400*time.Millisecond)
+	assert.Equal(t, p.processingTime("rerank", p.piecesAhead(t0, stage.UrgencyClass(1, false, false), 0, t0.Add(time.Hour))["rerank"]), 400*time.Millisecond)
 	for _, ticket := range tickets {
 		p.End(t0, ticket, Cancelled)
 	}
--- a/internal/gate/engine/forecast.go
+++ b/internal/gate/engine/forecast.go
@@ -52,6 +52,10 @@
 	EngineTime     time.Duration `cbor:"8,keyasint,omitempty"`
 	// Late reports that the request cannot be on time and yields to those that can.
 	Late bool `cbor:"9,keyasint,omitempty"`
+	// Order sorts the request's pieces within its rank; lower comes first. OverShare reports that it is refused since its
+	// team is far above its share of scarce room.
+	Order     int  `cbor:"12,keyasint,omitempty"`
+	OverShare bool `cbor:"13,keyasint,omitempty"`
 }
 
 // noUpstreamWait is the processing time assumed for a service without upstreams.
@@ -81,15 +85,18 @@
 }
 
 // piecesAhead counts the pieces, by service, that the queues process before those of a request: pieces of a more urgent
-// class, or of the same class with an earlier due time.
-func (p *Placer) piecesAhead(now time.Time, class int, due time.Time) map[string]int {
+// class, or of the same class with a lower order or an earlier due time.
+func (p *Placer) piecesAhead(now time.Time, class, order int, due time.Time) map[string]int {
 	out := map[string]int{}
 	for _, t := range p.tickets {
 		if !t.hasPendingStages() || now.Sub(t.due) > maxOverdue {
 			continue
 		}
 		other := stage.UrgencyClass(t.rank, t.late || now.After(t.due), t.started)
-		if other > class || other == class && t.due.After(due) {
+		// Only the order of others applies to a request without one: work in progress is counted by its due time then, as
+		// before room was scarce.
+		otherOrder := stage.OrderInClass(t.order, t.late || now.After(t.due), t.started, order != 0 || !t.started)
+		if other > class || other == class && (otherOrder > order || otherOrder == order && t.due.After(due)) {
 			continue
 		}
 		for _, n := range t.pending {
@@ -112,7 +119,7 @@
 // request is scheduled at the lower urgency of late requests.
 func (p *Placer) Forecast(now time.Time, r Request, late bool) Forecast {
 	due := now.Add(r.Due)
-	ahead := p.piecesAhead(now, stage.UrgencyClass(r.Rank, late, false), due)
+	ahead := p.piecesAhead(now, stage.UrgencyClass(r.Rank, late, false), stage.OrderInClass(r.Order, late, false, true), due)
 	ends := make([]Forecast, len(r.PendingStages))
 	var out Forecast
 	for i, n := range r.PendingStages {
--- a/internal/gate/engine/unanswered.go
+++ b/internal/gate/engine/unanswered.go
@@ -6,10 +6,15 @@
 // which identifies the request. A caller that retries sends the same prompt under another request ID, and its due time
 // counts from the first attempt.
 type unansweredRequests struct {
-	dueTimes map[string]time.Time
+	dueTimes map[string]unansweredRequest
 	order    []expiryEntry // by expiry time
 }
 
+type unansweredRequest struct {
+	due   time.Time
+	asked bool // its work is in the account of shares as demand
+}
+
 type expiryEntry struct {
 	part    string
 	expires time.Time
@@ -21,14 +26,14 @@
 	maxUnanswered = 20_000
 )
 
-func (u *unansweredRequests) add(now time.Time, part string, due time.Time) {
+func (u *unansweredRequests) add(now time.Time, part string, due time.Time, asked bool) {
 	if part == "" || len(u.order) >= maxUnanswered {
 		return
 	}
 	if u.dueTimes == nil {
-		u.dueTimes = map[string]time.Time{}
+		u.dueTimes = map[string]unansweredRequest{}
 	}
-	u.dueTimes[part] = due
+	u.dueTimes[part] = unansweredRequest{due, asked}
 	u.order = append(u.order, expiryEntry{part, now.Add(retryWindow)})
 }
 
@@ -36,12 +41,15 @@
 // attempt.
 func (u *unansweredRequests) due(part string, fallback time.Time) time.Time {
 	first, ok := u.dueTimes[part]
-	if !ok || !first.Before(fallback) {
+	if !ok || !first.due.Before(fallback) {
 		return fallback
 	}
-	return first
+	return first.due
 }
 
+// asked reports whether the work of a request was entered as demand by an earlier attempt.
+func (u *unansweredRequests) asked(part string) bool { return u.dueTimes[part].asked }
+
 // remove drops a request that was answered, since a session may use the same part for its next request.
 func (u *unansweredRequests) remove(part string) { delete(u.dueTimes, part) }
 
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -31,6 +31,7 @@
 	route    *conf.Route
 	service  string
 	team     *conf.Team
+	noRoom   bool // refused since the stages have no room
 	regions  regionCheck
 	body     []byte
 	deadline time.Time // by when the final response must be sent
@@ -217,7 +218,7 @@
 	if x.usesEngines() {
 		x.placement = x.requestPlacement()
 		x.placedAfter = x.f.o.Clock.Now().Sub(x.start)
-		defer func() { x.f.notifyEnd(x.placement, engine.Cancelled) }() // has no effect if the ticket has already ended
+		defer func() { x.f.notifyEnd(x.placement, x.unsentResult()) }() // has no effect if the ticket has already ended
 		if x.placement == nil && x.roomIn > 0 && !x.hasWarm() {
 			x.refuse(x.noUpstream(x.service))
 			return
--- a/internal/gate/proxy/forecast.go
+++ b/internal/gate/proxy/forecast.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
@@ -25,14 +24,14 @@
 		return nil
 	}
 	slack := x.slack()
-	if !x.placement.forecast.Late || x.moveToOtherRegion(slack) {
+	if f := x.placement.forecast; !f.Late && !f.OverShare || x.moveToOtherRegion(slack) {
 		return nil
 	}
 	ok, after := x.placement.forecast.Admit(x.remaining())
 	if ok {
 		return nil
 	}
-	return &refusal{http.StatusServiceUnavailable, "the queues of the stages are too long", after}
+	return x.refuseForRoom(after)
 }
 
 // moveToOtherRegion replaces the placement by one in another region, if one can serve the request much sooner.
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -200,6 +200,7 @@
 	names := x.f.o.Dialect.Headers
 	r := engine.Request{Model: x.r.Header.Get(names.Model), Rank: x.rank()}
 	r.Due, r.Gap = x.slack(), x.route.Gap.Duration()
+	r.Team, r.DataCentre = x.teamName(), x.f.o.DataCentre
 	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
 	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
@@ -232,6 +233,7 @@
 		f.o.Events.Emit(event.EngineSpeed, event.F("service", q.Service), event.F("region", q.Region), event.F("upstream", c.ID),
 			event.F("factor", strconv.FormatFloat(c.Factor, 'f', 2, 64)))
 	}
+	f.logScarceRoom(now, q, p)
 	if !ok {
 		if assigned.RoomFrom.IsZero() {
 			return placeReply{}
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -129,7 +129,7 @@
 	if s.reason != stage.ReasonNone {
 		reason = "a piece of a stage was not made: " + s.reason.String()
 	}
-	r := x.gatewayError(reason, retrySoon)
+	r := x.gatewayError(reason, x.f.spreadRetry(retrySoon))
 	return &r
 }
 
@@ -191,7 +191,7 @@
 	jobs := make([]stage.Job, len(group))
 	for i, item := range group {
 		jobs[i] = stage.Job{
-			Item: item, Rank: x.rank(), Home: s.homeDataCentre, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
+			Item: item, Rank: x.rank(), Order: x.forecast().Order, Home: s.homeDataCentre, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
 		}
 	}
 	return jobs
--- a/internal/gate/stage/group.go
+++ b/internal/gate/stage/group.go
@@ -10,6 +10,7 @@
 
 	// Sort keys, updated by each call to Next.
 	class int
+	order int // within the class
 	late  bool
 	added time.Time // arrival of the first job
 }
@@ -19,7 +20,7 @@
 // accepts reports whether a job belongs to the group.
 func (g *group) accepts(j Job) bool {
 	f := g.first()
-	return f.Request == j.Request && f.Stage == j.Stage && f.Rank == j.Rank && f.Home == j.Home && f.Due.Equal(j.Due)
+	return f.Request == j.Request && f.Stage == j.Stage && f.Rank == j.Rank && f.Order == j.Order && f.Home == j.Home && f.Due.Equal(j.Due)
 }
 
 // enqueue adds a job to its group, creating the group if needed.
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -34,12 +34,14 @@
 // classify sets the sort keys of the groups. Requests that already hold memory come first, because the memory is freed
 // only when they finish.
 func (q *Queue) classify(now time.Time) {
+	ordered := q.hasOrder()
 	for _, g := range q.groups {
 		j := g.first()
 		g.late = q.wouldBeLate(*j, now)
 		g.class = UrgencyClass(j.Rank, g.late, len(j.Inputs) > 0)
+		g.order = OrderInClass(j.Order, g.late, len(j.Inputs) > 0, ordered)
 		if q.memoryHolders[j.Request] > 0 {
-			g.class = -1
+			g.class, g.order = -1, 0
 		}
 	}
 }
@@ -65,6 +67,9 @@
 		if a.class != b.class {
 			return cmp.Compare(a.class, b.class)
 		}
+		if a.order != b.order {
+			return cmp.Compare(a.order, b.order)
+		}
 		x, y := a.first(), b.first()
 		if (x.Home == dataCentre) != (y.Home == dataCentre) {
 			if x.Home == dataCentre {
@@ -210,7 +215,7 @@
 		free -= int64(n) * j.Bytes
 		q.memoryHolders[j.Request] += n
 		for _, rest := range q.byRequest[j.Request] {
-			rest.class = -1 // the remaining jobs of the request come first from now on
+			rest.class, rest.order = -1, 0 // the remaining jobs of the request come first from now on
 		}
 		out = append(out, q.takeJobs(g, n)...)
 	}
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -13,6 +13,7 @@
 type Job struct {
 	Item
 	Rank     int       // priority; 0 is the most urgent
+	Order    int       // within the rank and class; lower comes first
 	Home     string    // data centre that needs the result
 	Bytes    int64     // approximate size of the result
 	Due      time.Time // when it must be done for its request to be on time
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -40,6 +40,7 @@
 	stageRoom     = "stage_room_bytes"
 	stageLimit    = "stage_room_limit_bytes"
 	engineSpeed   = "engine_speed_ratio"
+	overShare     = "share_refusals_total"
 )
 
 var (
@@ -52,6 +53,7 @@
 	{Name: answers, Type: stats.Counter, Labels: byStatus, Help: "Final answers of requests for which an upstream was tried, by status; 0: closed without a whole answer."},
 	{Name: refusals, Type: stats.Counter, Labels: byStatus, Help: "Answers that this node gave instead of an upstream, by status, also without having tried one."},
 	{Name: answerTime, Type: stats.Histogram, Help: "Time from the arrival of a request for which an upstream was tried to the end of its answer."},
+	{Name: overShare, Type: stats.Counter, Help: "Requests that this node refused because their team, or its data centre, was far above its share of scarce room."},
 	{Name: repeats, Type: stats.Counter, Help: "Requests that were sent to an upstream again."},
 	{Name: inFlight, Type: stats.Gauge, Help: "Requests that have no final answer yet."},
 	{Name: dialed, Type: stats.Counter, Help: "Connections opened to upstreams."},
@@ -103,8 +105,9 @@
 			p.page.Add(answers, 1, stats.Tags{"status": strconv.Itoa(status)})
 			p.page.Observe(answerTime, took, nil)
 		},
-		Refused: func(status int) { p.page.Add(refusals, 1, stats.Tags{"status": strconv.Itoa(status)}) },
-		Retried: func() { p.page.Add(repeats, 1, nil) },
+		Refused:   func(status int) { p.page.Add(refusals, 1, stats.Tags{"status": strconv.Itoa(status)}) },
+		Retried:   func() { p.page.Add(repeats, 1, nil) },
+		OverShare: func() { p.page.Add(overShare, 1, nil) },
 	}
 }
 
--- a/internal/test/stgsim/request.go
+++ b/internal/test/stgsim/request.go
@@ -13,14 +13,15 @@
 
 // request is one attempt of a caller at its entry node.
 type request struct {
-	w        *world
-	id       string
-	kind     *Kind
-	first    time.Time // of the caller's first attempt
-	began    time.Time // of this one
-	returned bool
-	want     engine.Request
-	counts   []int
+	w          *world
+	id         string
+	kind       *Kind
+	first      time.Time // of the caller's first attempt
+	began      time.Time // of this one
+	returned   bool
+	dataCentre string // of its entry VM
+	want       engine.Request
+	counts     []int
 
 	ticket   uint64
 	due      time.Time
@@ -42,14 +43,31 @@
 }
 
 func (w *world) arrive(k *Kind) {
-	c := w.result.Kinds[k.Name]
+	r := &request{w: w, kind: k, first: w.now, counts: make([]int, len(k.Stages)), dataCentre: k.DataCentre}
+	if k.DataCentre == "" && len(w.o.Entries) > 0 {
+		r.dataCentre = w.o.Entries[w.rng.IntN(len(w.o.Entries))]
+	}
+	c := r.count()
 	c.Sent++
 	c.Owed += k.Worth
-	r := &request{w: w, kind: k, first: w.now, counts: make([]int, len(k.Stages))}
 	r.draw()
 	r.begin()
 }
 
+// count returns where the request is counted. Those outside the counted time have a place of their own that nobody reads.
+func (r *request) count() *Count {
+	if !r.w.counts(r.first) {
+		return &Count{}
+	}
+	return r.w.result.Kinds[r.kind.Name]
+}
+
+// counts reports whether a moment is in the counted time.
+func (w *world) counts(t time.Time) bool {
+	at := t.Sub(start)
+	return w.o.CountTo == 0 || at >= w.o.CountFrom && at < w.o.CountTo
+}
+
 // draw chooses the sizes of a request; they stay when it returns.
 func (r *request) draw() {
 	w, k := r.w, r.kind
@@ -93,13 +111,16 @@
 		r.want.PendingStages = append(r.want.PendingStages, engine.PendingStage{Service: s.Service, After: s.After, Pieces: r.counts[i]})
 	}
 	r.want.Due = r.slack()
+	if !w.o.HideTeams {
+		r.want.Team, r.want.DataCentre = r.kind.Team, r.dataCentre
+	}
 	if !w.o.HideGaps {
 		r.want.Gap = r.kind.Gap
 	}
 	seat, _ := w.placer.Place(w.now, r.want) // no engine fails
 	r.ticket, r.engineID, r.forecast, r.due = seat.Ticket, seat.ID, seat.Forecast, seat.Due
 	if ok, after := r.forecast.Admit(r.left()); !ok {
-		r.refuse(after)
+		r.refuse(after, engine.Refused)
 		return
 	}
 	plan, err := stage.NewPlan(r.id, "key", stages, r.counts)
@@ -116,17 +137,28 @@
 func (r *request) left() time.Duration  { return r.first.Add(r.kind.Deadline).Sub(r.w.now) }
 
 // refuse sends the caller away; it returns once.
-func (r *request) refuse(after time.Duration) {
+func (r *request) refuse(after time.Duration, result engine.Result) {
 	w := r.w
-	w.result.Kinds[r.kind.Name].Refused++
-	r.end(engine.Cancelled)
+	r.count().Refused++
+	if r.forecast.OverShare {
+		r.count().OverShare++
+	}
+	r.end(result)
 	if r.returned || after > r.left()/3 {
 		return
 	}
-	again := &request{w: w, kind: r.kind, first: r.first, returned: true, want: r.want, counts: r.counts}
+	again := &request{w: w, kind: r.kind, first: r.first, returned: true, dataCentre: r.dataCentre, want: r.want, counts: r.counts}
 	w.after(after+hop, again.begin)
 }
 
+// refusalResult is what the placer is told of a request one of whose pieces was not made.
+func refusalResult(reason stage.Reason) engine.Result {
+	if reason == stage.ReasonRefused {
+		return engine.Refused
+	}
+	return engine.Cancelled
+}
+
 // end gives up all that the request has.
 func (r *request) end(result engine.Result) {
 	w := r.w
@@ -161,7 +193,7 @@
 		s := r.kind.Stages[item.Stage]
 		after := r.plan.TimeAfter(item.Stage, w.pools[s.Service])
 		j := stage.Job{
-			Item: item, Rank: r.kind.Rank, Home: "dc", Bytes: s.ResultBytes,
+			Item: item, Rank: r.kind.Rank, Order: r.forecast.Order, Home: "dc", Bytes: s.ResultBytes,
 			Due: r.due.Add(-after - r.forecast.EngineTime), Deadline: r.first.Add(r.kind.Deadline - after),
 		}
 		r.give(j)
@@ -217,7 +249,7 @@
 	delete(r.waiting, keyOf(reply.Item))
 	if reply.Handle == "" {
 		if !r.plan.RecordFailure(reply.Stage, reply.Piece, reply.Reason) {
-			r.refuse(leastRetry)
+			r.refuse(leastRetry, refusalResult(reply.Reason))
 			return
 		}
 		r.start()
@@ -267,7 +299,7 @@
 	if !w.live[r] {
 		return
 	}
-	c := w.result.Kinds[r.kind.Name]
+	c := r.count()
 	c.Stages = append(c.Stages, r.staged.Sub(r.began))
 	c.Engine = append(c.Engine, w.now.Sub(r.staged))
 	r.onTime = w.now.Sub(r.first) <= r.kind.Target
@@ -288,8 +320,9 @@
 	if !w.live[r] {
 		return
 	}
-	c := w.result.Kinds[r.kind.Name]
+	c := r.count()
 	paused := r.kind.Gap > 0 && r.pause > r.kind.Gap
+	w.result.Served++
 	switch {
 	case r.onTime && !paused:
 		c.OnTime++
--- a/internal/test/stgsim/stgsim.go
+++ b/internal/test/stgsim/stgsim.go
@@ -59,6 +59,9 @@
 	Own       int           // mean tokens of a request's own part
 	Events    int           // of an answer; 0: the request ends with its first one
 	Gap       time.Duration // longest pause between two events that is on time; 0: any
+	// Team is that of its callers. DataCentre is where their requests come in; empty: at an entry VM drawn from Options.Entries.
+	Team       string
+	DataCentre string
 }
 
 // Burst multiplies the arrivals of a kind for some time.
@@ -80,30 +83,38 @@
 	// NewOwners are the moments at which other nodes take over all queues: what waits is handed over by the requests' nodes, the
 	// account of results and calls is lost with the old owner.
 	NewOwners []time.Duration
-	Rate      int  // prompt tokens that an engine reads in a second; 0: 60,000
-	HideGaps  bool // the placer is not told which pauses are on time
+	Rate      int      // prompt tokens that an engine reads in a second; 0: 60,000
+	HideGaps  bool     // the placer is not told which pauses are on time
+	Entries   []string // data centres of the entry VMs
+	// CountFrom and CountTo limit the counts to requests that were first sent between them; 0 for CountTo: all.
+	CountFrom, CountTo time.Duration
+	HideTeams          bool // the placer is not told of teams and data centres, so that all share room as one
 }
 
 // Count says how the requests of a kind ended.
 type Count struct {
-	Sent    int     // without those that came back
-	OnTime  int     // answered within their target
-	Late    int     // answered later
-	Paused  int     // of these, the first event was on time
-	Refused int     // answers of the system that sent a caller away
-	Earned  float64 // worth of the answers
-	Owed    float64
-	Stages  []time.Duration // of the answered requests, until their stages were done
-	Engine  []time.Duration // of the answered requests, from there to the first event
+	Sent    int // without those that came back
+	OnTime  int // answered within their target
+	Late    int // answered later
+	Paused  int // of these, the first event was on time
+	Refused int // answers of the system that sent a caller away
+	// OverShare is the number of these that were for the share of the caller's team.
+	OverShare int
+	Earned    float64 // worth of the answers
+	Owed      float64
+	Stages    []time.Duration // of the answered requests, until their stages were done
+	Engine    []time.Duration // of the answered requests, from there to the first event
 }
 
 // Result is the outcome of a run.
 type Result struct {
-	Kinds  map[string]*Count
-	Calls  int
-	Pieces int
-	NoRoom int
-	Reread int // tokens of shared parts that were read again
+	Kinds         map[string]*Count
+	Calls         int
+	Pieces        int
+	Served        int // answered requests of all kinds, also outside the counted time
+	CountedPieces int // sent to upstreams in the counted time
+	NoRoom        int
+	Reread        int // tokens of shared parts that were read again
 }
 
 // Worth is the part of the owed worth that was earned, over all kinds.
@@ -282,6 +293,9 @@
 	for _, c := range calls {
 		w.result.Calls++
 		w.result.Pieces += len(c.Jobs)
+		if w.counts(w.now) {
+			w.result.CountedPieces += len(c.Jobs)
+		}
 		w.after(hop, func() {
 			w.ups[c.Upstream].take(&call{Call: c, done: func(result stage.CallResult, outcomes []stage.Outcome) {
 				w.after(hop, func() { w.called(q, c, result, outcomes) })
