--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -138,7 +138,7 @@
 		reason += ": " + reasons[s.blocked.cause]
 		after = x.retryIn(s.blocked.in)
 	case s.reason == stage.ReasonRefused: // as many others
-		after = x.f.spread(retrySoon)
+		after = x.f.spreadRetry(retrySoon)
 	}
 	r := x.gatewayError(reason, after)
 	return &r
@@ -203,7 +203,7 @@
 	jobs := make([]stage.Job, len(group))
 	for i, item := range group {
 		jobs[i] = stage.Job{
-			Item: item, Rank: x.rank(), Home: home, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
+			Item: item, Rank: x.rank(), Order: x.forecast().Order, Home: home, Bytes: st.ResultBytes, Due: due, Deadline: x.deadline.Add(-after),
 		}
 	}
 	return jobs
