Merge the shares of teams and data centres, for configurations that ask for them

Upstreams that are leaving or paused are called suspended in code, logs and metrics, and the guard after a freeze by its name.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -88,27 +88,28 @@
 
 	OperatorChange Code = 7001
 
-	ForwardFinished Code = 8001
-	ForwardRefused  Code = 8002
-	ForwardSent     Code = 8003
-	ForwardRetried  Code = 8004
-	ContentCrashed  Code = 8005
-	ContentBlocked  Code = 8006
-	ContentCleared  Code = 8007
-	PieceFailed     Code = 8101
-	CallFailed      Code = 8102
-	QueueOpened     Code = 8103
-	QueueState      Code = 8104
-	PlacerOpened    Code = 8105
-	PlacerSilent    Code = 8106
-	ResultsAdopted  Code = 8107
-	ResultsDropped  Code = 8108
-	EngineSpeed     Code = 8109
-	UpstreamCold    Code = 8201
-	UpstreamWarm    Code = 8202
-	UpstreamAside   Code = 8203
-	UpstreamBack    Code = 8204
-	PauseIgnored    Code = 8205
+	ForwardFinished   Code = 8001
+	ForwardRefused    Code = 8002
+	ForwardSent       Code = 8003
+	ForwardRetried    Code = 8004
+	ContentCrashed    Code = 8005
+	ContentBlocked    Code = 8006
+	ContentCleared    Code = 8007
+	PieceFailed       Code = 8101
+	CallFailed        Code = 8102
+	QueueOpened       Code = 8103
+	QueueState        Code = 8104
+	PlacerOpened      Code = 8105
+	PlacerSilent      Code = 8106
+	ResultsAdopted    Code = 8107
+	ResultsDropped    Code = 8108
+	EngineSpeed       Code = 8109
+	RoomScarce        Code = 8110
+	UpstreamCold      Code = 8201
+	UpstreamWarm      Code = 8202
+	UpstreamSuspended Code = 8203
+	UpstreamResumed   Code = 8204
+	PauseIgnored      Code = 8205
 )
 
 var catalogue = []Kind{
@@ -196,10 +197,12 @@
 	{ResultsDropped, "results_dropped", hclog.Info, "The connection of a node that uses results has ended. It was asked which it still uses; the others were freed, all of them if it did not answer.", []string{"peer", "results", "freed", "reason"}, ""},
 	{EngineSpeed, "engine_speed", hclog.Info, "The node that places requests has learnt another speed of a model engine: factor is how long the engine takes to read a token, relative to the median engine of the service in the region. Logged when it has changed by a fifth.", []string{"service", "region", "upstream", "factor"}, "A factor far above 1 that stays: look at that engine's machine."},
 
+	{RoomScarce, "room_scarce", hclog.Info, "The node that places requests has refused requests of this rank, once a second meanwhile. Teams with recent work, those above their fair share and those below half of theirs; the team with most of the work given in the last seconds, with its part and its fair part; the data centre whose entry nodes got most, with its part.", []string{"service", "region", "rank", "teams", "above", "below", "team", "given", "fair", "data_centre", "taken"}, "See docs/OPERATIONS.md."},
+
 	{UpstreamCold, "upstream_cold", hclog.Info, "An upstream is cold. Of all nodes together it gets no more requests a second than it bears, for the time that is left.", []string{"upstream", "per_second", "left_ms"}, ""},
 	{UpstreamWarm, "upstream_warm", hclog.Info, "An upstream is no longer cold, or has gone.", []string{"upstream"}, ""},
-	{UpstreamAside, "upstream_aside", hclog.Info, "An answer of an upstream ended its use by this node: it is leaving, or asked for a pause.", []string{"upstream", "born_ms", "cause", "until"}, "If many upstreams of a service are paused, it lacks capacity."},
-	{UpstreamBack, "upstream_back", hclog.Info, "This node uses an upstream again, or the upstream has started anew or is gone.", []string{"upstream", "born_ms", "cause", "reason"}, ""},
+	{UpstreamSuspended, "upstream_suspended", hclog.Info, "An answer of an upstream ended its use by this node: it is leaving, or asked for a pause.", []string{"upstream", "born_ms", "cause", "until"}, "If many upstreams of a service are paused, it lacks capacity."},
+	{UpstreamResumed, "upstream_resumed", hclog.Info, "This node uses an upstream again, or the upstream has started anew or is gone.", []string{"upstream", "born_ms", "cause", "reason"}, ""},
 	{PauseIgnored, "pause_ignored", hclog.Warn, "A 503 of an upstream had a Retry-After that is not a number of seconds above zero.", []string{"upstream", "value"}, "Mend the upstream; its pauses are not kept."},
 }
 
--- a/internal/gate/batch/aside.go
+++ b/internal/gate/batch/suspended.go
@@ -24,7 +24,7 @@
 	}
 	if isSet(h.Get(names.Leaving)) || names.LeavingAlias != "" && isSet(h.Get(names.LeavingAlias)) {
 		if m.paces.Leave(id, startedMs) {
-			m.o.Events.Emit(event.UpstreamAside, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Leaving.String()),
+			m.o.Events.Emit(event.UpstreamSuspended, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Leaving.String()),
 				event.F("until", "its next start"))
 		}
 	}
@@ -38,7 +38,7 @@
 		return
 	}
 	if until, began := m.paces.Pause(m.o.Clock.Now(), id, startedMs, d); began {
-		m.o.Events.Emit(event.UpstreamAside, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Paused.String()),
+		m.o.Events.Emit(event.UpstreamSuspended, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Paused.String()),
 			event.F("until", until.UTC().Format(time.RFC3339Nano)))
 	}
 }
@@ -73,6 +73,6 @@
 		}
 	}
 	for _, c := range m.paces.Sweep(now, func(id string) (int64, bool) { s, ok := starts[id]; return s, ok }) {
-		m.o.Events.Emit(event.UpstreamBack, event.F("upstream", c.ID), event.F("born_ms", c.StartedMs), event.F("cause", c.Cause.String()), event.F("reason", c.Reason))
+		m.o.Events.Emit(event.UpstreamResumed, event.F("upstream", c.ID), event.F("born_ms", c.StartedMs), event.F("cause", c.Cause.String()), event.F("reason", c.Reason))
 	}
 }
--- a/internal/gate/conf/conf.go
+++ b/internal/gate/conf/conf.go
@@ -47,7 +47,10 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Teams    []Team    `json:"teams,omitempty"` // if empty, requests need no key
-	Limits   Limits    `json:"limits"`
+	// FairShares divides scarce room fairly between teams and data centres. It costs throughput: the work of callers that flood
+	// is not waiting when their flood ends.
+	FairShares bool   `json:"fair_shares,omitempty"`
+	Limits     Limits `json:"limits"`
 }
 
 // Route describes how to handle requests to Host whose path starts with Prefix.
--- a/internal/gate/pace/table.go
+++ b/internal/gate/pace/table.go
@@ -20,12 +20,12 @@
 // table for all its deciders. It is safe for concurrent use.
 type Table struct {
 	mu      sync.RWMutex
-	entries map[string]*aside
+	entries map[string]*suspension
 	size    atomic.Int32 // of entries, so that the usual case takes no lock
 	totals  [causes]int64
 }
 
-type aside struct {
+type suspension struct {
 	startedMs   int64
 	leaving     bool
 	pausedUntil time.Time
@@ -42,7 +42,7 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[string]*aside{}} }
+func NewTable() *Table { return &Table{entries: map[string]*suspension{}} }
 
 // Of is like the function Of, with what the table holds for the upstream's start. A nil table holds nothing.
 func (t *Table) Of(u roster.Upstream, s *conf.Service) Upstream {
@@ -59,10 +59,10 @@
 }
 
 // binds reports whether the state is that of a start. The record of an earlier start is an old one.
-func (e *aside) binds(startedMs int64) bool { return e != nil && startedMs <= e.startedMs }
+func (e *suspension) binds(startedMs int64) bool { return e != nil && startedMs <= e.startedMs }
 
-// IsAside reports whether a start of an upstream must not get work now, why, and until when; a zero time means until its next start.
-func (t *Table) IsAside(now time.Time, id string, startedMs int64) (Cause, time.Time) {
+// IsSuspended reports whether a start of an upstream must not get work now, why, and until when; a zero time means until its next start.
+func (t *Table) IsSuspended(now time.Time, id string, startedMs int64) (Cause, time.Time) {
 	if t.Len() == 0 {
 		return None, time.Time{}
 	}
@@ -81,13 +81,13 @@
 }
 
 // entry returns the state of a start, or nil if a later start is known. t.mu must be held.
-func (t *Table) entry(id string, startedMs int64) *aside {
+func (t *Table) entry(id string, startedMs int64) *suspension {
 	e := t.entries[id]
 	if e != nil && startedMs < e.startedMs {
 		return nil
 	}
 	if e == nil || startedMs > e.startedMs {
-		e = &aside{startedMs: startedMs}
+		e = &suspension{startedMs: startedMs}
 		t.entries[id] = e
 		t.size.Store(int32(len(t.entries)))
 	}
@@ -195,7 +195,7 @@
 	return out
 }
 
-// Totals returns how often upstreams were set aside, by cause.
+// Totals returns how often upstreams were suspended, by cause.
 func (t *Table) Totals() map[Cause]int64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/internal/gate/poller/away.go
+++ b/internal/gate/poller/freeze.go
@@ -10,26 +10,26 @@
 )
 
 // A process that was frozen or suspended has the view of the time before, and requests may wait in its sockets. Until a control node
-// has answered, or awayMost has passed, its view shows all upstreams as draining, so that nothing reaches an upstream of a data centre
+// has answered, or maxFreezeHold has passed, its view shows all upstreams as draining, so that nothing reaches an upstream of a data centre
 // that was evacuated meanwhile. Fleets whose settings state no time within which evacuations must be obeyed do not wait.
 
 const (
-	// awayAfter is the pause of the poller's loop after which the process counts as having been away. An evacuation must be obeyed 5 s
+	// freezeAfter is the pause of the poller's loop after which the process counts as having been frozen. An evacuation must be obeyed 5 s
 	// after its acknowledgement, so that a view that is 4 s old can still be used. The wall clock may be set forward by some seconds,
 	// which looks the same.
-	awayAfter = 4 * time.Second
-	// awayMost allows two questions that time out. Later the node serves with what it knows, as when its links are cut.
-	awayMost = 2 * time.Second
-	// awayPoll is the time between two checks of AwaitCurrent.
-	awayPoll = 10 * time.Millisecond
+	freezeAfter = 4 * time.Second
+	// maxFreezeHold allows two questions that time out. Later the node serves with what it knows, as when its links are cut.
+	maxFreezeHold = 2 * time.Second
+	// freezePoll is the time between two checks of AwaitCurrent.
+	freezePoll = 10 * time.Millisecond
 )
 
-// absence tracks whether the process was away. Times are Unix nanoseconds of the wall clock, since the monotonic clock stands still
+// freezeGuard tracks whether the process was frozen. Times are Unix nanoseconds of the wall clock, since the monotonic clock stands still
 // while a VM is suspended.
-type absence struct {
+type freezeGuard struct {
 	enabled bool         // set before the first use
 	ticked  atomic.Int64 // last round of the poller's loop; 0: none yet
-	since   atomic.Int64 // when the return was noticed; 0: not away
+	since   atomic.Int64 // when the return was noticed; 0: not frozen
 	held    atomic.Pointer[heldView]
 }
 
@@ -37,7 +37,7 @@
 type heldView struct{ base, view *View }
 
 // tick notes a round of the poller's loop.
-func (a *absence) tick(now time.Time) {
+func (a *freezeGuard) tick(now time.Time) {
 	a.check(now)
 	if since := a.since.Load(); since != 0 && !isHeld(since, now) {
 		a.since.Store(0)
@@ -46,13 +46,13 @@
 }
 
 // check reports whether the process has returned and no control node has answered since.
-func (a *absence) check(now time.Time) bool {
+func (a *freezeGuard) check(now time.Time) bool {
 	if !a.enabled {
 		return false
 	}
 	ticked := a.ticked.Load() // before since: tick stores them in the other order
 	since := a.since.Load()
-	if since == 0 && ticked != 0 && now.UnixNano()-ticked > int64(awayAfter) {
+	if since == 0 && ticked != 0 && now.UnixNano()-ticked > int64(freezeAfter) {
 		since = now.UnixNano()
 		a.since.CompareAndSwap(0, since)
 	}
@@ -62,11 +62,11 @@
 // isHeld reports whether work is still held back after a return that was noticed at a time. A wall clock that was set back ends it.
 func isHeld(since int64, now time.Time) bool {
 	elapsed := now.UnixNano() - since
-	return elapsed >= 0 && elapsed < int64(awayMost)
+	return elapsed >= 0 && elapsed < int64(maxFreezeHold)
 }
 
 // answered notes the answer of a control node that is sure to a question that was asked at a time.
-func (a *absence) answered(asked time.Time) {
+func (a *freezeGuard) answered(asked time.Time) {
 	if since := a.since.Load(); since != 0 && asked.UnixNano() >= since {
 		a.ticked.Store(asked.UnixNano()) // else the next check would take the same pause for another return
 		a.since.CompareAndSwap(since, 0)
@@ -74,7 +74,7 @@
 }
 
 // hold returns a view in which all upstreams are draining.
-func (a *absence) hold(base *View) *View {
+func (a *freezeGuard) hold(base *View) *View {
 	if h := a.held.Load(); h != nil && h.base == base {
 		return h.view
 	}
@@ -93,9 +93,9 @@
 }
 
 // AwaitCurrent returns at once, or after a time in which the process was frozen as soon as a control node has answered. It waits for
-// awayMost at most, and no longer than the context.
+// maxFreezeHold at most, and no longer than the context.
 func (p *Poller) AwaitCurrent(ctx context.Context) {
-	for p.away.check(p.o.Clock.Now()) && clock.Sleep(ctx, p.o.Clock, awayPoll) == nil {
+	for p.freeze.check(p.o.Clock.Now()) && clock.Sleep(ctx, p.o.Clock, freezePoll) == nil {
 		continue
 	}
 }
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -144,7 +144,7 @@
 	}
 	again := p.take(now, s, as, reply)
 	if reply.Sure {
-		p.away.answered(began)
+		p.freeze.answered(began)
 	}
 	if as == followAll {
 		p.asked = clock.Later(p.asked, began)
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -82,7 +82,7 @@
 	wg     sync.WaitGroup
 	wake   chan struct{}
 	ready  atomic.Bool
-	away   absence
+	freeze freezeGuard
 
 	mu          sync.Mutex
 	report      int64
@@ -135,7 +135,7 @@
 		sources: map[string]*source{}, wake: make(chan struct{}, 1), answered: o.Clock.Now(),
 		news: make(chan struct{}),
 	}
-	p.away.enabled = o.HoldAfterFreeze
+	p.freeze.enabled = o.HoldAfterFreeze
 	p.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.run)
@@ -152,8 +152,8 @@
 // control node has answered.
 func (p *Poller) View() *View {
 	v := p.view.Load()
-	if p.away.check(p.o.Clock.Now()) {
-		return p.away.hold(v)
+	if p.freeze.check(p.o.Clock.Now()) {
+		return p.freeze.hold(v)
 	}
 	return v
 }
@@ -221,7 +221,7 @@
 			return
 		}
 		now := p.o.Clock.Now()
-		p.away.tick(now)
+		p.freeze.tick(now)
 		p.askDue(now)
 	}
 }
--- a/internal/gate/proxy/forecast.go
+++ b/internal/gate/proxy/forecast.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
@@ -25,14 +24,14 @@
 		return nil
 	}
 	slack := x.slack()
-	if !x.placement.forecast.Late || x.moveToOtherRegion(slack) {
+	if f := x.placement.forecast; !f.Late && !f.OverShare || x.moveToOtherRegion(slack) {
 		return nil
 	}
 	ok, after := x.placement.forecast.Admit(x.remaining())
 	if ok {
 		return nil
 	}
-	return &refusal{http.StatusServiceUnavailable, "the queues of the stages are too long", after}
+	return x.refuseForRoom(after)
 }
 
 // moveToOtherRegion replaces the placement by one in another region, if one can serve the request much sooner.
@@ -112,7 +111,7 @@
 
 // isServing reports whether an upstream is in a region and accepts requests.
 func (f *Forwarder) isServing(u roster.Upstream, region string) bool {
-	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == region && !f.isAside(u)
+	return u.State == roster.Ready && !u.Silent && f.o.RegionOf[u.DataCentre] == region && !f.isSuspended(u)
 }
 
 // engineRegions returns the allowed regions that can serve a request, with the number of engines in each that accept
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -114,9 +114,9 @@
 	return f.chooser.IsCold(now, u, s)
 }
 
-// isAside reports whether an answer of an upstream ended its use for now.
-func (f *Forwarder) isAside(u roster.Upstream) bool {
-	cause, _ := f.o.Batcher.Paces().IsAside(f.o.Clock.Now(), u.ID, u.StartedMs)
+// isSuspended reports whether an answer of an upstream ended its use for now.
+func (f *Forwarder) isSuspended(u roster.Upstream) bool {
+	cause, _ := f.o.Batcher.Paces().IsSuspended(f.o.Clock.Now(), u.ID, u.StartedMs)
 	return cause != pace.None
 }
 
@@ -284,7 +284,7 @@
 // renewPlacement asks for another placement if the present one cannot be used.
 func (x *exchange) renewPlacement() {
 	for range maxPlacements {
-		if x.placement != nil && (!x.f.stillReady(x.placement.upstream) || x.f.isAside(x.placement.upstream) || !x.mayUse(x.placement.upstream)) {
+		if x.placement != nil && (!x.f.stillReady(x.placement.upstream) || x.f.isSuspended(x.placement.upstream) || !x.mayUse(x.placement.upstream)) {
 			x.f.notifyEnd(x.placement, engine.Cancelled)
 			x.placement = nil
 		}
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -58,7 +58,7 @@
 		r := x.noUpstream(x.service)
 		return nil, &r
 	}
-	if x.f.isAside(u) { // an answer to another request has just said so
+	if x.f.isSuspended(u) { // an answer to another request has just said so
 		x.finishAttempt(&response{upstream: u}, pick.Cancelled)
 		return nil, x.checkAttempt()
 	}
@@ -253,7 +253,7 @@
 // handleNotRun handles a response that proves that the request did not run.
 func (x *exchange) handleNotRun(resp *response) *refusal {
 	x.refusals++
-	if !x.f.isAside(resp.upstream) { // else it may be used again after its pause
+	if !x.f.isSuspended(resp.upstream) { // else it may be used again after its pause
 		x.exclude(resp.upstream.ID)
 	}
 	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", resp.upstream.ID),
--- a/internal/gate/proxy/aside_test.go
+++ b/internal/gate/proxy/suspended_test.go
@@ -290,7 +290,7 @@
 }
 
 // Guards against placements of a placer on another node that has not learnt that an engine is leaving or paused.
-func TestAskingNodeExcludesWhatIsAside(t *testing.T) {
+func TestAskingNodeExcludesSuspendedUpstreams(t *testing.T) {
 	s := newTestProxy(t, nil, newGoodUpstream(t), newGoodUpstream(t), newGoodUpstream(t))
 	s.forwarder.o.Batcher.NoteAnswer("u0", 0, 200, http.Header{"Berylledge-Leaving": {"1"}})
 	s.forwarder.o.Batcher.NoteAnswer("u1", 0, 503, http.Header{"Retry-After": {"9"}})
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -15,43 +15,44 @@
 
 // Names of metrics.
 const (
-	answers       = "answers_total"
-	refusals      = "refusals_total"
-	answerTime    = "answer_seconds"
-	repeats       = "repeats_total"
-	inFlight      = "in_flight"
-	dialed        = "dialed_total"
-	peerBytes     = "peer_sent_bytes_total"
-	peerMessages  = "peer_sent_messages_total"
-	peerDropped   = "peer_dropped_messages_total"
-	groupTerm     = "group_term"
-	groupMembers  = "group_members"
-	configVersion = "config_version"
-	configBehind  = "config_behind_seconds"
-	upstreams     = "upstreams"
-	suspects      = "suspect_contents"
-	coldUpstreams = "cold_upstreams"
-	evacuated     = "evacuated_data_centres"
-	asideNow      = "upstreams_aside"
-	asideTotal    = "upstreams_aside_total"
-	stageWaiting  = "stage_waiting"
-	stageOldest   = "stage_oldest_seconds"
-	stageCalls    = "stage_calls_total"
-	stagePieces   = "stage_pieces_total"
-	stageEnds     = "stage_ends_total"
-	stageRoom     = "stage_room_bytes"
-	stageLimit    = "stage_room_limit_bytes"
-	engineSpeed   = "engine_speed_ratio"
-	memoryHeld    = "memory_held_bytes"
-	memoryBound   = "memory_bound_bytes"
-	memoryCuts    = "memory_cuts_total"
-	memoryRefused = "memory_refusals_total"
-	connections   = "connections"
-	limitReached  = "limit_reached_total"
-	entryCapacity = "entry_capacity_cores"
-	stageSpeed    = "stage_speed_ratio"
-	stageCallTime = "stage_call_seconds"
-	stagePiece    = "stage_piece_seconds"
+	answers        = "answers_total"
+	refusals       = "refusals_total"
+	answerTime     = "answer_seconds"
+	repeats        = "repeats_total"
+	inFlight       = "in_flight"
+	dialed         = "dialed_total"
+	peerBytes      = "peer_sent_bytes_total"
+	peerMessages   = "peer_sent_messages_total"
+	peerDropped    = "peer_dropped_messages_total"
+	groupTerm      = "group_term"
+	groupMembers   = "group_members"
+	configVersion  = "config_version"
+	configBehind   = "config_behind_seconds"
+	upstreams      = "upstreams"
+	suspects       = "suspect_contents"
+	coldUpstreams  = "cold_upstreams"
+	evacuated      = "evacuated_data_centres"
+	suspendedNow   = "upstreams_suspended"
+	suspendedTotal = "upstreams_suspended_total"
+	stageWaiting   = "stage_waiting"
+	stageOldest    = "stage_oldest_seconds"
+	stageCalls     = "stage_calls_total"
+	stagePieces    = "stage_pieces_total"
+	stageEnds      = "stage_ends_total"
+	stageRoom      = "stage_room_bytes"
+	stageLimit     = "stage_room_limit_bytes"
+	engineSpeed    = "engine_speed_ratio"
+	memoryHeld     = "memory_held_bytes"
+	memoryBound    = "memory_bound_bytes"
+	memoryCuts     = "memory_cuts_total"
+	memoryRefused  = "memory_refusals_total"
+	connections    = "connections"
+	limitReached   = "limit_reached_total"
+	entryCapacity  = "entry_capacity_cores"
+	stageSpeed     = "stage_speed_ratio"
+	stageCallTime  = "stage_call_seconds"
+	stagePiece     = "stage_piece_seconds"
+	overShare      = "share_refusals_total"
 )
 
 var (
@@ -65,6 +66,7 @@
 	{Name: answers, Type: stats.Counter, Labels: byStatus, Help: "Final answers of requests for which an upstream was tried, by status; 0: closed without a whole answer."},
 	{Name: refusals, Type: stats.Counter, Labels: byStatus, Help: "Answers that this node gave instead of an upstream, by status, also without having tried one."},
 	{Name: answerTime, Type: stats.Histogram, Help: "Time from the arrival of a request for which an upstream was tried to the end of its answer."},
+	{Name: overShare, Type: stats.Counter, Help: "Requests that this node refused because their team, or its data centre, was far above its share of scarce room."},
 	{Name: repeats, Type: stats.Counter, Help: "Requests that were sent to an upstream again."},
 	{Name: inFlight, Type: stats.Gauge, Help: "Requests that have no final answer yet."},
 	{Name: dialed, Type: stats.Counter, Help: "Connections opened to upstreams."},
@@ -79,8 +81,8 @@
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
 	{Name: coldUpstreams, Type: stats.Gauge, Help: "Upstreams that are cold and whose requests are limited, as an entry node sees them."},
 	{Name: evacuated, Type: stats.Gauge, Help: "Evacuated data centres: stored by a control node, in force on an entry node."},
-	{Name: asideNow, Type: stats.Gauge, Labels: byCause, Help: "Upstreams to which this node sends nothing after an answer that said so, by cause: leaving, paused."},
-	{Name: asideTotal, Type: stats.Counter, Labels: byCause, Help: "Times that this began, by cause."},
+	{Name: suspendedNow, Type: stats.Gauge, Labels: byCause, Help: "Upstreams to which this node sends nothing after an answer that said so, by cause: leaving, paused."},
+	{Name: suspendedTotal, Type: stats.Counter, Labels: byCause, Help: "Times that this began, by cause."},
 	{Name: stageWaiting, Type: stats.Gauge, Labels: byQueue, Help: "Pieces that wait in a queue of this node."},
 	{Name: stageOldest, Type: stats.Gauge, Labels: byQueue, Help: "Longest time that one of them has waited."},
 	{Name: stageCalls, Type: stats.Counter, Labels: byQueue, Help: "Calls sent to stage upstreams."},
@@ -128,8 +130,9 @@
 			p.page.Add(answers, 1, stats.Tags{"status": strconv.Itoa(status)})
 			p.page.Observe(answerTime, took, nil)
 		},
-		Refused: func(status int) { p.page.Add(refusals, 1, stats.Tags{"status": strconv.Itoa(status)}) },
-		Retried: func() { p.page.Add(repeats, 1, nil) },
+		Refused:   func(status int) { p.page.Add(refusals, 1, stats.Tags{"status": strconv.Itoa(status)}) },
+		Retried:   func() { p.page.Add(repeats, 1, nil) },
+		OverShare: func() { p.page.Add(overShare, 1, nil) },
 	}
 }
 
@@ -197,10 +200,10 @@
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
 	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
 	for cause, n := range p.batcher.Paces().Counts(p.o.Clock.Now()) {
-		page.Set(asideNow, float64(n), stats.Tags{"cause": cause.String()})
+		page.Set(suspendedNow, float64(n), stats.Tags{"cause": cause.String()})
 	}
 	for cause, n := range p.batcher.Paces().Totals() {
-		page.Raise(asideTotal, n, stats.Tags{"cause": cause.String()})
+		page.Raise(suspendedTotal, n, stats.Tags{"cause": cause.String()})
 	}
 	page.Set(entryCapacity, float64(p.s.Limits.capacity())/1000, nil)
 	now := map[queueName]bool{}
