Mend what the review of the merged parts found

- A placement at an engine that this node knows to be draining or evacuated was used; it is cancelled, and the placer is told.
- A 429 or 408 of an upstream without proof was forwarded although the request may have run; it is answered like such a 503.
- The placer of a cold engine counted a request as sent while pieces of its last stage were made again, when its stages began again in another region, and when its ticket had expired.
- Tickets of a placer that answered late were never ended.
- A retry after a 5xx waited for the end of a pause and was then not sent.

--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -95,7 +95,7 @@
 	initialBackoff    = time.Second // after a failure; doubles with each further failure
 	maxBackoff        = 8 * time.Second
 	fullBackoff       = 200 * time.Millisecond
-	ticketTTL         = 20 * time.Second // drops tickets that were never ended, since their node may have died
+	TicketTTL         = 20 * time.Second // drops tickets that were never ended, since their node may have died
 	expireInterval    = 200 * time.Millisecond
 	partCacheFraction = 0.8 // of an engine's memory that is assumed to cache prompt parts
 )
@@ -513,7 +513,7 @@
 	p.lastExpiry = now
 	p.unanswered.expire(now)
 	for id, t := range p.tickets {
-		if now.Sub(t.placedAt) > ticketTTL {
+		if now.Sub(t.placedAt) > TicketTTL {
 			p.removeTicket(now, id, false)
 		}
 	}
--- a/internal/gate/pace/window.go
+++ b/internal/gate/pace/window.go
@@ -36,6 +36,7 @@
 // grows with completed work and at most doubles in a step.
 type window struct {
 	opens   time.Time // end of the last pause, or start; zero: no window
+	ended   time.Time // opens of the last window that ended
 	isNew   bool      // it follows a start
 	size    int       // 0: no request was permitted yet
 	earlier int       // requests in flight when the first request was permitted
@@ -55,7 +56,7 @@
 
 // open begins a window at the end of a pause.
 func (w *window) open(at time.Time) {
-	if at.After(w.opens) {
+	if at.After(w.opens) && at.After(w.ended) {
 		*w = window{opens: at, rank: w.rank}
 	}
 }
@@ -117,7 +118,7 @@
 		cause = New
 	}
 	if w.expired(now) {
-		w.opens = time.Time{}
+		w.ended, w.opens = w.opens, time.Time{}
 		return Verdict{OK: true}
 	}
 	offset, first := d.entry(s)
@@ -155,7 +156,7 @@
 		end = endOfWindow
 	}
 	if w.size += n; w.size >= end {
-		w.opens = time.Time{}
+		w.ended, w.opens = w.opens, time.Time{}
 	}
 }
 
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -341,7 +341,7 @@
 // Sweep drops the state of upstreams that have not been used for a while.
 func (c *Chooser) Sweep(now time.Time) {
 	for id, s := range c.upstreams {
-		if s.inFlight == 0 && !s.pace.IsCold(now) && now.Sub(s.lastEnd) > stateTTL {
+		if s.inFlight == 0 && !s.pace.IsCold(now) && !s.pace.IsNew(now) && now.Sub(s.lastEnd) > stateTTL {
 			delete(c.upstreams, id)
 		}
 	}
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -123,11 +123,16 @@
 // heldBack returns the upstreams of a service that get no request now because they told this node that they are leaving or paused, or
 // return from a pause. A placer on another node may not know.
 func (f *Forwarder) heldBack(service string) (ids []string) {
+	list := f.o.View().Services[service]
+	for _, u := range list {
+		if u.State != roster.Ready {
+			ids = append(ids, u.ID)
+		}
+	}
 	if f.o.Batcher.Paces().Len() == 0 {
-		return nil
+		return ids
 	}
 	s := f.serviceNow(service)
-	list := f.o.View().Services[service]
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -312,7 +317,8 @@
 		return true
 	}
 	owner := f.o.Batcher.OwnerInView(p.service, p.region)
-	return p.cold && !p.used && owner.Peer == p.owner && owner.Started == p.ownerStarted
+	counted := f.o.Clock.Now().Sub(p.asked) < engine.TicketTTL // an older ticket was counted as a send when it expired
+	return p.cold && !p.used && counted && owner.Peer == p.owner && owner.Started == p.ownerStarted
 }
 
 // isColdNow is like isCold, by the newest record of an upstream that was selected earlier.
--- a/internal/gate/proxy/pacing_test.go
+++ b/internal/gate/proxy/pacing_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
@@ -51,13 +52,14 @@
 	p.view.Table = conf.NewTable(&conf.Config{Services: []conf.Service{{Name: "models", Engine: &conf.Engine{Slots: 1}, ColdPerSecond: 3}}})
 	p.view.Services = map[string][]roster.Upstream{"models": {u}}
 	p.mu.Unlock()
-	good := placement{service: "models", region: "n", owner: p.o.Batcher.OwnerInView("models", "n").Peer, upstream: u, cold: true}
+	good := placement{service: "models", region: "n", owner: p.o.Batcher.OwnerInView("models", "n").Peer, upstream: u, cold: true, asked: time.Now()}
 	assert.Assert(t, p.coversSend(&good))
 	for name, change := range map[string]func(*placement){
 		"another owner":       func(q *placement) { q.owner = "gone" },
 		"an earlier start":    func(q *placement) { q.ownerStarted = 1 },
 		"not known as cold":   func(q *placement) { q.cold = false },
 		"used by a send":      func(q *placement) { q.used = true },
+		"expired":             func(q *placement) { q.asked = time.Now().Add(-engine.TicketTTL) },
 		"owner of the region": func(q *placement) { q.region = "s" },
 	} {
 		bad := good
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -71,9 +71,10 @@
 	upstream               roster.Upstream
 	firstEventReported     bool
 	forecast               engine.Forecast
-	ownerStarted           int64 // start of the process that runs the placer
-	cold                   bool  // the placer knew that the engine is cold
-	used                   bool  // a request was sent
+	asked                  time.Time // when the placer was asked
+	ownerStarted           int64     // start of the process that runs the placer
+	cold                   bool      // the placer knew that the engine is cold
+	used                   bool      // a request was sent
 }
 
 type placeKey struct{ service, region string }
@@ -109,9 +110,9 @@
 	if !x.allowedRegions().Allows(region) {
 		return nil
 	}
-	p := &placement{service: x.service, region: region}
-	var reply placeReply
 	asked := f.o.Clock.Now()
+	p := &placement{service: x.service, region: region, asked: asked}
+	var reply placeReply
 	var ok bool
 	if p.owner, reply, ok = f.askPlacer(x.ctx, placeRequest{Service: p.service, Region: p.region, Request: &r}); !ok {
 		return nil
@@ -120,7 +121,7 @@
 		x.due = due
 	}
 	for _, u := range f.o.View().Services[x.service] {
-		if u.ID == reply.ID {
+		if u.ID == reply.ID && u.State == roster.Ready {
 			p.ticket, p.upstream, p.forecast, p.cold = reply.Ticket, u, reply.Forecast, reply.Cold
 			p.ownerStarted = f.o.Batcher.OwnerInView(p.service, p.region).Started
 			return p
@@ -192,16 +193,57 @@
 	return out
 }
 
+// callPlacer asks a node for a placement. A node that answers later than placementTimeout, or after ctx has ended, has counted the
+// request: the ticket is then cancelled, since it takes a slot and the room of a cold engine.
 func (f *Forwarder) callPlacer(ctx context.Context, owner string, q placeRequest, result *placeReply) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := f.o.Clock.AfterFunc(placementTimeout, cancel)
+	callCtx, cancel := context.WithCancel(f.ctx)
+	limit := f.o.Clock.AfterFunc(lateReplyTimeout, cancel)
+	replies := make(chan placerReply, 1)
+	f.wg.Go(func() {
+		defer cancel()
+		defer limit.Stop()
+		replies <- f.sendPlaceRequest(callCtx, owner, q)
+	})
+	timer := f.o.Clock.NewTimer(placementTimeout)
 	defer timer.Stop()
-	reply, err := f.o.Hub.Call(ctx, owner, peer.KindPlace, encodePlaceRequest(q))
+	select {
+	case r := <-replies:
+		*result = r.placeReply
+		return r.err
+	case <-ctx.Done():
+		f.cancelLateTicket(owner, q, replies)
+		return ctx.Err()
+	case <-timer.C():
+		f.cancelLateTicket(owner, q, replies)
+		return context.DeadlineExceeded
+	}
+}
+
+// lateReplyTimeout is how long a reply is awaited to cancel its ticket. Later ones are rare, and the tickets expire.
+const lateReplyTimeout = 2 * time.Second
+
+type placerReply struct {
+	placeReply
+	err error
+}
+
+func (f *Forwarder) sendPlaceRequest(ctx context.Context, owner string, q placeRequest) (out placerReply) {
+	body, err := f.o.Hub.Call(ctx, owner, peer.KindPlace, encodePlaceRequest(q))
 	if err != nil {
-		return err
+		out.err = err
+		return out
 	}
-	return cbor.Unmarshal(reply, result)
+	out.err = cbor.Unmarshal(body, &out.placeReply)
+	return out
+}
+
+// cancelLateTicket cancels the ticket of a reply that nobody waits for any more.
+func (f *Forwarder) cancelLateTicket(owner string, q placeRequest, replies <-chan placerReply) {
+	f.wg.Go(func() {
+		if r := <-replies; r.err == nil && r.Ticket != 0 {
+			f.notifyEnd(&placement{service: q.Service, region: q.Region, owner: owner, ticket: r.Ticket}, engine.Cancelled)
+		}
+	})
 }
 
 // engineRequest builds the request to the placer from the headers. Values that cannot be parsed are left out.
--- a/internal/gate/proxy/regions.go
+++ b/internal/gate/proxy/regions.go
@@ -118,7 +118,9 @@
 	if restart {
 		s.restart(forbidden)
 	}
-	if x.placement != nil && !x.mayUse(x.placement.upstream) {
+	// The placer of a cold engine counts a request as sent once its stages are done, so that one whose stages begin again needs
+	// another ticket.
+	if x.placement != nil && (!x.mayUse(x.placement.upstream) || restart && x.placement.cold) {
 		x.f.notifyEnd(x.placement, engine.Cancelled)
 		if restart {
 			x.stages = nil // makes the placer count the stages again
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -237,7 +237,7 @@
 		drainBody(resp)
 		x.finishAttempt(resp, result)
 		return nil, x.handleNotRun(resp)
-	case resp.Status == http.StatusServiceUnavailable:
+	case promisesNotRun[resp.Status]:
 		drainBody(resp)
 		return nil, x.handleUnproven(resp)
 	case resp.Status < 300 && !signed:
@@ -261,7 +261,10 @@
 	return x.checkAttempt()
 }
 
-// handleUnproven handles a 503 that does not prove that the request did not run. A caller would take it for such a promise.
+// promisesNotRun are the statuses that callers take for a promise that the request has not run and will not.
+var promisesNotRun = map[int]bool{http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
+
+// handleUnproven handles a response whose status promises what the response does not prove.
 func (x *exchange) handleUnproven(resp *response) *refusal {
 	x.exclude(resp.upstream.ID)
 	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", resp.upstream.ID),
@@ -399,7 +402,11 @@
 func (x *exchange) retryAfterFault(first *response, body []byte) bool {
 	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", first.upstream.ID),
 		event.F("attempt", x.sent), event.F("outcome", "fault"), event.F("reason", first.Status))
-	resp, _ := x.attempt("", nil)
+	var resp *response
+	var refused *refusal
+	for resp == nil && refused == nil {
+		resp, refused = x.attempt("", nil)
+	}
 	if resp == nil {
 		x.upstream = first.upstream.ID
 		x.writeBuffered(first, body)
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -279,7 +279,9 @@
 		}
 	}
 	s.freeResults(freed)
-	s.x.f.notifyStageDone(s.x.placement, r.items[0].Stage)
+	if number := r.items[0].Stage; s.plan.StageFinished(number) {
+		s.x.f.notifyStageDone(s.x.placement, number)
+	}
 	return true
 }
 
--- a/internal/gate/stage/order.go
+++ b/internal/gate/stage/order.go
@@ -125,7 +125,7 @@
 	loss := 0.0
 	for _, t := range q.targets {
 		if t.present && !t.Avoid && t.pace.IsCold(now) {
-			full := 1 / q.callTime(q.pool.Batch).Seconds()
+			full := 1 / (q.speeds.Factor(now, t.ID) * q.callTime(q.pool.Batch).Seconds())
 			loss += max(full-t.pace.ColdPerSecond, 0) * float64(q.pool.Batch)
 		}
 	}
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -233,6 +233,11 @@
 	return true
 }
 
+// StageFinished reports whether all pieces of a stage have results.
+func (p *Plan) StageFinished(stage int) bool {
+	return !slices.ContainsFunc(p.pieces[stage], func(x piece) bool { return x.handle == "" })
+}
+
 // Finished reports whether all pieces have results.
 func (p *Plan) Finished() bool {
 	for _, stage := range p.pieces {
