Play evacuations, cold upstreams and region lists in the fault soak

The soak did not cover the order to evacuate a data centre, the bound of requests to cold upstreams or the list of regions of a route, so that only tests without random faults checked them.

What is on, and what the new troubles draw, comes from streams of their own, so that a seed draws the same faults as before. Seeds with evacuations or lists have two more upstreams in a second data centre of another region; the faults still pick from the first four.

- Evacuations: orders and revocations are resent until acknowledged, half of them beside the kill of a control node.
No request may arrive later than 5 s after the acknowledgement and before the revocation was first sent.
At the end an order must outlive a restart of all control nodes and of an entry node.
- Cold upstreams: no more than cold_per_s x cold_overage + cold_slack requests in any second.
A cold time of a known upstream is judged once a heartbeat that told it was acknowledged and no node or link between nodes was disturbed for 1.5 s after that.
- Lists: a request of the restricted route may only reach a region that a list in force within the last 3 s allowed.

A request is not judged if the proxy before the upstream held or delayed data within the last second. Evacuations and lists do not judge requests whose entry node was killed or frozen within the last 5 s either. Both are counted in the last line.

--- a/internal/test/soak/departure_test.go
+++ b/internal/test/soak/departure_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -39,6 +38,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.departed, u.noWorkFrom, u.born = false, time.Time{}, time.Now().UnixMilli()
+	u.turnCold(false)
 }
 
 // checkDeparted records a request that arrives after a departure was acknowledged and known.
@@ -65,11 +65,7 @@
 	acked := time.Now()
 	s.note("departure")
 	s.w.pause(s.between(0, departureKill))
-	var all sync.WaitGroup
-	for _, n := range numbers(1, controlNodes) {
-		all.Go(func() { s.stopped(s.f.nodes[n], s.f.nodes[n].kill) })
-	}
-	all.Wait()
+	s.killControlNodes()
 	u.judgeFrom(time.Now().Add(departureSettles))
 	s.w.pause(time.Until(acked.Add(departureLingers)))
 }
--- a/internal/test/soak/doc.go
+++ b/internal/test/soak/doc.go
@@ -1,6 +1,7 @@
 // Package soak holds a randomized test of `berylledge gate` as separate processes on loopback. Faults come from outside:
 // proxies that delay, reset, hold one way or silence connections, signals that stop, freeze and kill processes, lost and
 // damaged folders, upstreams that break, hang and refuse. Callers, an operator and upstreams check the promises meanwhile.
+// Some seeds also play evacuations of a data centre, upstreams that turn cold, or a route whose list of regions changes.
 //
 //	go test ./internal/test/soak                                  # the regression seeds and one short run
 //	make soak                                                     # some minutes with fresh seeds
--- a/internal/test/soak/fleet_test.go
+++ b/internal/test/soak/fleet_test.go
@@ -43,7 +43,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	busy   bool // a fault stops it
+	busy   bool      // a fault stops it
+	hit    time.Time // last kill or freeze, or its end
 }
 
 // fleet is a whole system on loopback.
@@ -51,6 +52,7 @@
 	dir   string
 	net   int // third part of the addresses
 	seeds []string
+	parts parts
 	nodes map[int]*process
 }
 
@@ -65,13 +67,13 @@
 	return out
 }
 
-func newFleet(t testing.TB, net int) *fleet {
+func newFleet(t testing.TB, net int, parts parts) *fleet {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "soak-run-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{dir: dir, net: net, nodes: map[int]*process{}}
+	f := &fleet{dir: dir, net: net, parts: parts, nodes: map[int]*process{}}
 	for _, n := range numbers(1, controlNodes) {
 		f.seeds = append(f.seeds, f.proxyAt(n, controlPort))
 	}
@@ -121,6 +123,7 @@
 		Regions: map[string]string{"a": "north"}, PeerPort: peerPort, Seeds: f.seeds, FirstStart: first, BeatMS: beatMS, Losses: 1,
 		Bounds: gwnode.Bounds{StopS: stopSeconds, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 60, EntryValidS: 1},
 	}
+	f.parts.settings(&s)
 	if p.entry() {
 		s.Listen.Callers = f.at(p.number, callersPort)
 		return s
@@ -158,11 +161,33 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
+		p.hit = time.Now()
+	}
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // it may have ended
 	}
 }
 
+// lastDisturbed returns when the process was last killed or frozen; a freeze lasts until its end.
+func (p *process) lastDisturbed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hit
+}
+
+// lastDisturbed returns when a process was last killed or frozen or the way to one was last harmed.
+func (f *fleet) lastDisturbed() (last time.Time) {
+	for _, p := range f.nodes {
+		for _, t := range []time.Time{p.lastDisturbed(), p.peers.lastHarm()} {
+			if t.After(last) {
+				last = t
+			}
+		}
+	}
+	return last
+}
+
 // wait reports whether the process ends within a time.
 func (p *process) wait(most time.Duration) bool {
 	p.mu.Lock()
--- a/internal/test/soak/proxy_test.go
+++ b/internal/test/soak/proxy_test.go
@@ -23,6 +23,7 @@
 	held    [2]chan struct{} // by direction; data waits until the channel is closed, nil: it passes
 	conns   map[net.Conn]bool
 	stopped bool
+	harmed  time.Time // end of the last hold or delay
 }
 
 // direction of data.
@@ -161,7 +162,17 @@
 func (p *proxy) slow(delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay = delay
+	p.delay, p.harmed = delay, time.Now()
+}
+
+// lastHarm returns the end of the last hold or delay, or the time if there is one.
+func (p *proxy) lastHarm() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.delay > 0 || p.held[toTarget] != nil || p.held[fromTarget] != nil {
+		return time.Now()
+	}
+	return p.harmed
 }
 
 // resetAll ends all connections without a farewell.
@@ -177,7 +188,7 @@
 func (p *proxy) heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay = 0
+	p.delay, p.harmed = 0, time.Now()
 	for way, c := range p.held {
 		if c != nil {
 			close(c)
--- a/internal/test/soak/soak_test.go
+++ b/internal/test/soak/soak_test.go
@@ -67,7 +67,8 @@
 }
 
 func soakOne(t *testing.T, seed uint64, net int, length time.Duration) {
-	f := newFleet(t, net)
+	parts, partsRNG := partsOf(seed)
+	f := newFleet(t, net, parts)
 	w, err := newWorld(f, seed)
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +77,10 @@
 	if !s.settled() {
 		w.violated("the fleet did not come up within %s", settleWithin)
 	}
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	end := time.Now().Add(length)
+	var beside sync.WaitGroup
+	s.playParts(&beside, partsRNG, end)
+	for time.Now().Before(end) {
 		if s.rng.IntN(12) == 0 {
 			s.plannedOnly()
 			continue
@@ -84,14 +88,18 @@
 		s.draw()
 		w.pause(s.between(50, 500))
 	}
+	beside.Wait()
 	s.departure()
 	s.wg.Wait()
+	if parts.evacuations {
+		s.lastEvacuation(partsRNG)
+	}
 	if !s.settled() {
 		w.violated("not all nodes serve within %s after the last fault", settleWithin)
 	}
 	w.close()
 	w.check()
-	t.Logf("seed %d: faults %s; %s", seed, totals(s.done), totals(w.counts))
+	t.Logf("seed %d: %s; faults %s; %s", seed, parts, totals(s.done), totals(w.counts))
 	for _, v := range w.violations {
 		t.Errorf("seed %d: %s (logs in %s)", seed, v, f.dir)
 	}
@@ -170,17 +178,19 @@
 		s.loseDisk(s.f.nodes[1+s.rng.IntN(controlNodes)], s.rng.IntN(2) == 0)
 	case 11:
 		if s.rng.IntN(3) == 0 {
-			s.run("kill all control nodes", func() {
-				var all sync.WaitGroup
-				for _, n := range numbers(1, controlNodes) {
-					all.Go(func() { s.stopped(s.f.nodes[n], s.f.nodes[n].kill) })
-				}
-				all.Wait()
-			})
+			s.run("kill all control nodes", s.killControlNodes)
 		}
 	}
 }
 
+func (s *schedule) killControlNodes() {
+	var all sync.WaitGroup
+	for _, n := range numbers(1, controlNodes) {
+		all.Go(func() { s.stopped(s.f.nodes[n], s.f.nodes[n].kill) })
+	}
+	all.Wait()
+}
+
 // stopped ends a process by f and starts it again, unless another fault has it.
 func (s *schedule) stopped(p *process, f func()) {
 	if !p.take() {
@@ -277,7 +287,9 @@
 			panic(err)
 		}
 		r.Host, r.Close = host, true
-		r.Header.Set(names.RequestID, fmt.Sprintf("probe-%d-%d", n, time.Now().UnixNano()))
+		id := fmt.Sprintf("probe-%d-%d", n, time.Now().UnixNano())
+		r.Header.Set(names.RequestID, id)
+		s.w.rules.sent(id, n)
 		resp, err := (&http.Client{Timeout: 3 * time.Second}).Do(r)
 		if err != nil {
 			return false
--- a/internal/test/soak/upstream_test.go
+++ b/internal/test/soak/upstream_test.go
@@ -29,11 +29,12 @@
 
 // upstream is a stand-in that registers, serves and records what runs.
 type upstream struct {
-	w       *world
-	id      string
-	server  *http.Server
-	before  *proxy
-	address string // of the proxy
+	w          *world
+	id         string
+	dataCentre string
+	server     *http.Server
+	before     *proxy
+	address    string // of the proxy
 
 	beats sync.WaitGroup // the heartbeat in progress
 
@@ -42,9 +43,10 @@
 	born       int64
 	departed   bool      // it sends no heartbeats
 	noWorkFrom time.Time // zero: work may come
+	cold       coldState
 }
 
-func newUpstream(w *world, id, address, through string) (*upstream, error) {
+func newUpstream(w *world, id, dataCentre, address, through string) (*upstream, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -54,7 +56,8 @@
 		_ = l.Close()
 		return nil, err
 	}
-	u := &upstream{w: w, id: id, before: before, address: through, born: time.Now().UnixMilli()}
+	u := &upstream{w: w, id: id, dataCentre: dataCentre, before: before, address: through, born: time.Now().UnixMilli()}
+	u.turnCold(true)
 	u.server = &http.Server{Handler: u}
 	w.wg.Go(func() { _ = u.server.Serve(l) }) // returns when it is closed
 	w.wg.Go(u.register)
@@ -78,6 +81,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.born = time.Now().UnixMilli()
+	u.turnCold(false)
 }
 
 func (u *upstream) state() (mode, int64) {
@@ -90,16 +94,21 @@
 func (u *upstream) register() {
 	node := 1
 	for sequence := int64(1); u.w.ctx.Err() == nil; sequence++ {
-		_, born := u.state()
+		u.mu.Lock()
+		born, cold := u.born, u.coldLeft()
+		u.mu.Unlock()
 		if !u.beginBeat() {
 			u.w.pause(beatMS * time.Millisecond)
 			continue
 		}
 		beat := roster.Upstream{
-			Service: "desk", Address: u.address, DataCentre: "a", Slots: 64, State: roster.Ready, StartedMs: born, Sequence: sequence,
+			Service: "desk", Address: u.address, DataCentre: u.dataCentre, Slots: 64, State: roster.Ready, StartedMs: born, Sequence: sequence,
+			ColdMs: cold,
 		}
 		if status, _ := u.w.ask(http.MethodPut, node, "/v1/traffic/upstreams/"+u.id, beat); status != http.StatusOK {
 			node = 1 + node%controlNodes
+		} else {
+			u.toldCold(cold)
 		}
 		u.beats.Done()
 		u.w.pause(beatMS * time.Millisecond)
@@ -119,6 +128,10 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
+	kind := strings.Split(r.URL.Path, "/")[1]
+	if r.Header.Get(names.ExpectUpstream) == u.id {
+		u.judge(kind, id, time.Now())
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request is not whole, so it does not run
@@ -136,7 +149,6 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	kind := strings.Split(r.URL.Path, "/")[1]
 	u.checkDeparted(id)
 	u.ran(kind, id)
 	if m == slows {
--- a/internal/test/soak/world_test.go
+++ b/internal/test/soak/world_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,14 +32,18 @@
 	calmAfter  = 3 * time.Second // since the last unplanned fault
 	mostSafe   = 3               // attempts of the safe route
 	slowAnswer = 400 * time.Millisecond
+	bound      = "bound" // the route with a list of regions
 )
 
 var names = proto.Own().Headers
 
 // world is what surrounds the fleet. It checks the promises while the fleet runs.
 type world struct {
-	f   *fleet
-	ups []*upstream
+	f     *fleet
+	ups   []*upstream // met by the faults
+	all   []*upstream // and those of the second data centre
+	parts parts
+	rules *rules
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -55,20 +60,32 @@
 }
 
 func newWorld(f *fleet, seed uint64) (*world, error) {
-	w := &world{f: f, runs: map[string]int{}, refused: map[string]string{}, counts: map[string]int{}}
+	w := &world{f: f, parts: f.parts, rules: newRules(), runs: map[string]int{}, refused: map[string]string{}, counts: map[string]int{}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
-	for i := range 4 {
-		u, err := newUpstream(w, fmt.Sprint("u", i), f.at(50+i, 9000), f.proxyAt(50+i, 9000))
+	for i := range 6 {
+		dataCentre := "a"
+		if i >= 4 {
+			dataCentre = "b"
+		}
+		if dataCentre == "b" && !w.parts.twoCentres() {
+			break
+		}
+		u, err := newUpstream(w, fmt.Sprint("u", i), dataCentre, f.at(50+i, 9000), f.proxyAt(50+i, 9000))
 		if err != nil {
 			w.close()
 			return nil, err
 		}
-		w.ups = append(w.ups, u)
+		w.all = append(w.all, u)
+		if dataCentre == "a" {
+			w.ups = w.all
+		}
 	}
 	for i := range callers {
-		w.wg.Go(func() { w.call(rand.New(rand.NewPCG(seed, uint64(i))), fmt.Sprint("c", i)) })
+		w.wg.Go(func() {
+			w.call(rand.New(rand.NewPCG(seed, uint64(i))), rand.New(rand.NewPCG(seed, 3000+uint64(i))), fmt.Sprint("c", i))
+		})
 	}
-	w.wg.Go(func() { w.operate(rand.New(rand.NewPCG(seed, 1000))) })
+	w.wg.Go(func() { w.operate(rand.New(rand.NewPCG(seed, 1000)), rand.New(rand.NewPCG(seed, 2002))) })
 	w.wg.Go(func() { w.read(rand.New(rand.NewPCG(seed, 1001))) })
 	return w, nil
 }
@@ -76,7 +93,7 @@
 func (w *world) close() {
 	w.cancel()
 	w.wg.Wait()
-	for _, u := range w.ups {
+	for _, u := range w.all {
 		u.close()
 	}
 }
@@ -117,17 +134,26 @@
 	return w.faults == 0 && since.Sub(w.lastFault) > calmAfter
 }
 
-func (w *world) config(version uint64) *conf.Config {
+func (w *world) config(version uint64, regions []string) *conf.Config {
 	route := func(name string, kind conf.Kind, attempts int) conf.Route {
 		return conf.Route{
 			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: 2500, Target: 500, Attempts: attempts,
 			Resume: kind == conf.Stream, Split: []conf.Weight{{Service: "desk", Weight: 1}},
 		}
 	}
-	return &conf.Config{
+	c := &conf.Config{
 		Version: version, Services: []conf.Service{{Name: "desk"}}, Limits: conf.Limits{BodyBytes: 1 << 16, HeaderBytes: 8192},
 		Routes: []conf.Route{route("once", conf.Unsafe, 2), route("safe", conf.Safe, mostSafe), route("stream", conf.Stream, 3)},
 	}
+	if w.parts.lists {
+		r := route(bound, conf.Safe, mostSafe)
+		r.Regions = regions
+		c.Routes = append(c.Routes, r)
+	}
+	if w.parts.cold {
+		c.Services[0].ColdTime, c.Services[0].ColdPerSecond = conf.MS(coldFor.Milliseconds()), coldPerSecond
+	}
+	return c
 }
 
 // ask sends a request to a control node, past the proxies.
@@ -160,10 +186,18 @@
 }
 
 // operate changes the configuration. A change whose answer was lost is sent again, to another node.
-func (w *world) operate(rng *rand.Rand) {
+func (w *world) operate(rng, lists *rand.Rand) {
+	var regions []string
 	for version := uint64(1); w.ctx.Err() == nil; version++ {
+		next := drawList(lists, regions)
+		if w.parts.lists && !slices.Equal(next, regions) {
+			w.count("lists")
+		}
+		regions = next
+		acked := w.rules.change(regions)
 		for w.ctx.Err() == nil {
-			if status, _ := w.ask(http.MethodPut, 1+rng.IntN(controlNodes), "/v1/traffic", w.config(version)); status == http.StatusOK {
+			if status, _ := w.ask(http.MethodPut, 1+rng.IntN(controlNodes), "/v1/traffic", w.config(version, regions)); status == http.StatusOK {
+				acked()
 				w.mu.Lock()
 				w.acked = version
 				w.counts["changes"]++
@@ -210,14 +244,15 @@
 type caller struct {
 	w      *world
 	rng    *rand.Rand
+	extra  *rand.Rand // for what only some seeds do
 	name   string
 	number int
 	entry  int // 0: none
 	client *http.Client
 }
 
-func (w *world) call(rng *rand.Rand, name string) {
-	c := &caller{w: w, rng: rng, name: name}
+func (w *world) call(rng, extra *rand.Rand, name string) {
+	c := &caller{w: w, rng: rng, extra: extra, name: name}
 	for w.ctx.Err() == nil {
 		if c.entry == 0 && !c.choose() {
 			w.pause(100 * time.Millisecond)
@@ -273,6 +308,10 @@
 	c.number++
 	id := fmt.Sprintf("%s-%d", c.name, c.number)
 	kind := []string{"once", "once", "safe", "stream"}[c.rng.IntN(4)]
+	if w.parts.lists && c.extra.IntN(3) == 0 {
+		kind = bound
+	}
+	w.rules.sent(id, c.entry)
 	body := strings.Repeat(id+" ", 1+c.rng.IntN(200))
 	ctx, cancel := context.WithTimeout(w.ctx, patience)
 	defer cancel()
