Say in the soak which node exceeded a cold bound and what it could know

A violation of the bound named neither the entry node nor for how long the upstream had been cold, so that its cause (late knowledge or a wrong share) could not be told from the report. The check itself is as before.

--- a/internal/test/soak/parts_test.go
+++ b/internal/test/soak/parts_test.go
@@ -142,8 +142,15 @@
 			w.violated("%s by %s reaches %s in %s, which no list allowed for %s", id, entry.name, u.id, regionOf[u.dataCentre], listWithin)
 		}
 	}
-	if n, late := u.coldRequests(at, delayed); late {
-		w.violated("%s is request %d within a second to %s, which is cold", id, n, u.id)
+	if n, over := u.coldRequests(at, delayed); over {
+		u.mu.Lock()
+		since, told := at.Sub(u.cold.until.Add(-coldFor)), at.Sub(u.cold.told)
+		u.mu.Unlock()
+		by := "an unknown node"
+		if entry != nil {
+			by = entry.name
+		}
+		w.violated("%s by %s is request %d within a second to %s, which is cold for %s and told so %s ago", id, by, n, u.id, since, told)
 	}
 }
 
