--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 chaos: ## kill control nodes for ten minutes under change and claim load
 	BERYLLEDGE_CHAOS=10m $(GO) test -count=1 -timeout 20m -v -run ControlNodesKilled ./internal/test/procs
 
-soak: ## play faults of fifty fresh seeds against processes of `berylledge gate` (about 4 min)
+soak: ## play faults of fifty fresh seeds against processes of `berylledge gate` (about 12 min)
 	$(GO) test -count=1 -timeout 20m -v -run Seeds ./internal/test/soak -args -soak.first 0 -soak.seeds 50 -soak.for 10s -soak.beside 4
 
 race: ## run all tests with the race detector
