--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -83,7 +83,7 @@
 	localResults  resultTracker
 	remoteUsers   resultUsers
 	answers       answerLog
-	paces         *pace.Table
+	paceTable     *pace.Table
 }
 
 type queueKey struct{ service, region string }
@@ -104,7 +104,7 @@
 
 // New starts a Batcher.
 func New(o Options) *Batcher {
-	m := &Batcher{o: o, queues: map[queueKey]*queue{}, replyHandlers: map[uint64]func(stage.Reply){}, unresponsive: map[string]time.Time{}, paces: pace.NewTable()}
+	m := &Batcher{o: o, queues: map[queueKey]*queue{}, replyHandlers: map[uint64]func(stage.Reply){}, unresponsive: map[string]time.Time{}, paceTable: pace.NewTable()}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.wg.Go(func() {
 		for clock.Sleep(m.ctx, o.Clock, logInterval) == nil {
@@ -358,7 +358,7 @@
 	var out []stage.Target
 	for _, u := range view.Services[p.service] {
 		if m.o.RegionOf[u.DataCentre] == p.region {
-			known := m.paces.Of(u, service)
+			known := m.paceTable.Of(u, service)
 			out = append(out, stage.Target{
 				ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Avoid: u.Silent || u.State != roster.Ready || known.Leaving,
 				Pace: known,
--- a/internal/gate/batch/suspended.go
+++ b/internal/gate/batch/suspended.go
@@ -12,8 +12,8 @@
 	"github.com/berylledge/berylledge/internal/gate/poller"
 )
 
-// Paces returns the table of upstreams that are leaving or paused, as this process learnt from their answers.
-func (m *Batcher) Paces() *pace.Table { return m.paces }
+// PaceTable returns the table of upstreams that are leaving or paused, as this process learnt from their answers.
+func (m *Batcher) PaceTable() *pace.Table { return m.paceTable }
 
 // NoteAnswer records what the head of an answer tells about a start of an upstream. It must be called before the body is read,
 // which may break off.
@@ -23,7 +23,7 @@
 		return // another upstream now has the address
 	}
 	if isSet(h.Get(names.Leaving)) || names.LeavingAlias != "" && isSet(h.Get(names.LeavingAlias)) {
-		if m.paces.Leave(id, startedMs) {
+		if m.paceTable.Leave(id, startedMs) {
 			m.o.Events.Emit(event.UpstreamSuspended, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Leaving.String()),
 				event.F("until", "its next start"))
 		}
@@ -37,7 +37,7 @@
 		m.o.Events.Emit(event.PauseIgnored, event.F("upstream", id), event.F("value", strconv.Quote(text[:min(len(text), maxLoggedValue)])))
 		return
 	}
-	if until, began := m.paces.Pause(m.o.Clock.Now(), id, startedMs, d); began {
+	if until, began := m.paceTable.Pause(m.o.Clock.Now(), id, startedMs, d); began {
 		m.o.Events.Emit(event.UpstreamSuspended, event.F("upstream", id), event.F("born_ms", startedMs), event.F("cause", pace.Paused.String()),
 			event.F("until", until.UTC().Format(time.RFC3339Nano)))
 	}
@@ -63,7 +63,7 @@
 
 // sweepPaces removes from the table what has ended.
 func (m *Batcher) sweepPaces(now time.Time, view *poller.View) {
-	if m.paces.Len() == 0 {
+	if m.paceTable.Len() == 0 {
 		return
 	}
 	starts := map[string]int64{}
@@ -72,7 +72,7 @@
 			starts[u.ID] = u.StartedMs
 		}
 	}
-	for _, c := range m.paces.Sweep(now, func(id string) (int64, bool) { s, ok := starts[id]; return s, ok }) {
+	for _, c := range m.paceTable.Sweep(now, func(id string) (int64, bool) { s, ok := starts[id]; return s, ok }) {
 		m.o.Events.Emit(event.UpstreamResumed, event.F("upstream", c.ID), event.F("born_ms", c.StartedMs), event.F("cause", c.Cause.String()), event.F("reason", c.Reason))
 	}
 }
--- a/internal/gate/batch/suspended_test.go
+++ b/internal/gate/batch/suspended_test.go
@@ -50,7 +50,7 @@
 	} {
 		id := fmt.Sprint("u", i)
 		a.NoteAnswer(id, 7, c.status, c.header)
-		cause, _ := a.Paces().IsSuspended(now, id, 7)
+		cause, _ := a.PaceTable().IsSuspended(now, id, 7)
 		assert.Equal(t, cause, c.cause, "%d: %d %v", i, c.status, c.header)
 	}
 }
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -116,7 +116,7 @@
 
 // isSuspended reports whether an answer of an upstream ended its use for now.
 func (f *Forwarder) isSuspended(u roster.Upstream) bool {
-	cause, _ := f.o.Batcher.Paces().IsSuspended(f.o.Clock.Now(), u.ID, u.StartedMs)
+	cause, _ := f.o.Batcher.PaceTable().IsSuspended(f.o.Clock.Now(), u.ID, u.StartedMs)
 	return cause != pace.None
 }
 
@@ -129,7 +129,7 @@
 			ids = append(ids, u.ID)
 		}
 	}
-	if f.o.Batcher.Paces().Len() == 0 {
+	if f.o.Batcher.PaceTable().Len() == 0 {
 		return ids
 	}
 	s := f.serviceNow(service)
--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -321,7 +321,7 @@
 	}
 	for _, u := range v.Services[k.service] {
 		if u.State == roster.Ready && f.o.RegionOf[u.DataCentre] == k.region {
-			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, Pace: f.o.Batcher.Paces().Of(u, s)})
+			out = append(out, engine.Target{ID: u.ID, Slots: slots, CacheTokens: tokens, Avoid: u.Silent, Pace: f.o.Batcher.PaceTable().Of(u, s)})
 		}
 	}
 	return out
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -113,7 +113,7 @@
 		o: o, chooser: pick.New(o.Pace, o.Node), retries: newRetryLimiter(o.RetryBudget), rng: rand.New(rand.NewPCG(o.Seed, 1)),
 		placers: map[placeKey]*engine.Placer{}, unreachableUntil: map[string]time.Time{}, drain: newDrainState(),
 	}
-	f.chooser.UseTable(o.Batcher.Paces())
+	f.chooser.UseTable(o.Batcher.PaceTable())
 	for _, region := range o.RegionOf {
 		if !slices.Contains(f.regions, region) {
 			f.regions = append(f.regions, region)
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -199,10 +199,10 @@
 	}
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
 	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
-	for cause, n := range p.batcher.Paces().Counts(p.o.Clock.Now()) {
+	for cause, n := range p.batcher.PaceTable().Counts(p.o.Clock.Now()) {
 		page.Set(suspendedNow, float64(n), stats.Tags{"cause": cause.String()})
 	}
-	for cause, n := range p.batcher.Paces().Totals() {
+	for cause, n := range p.batcher.PaceTable().Totals() {
 		page.Raise(suspendedTotal, n, stats.Tags{"cause": cause.String()})
 	}
 	page.Set(entryCapacity, float64(p.s.Limits.capacity())/1000, nil)
