Let the review cases read the present settings template

The template got sections for bounds that a site may not state, and the limits of a machine. The stand-ins of the review cases replace fields only, so that every process ended with "invalid character '{' after object key:value pair" and all five cases exited with 2 (could not run) since that change.

The stand-ins now leave out sections, whose values the cases do not set, and state the limits of a machine. Ruled out: fixed settings beside the template, which would hide the next difference.

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -211,8 +211,11 @@
 		"bounds": map[string]any{
 			"gracePeriodS": 8, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 52, "ttl_max_s": 5,
 		},
+		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000},
 	}
-	text := regexp.MustCompile(`\{\{([A-Za-z_.0-9]+)(\|json)?\}\}`).ReplaceAllStringFunc(fl.template, func(s string) string {
+	// The cases set no value for which the template has a section.
+	template := regexp.MustCompile(`(?s)\{\{#([A-Za-z_.0-9]+)\}\}.*?\{\{/[A-Za-z_.0-9]+\}\}`).ReplaceAllString(fl.template, "")
+	text := regexp.MustCompile(`\{\{([A-Za-z_.0-9]+)(\|json)?\}\}`).ReplaceAllStringFunc(template, func(s string) string {
 		name, asJSON := strings.CutSuffix(strings.Trim(s, "{}"), "|json")
 		var v any = fields
 		for _, step := range strings.Split(name, ".") {
