Take the deadline of a refusal from the clock of the guard

Guard read the wall clock directly for the write deadline of a refusal, beside a nolint, while all other code takes the time from base/clock. Guard has a field Clock now: the entry node passes the clock that its callers' deadlines come from already, httpd.New the real one, as it does for its dialer. The nolint is gone.

Ruled out: a clock in httpd.Options. Nothing else there uses one, and the tests of this package meet real sockets.

--- a/internal/gate/proxy/bench_test.go
+++ b/internal/gate/proxy/bench_test.go
@@ -43,7 +43,7 @@
 	account := memory.New(memory.Options{Clock: clock.Real(), Bytes: memory.Bound(144_000_000), Descriptors: 3075})
 	s.forwarder.o.Memory = account
 	b.Run("counted", func(b *testing.B) { run(b, s.server.URL) })
-	guard := &httpd.Guard{Account: account, HeadBytes: func() int { return 16 << 10 }}
+	guard := &httpd.Guard{Clock: clock.Real(), Account: account, HeadBytes: func() int { return 16 << 10 }}
 	server := httptest.NewUnstartedServer(s.forwarder)
 	server.Listener = guard.Listen(server.Listener)
 	server.Config.ConnState = guard.ConnState
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -251,7 +251,9 @@
 		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
 		Memory: p.account, Limited: p.refused.add,
 	})
-	guard := &httpd.Guard{Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.add}
+	guard := &httpd.Guard{
+		Clock: p.o.Clock, Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.add,
+	}
 	p.callers = &callerListener{Listener: guard.Listen(listener), clock: p.o.Clock, limits: p.callerLimits, guard: guard}
 	p.http = &http.Server{Handler: http.HandlerFunc(p.serveCaller), ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
 	p.wg.Go(func() { _ = p.http.Serve(p.callers) }) // returns an error once the listener is closed
--- a/internal/wire/httpd/fuzz_test.go
+++ b/internal/wire/httpd/fuzz_test.go
@@ -124,7 +124,7 @@
 		account := memory.New(memory.Options{Clock: clock.Real(), Bytes: 64 << 20, Descriptors: 100})
 		var mu sync.Mutex
 		var limits []string
-		guard := &Guard{Account: account, Refused: func(r Refusal) {
+		guard := &Guard{Clock: clock.Real(), Account: account, Refused: func(r Refusal) {
 			mu.Lock()
 			defer mu.Unlock()
 			limits = append(limits, r.Limit)
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
@@ -46,6 +47,7 @@
 // Guard bounds what connections hold before a handler sees their requests: the size and the lines of a head always, and, with an
 // account, the connections and all heads together.
 type Guard struct {
+	Clock   clock.Clock // real, since the kernel measures the deadlines
 	Account *memory.Account
 	// Internal listeners may use descriptors that callers leave free.
 	Internal bool
@@ -170,7 +172,7 @@
 			if limit == LimitHeads {
 				text = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + RetryAfter + "\r\n"
 			}
-			_ = c.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:forbidigo // a deadline of the kernel
+			_ = c.SetWriteDeadline(c.guard.Clock.Now().Add(refuseTime))
 			_, _ = io.WriteString(c.Conn, text+"Connection: close\r\nContent-Length: 0\r\n\r\n")
 		}
 		c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held())
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -92,7 +92,7 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
-	guard := &Guard{Account: o.Account, Internal: true, Refused: o.Refused}
+	guard := &Guard{Clock: clock.Real(), Account: o.Account, Internal: true, Refused: o.Refused}
 	handler, err := engine(o, guard, routes)
 	if err != nil {
 		return nil, err
