Wait for states instead of sleeping in tests

Cause: 14 calls of time.Sleep in tests. Verdicts that depended on the length of one: - TestEarlyAnswerThatIsResetIsNotWhole (upcon and proxy) and ...IsRepeatedIfIdempotent: 20 ms for the client to read the part before the reset. rawup.AwaitRead now waits until the kernel's table of sockets shows no byte as unread. - TestTicketOfALatePlacerIsCancelled: the placer answered after 200 ms, 50 ms after the question was given up. They wait until the node's table has the pause. - TestContradictoryFramingEndsTheConnection: 10 ms for bytes after an answer. It waits until they are in the socket. - Memory bounds of internal/test/crowd: settle took a process that got no processor for 250 ms for one at rest, and gave up waiting after 15 s without a word. The others only paced polls without a deadline (freeze_test, two in suspended_test) or measurements (two in the benchmarks of raftd): polls with a deadline, and clock.Sleep as in the other harnesses.

Ruled out: a hook for dialling in upcon, which no code but these tests would use.

Measured: go test of poller, batch, upcon, proxy, crowd: ok; the changed tests of the first four three times with -race: ok; the benchmarks Restart (every=1000) and Cost (idle) of raftd run. The faults still fail: without the check for a reset: err is nil: "part" after "HTTP/1.1 200 OK\r\n" counts as whole; 200 != 502 without the end of late tickets: timeout hit after 10s: 1 tickets were given and 0 ended Before and after the change the framing test passes without conn.clean, since body.finish finds bytes of the same write.

--- a/internal/gate/batch/suspended_test.go
+++ b/internal/gate/batch/suspended_test.go
@@ -80,8 +80,10 @@
 		made, _ := a.Run(t.Context(), "s", "n", jobsUntil("waits", 2, 20*time.Second))
 		done <- made
 	}()
-	waitFor(t, "the first call", func() bool { return calls.Load() == 1 })
-	time.Sleep(50 * time.Millisecond)
+	waitFor(t, "the owner knows the pause", func() bool {
+		cause, _ := b.PaceTable().IsSuspended(time.Now(), "u1", 0)
+		return cause == pace.Paused
+	})
 	made, err := a.Run(t.Context(), "s", "n", jobsUntil("short", 1, 2400*time.Millisecond))
 	assert.NilError(t, err)
 	assert.Equal(t, made[0].Reason, stage.ReasonRefused)
--- a/internal/gate/poller/freeze_test.go
+++ b/internal/gate/poller/freeze_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -68,9 +69,12 @@
 		f.AwaitCurrent(t.Context())
 		close(done)
 	}()
-	for c.Waiting() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Waiting() == 0 {
+			return poll.Continue("it has not begun to wait")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	select {
 	case <-done:
 		t.Fatal("it did not wait")
--- a/internal/gate/proxy/early_answer_test.go
+++ b/internal/gate/proxy/early_answer_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,7 +33,7 @@
 			}
 			_, _ = c.Read(make([]byte, 1024))
 			_, _ = io.WriteString(c, head+"\r\nBerylledge-Request: id1\r\n\r\n"+part)
-			time.Sleep(20 * time.Millisecond) // the part is read before the reset would discard it
+			rawup.AwaitRead(t, c) // else the reset would discard the part
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}
--- a/internal/gate/proxy/late_placer_test.go
+++ b/internal/gate/proxy/late_placer_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
@@ -16,10 +16,11 @@
 )
 
 // Guards against tickets of a slow placer that nobody ends: each holds a slot and the room of a cold engine until it expires. The
-// placer answers 50 ms after the question was given up.
+// placer answers after the question was given up.
 func TestTicketOfALatePlacerIsCancelled(t *testing.T) {
 	p := newFakePlacers(t, map[string]string{"a": "n", "b": "s"})
 	var placed, ended atomic.Int32
+	givenUp := make(chan struct{})
 	c := clock.Real()
 	h, err := peer.New(peer.Options{
 		ID: "late", Address: "127.0.0.1:0", Clock: c, Events: event.New(event.Options{Node: "late", Clock: c}),
@@ -30,7 +31,7 @@
 				ended.Add(1)
 				return nil, nil
 			}
-			time.Sleep(200 * time.Millisecond)
+			<-givenUp
 			placed.Add(1)
 			return cbor.Marshal(placeReply{Ticket: 9, ID: "engine"})
 		},
@@ -46,11 +47,11 @@
 	p.view.Entries = append(p.view.Entries, e)
 	p.mu.Unlock()
 	_, _, _ = p.askPlacer(t.Context(), placeRequest{Service: "models", Region: "n", Request: &engine.Request{}})
-	for range 100 {
-		if placed.Load() > 0 && ended.Load() == placed.Load() {
-			return
+	close(givenUp)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if placed.Load() == 0 || ended.Load() != placed.Load() {
+			return poll.Continue("%d tickets were given and %d ended", placed.Load(), ended.Load())
 		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	t.Fatalf("%d tickets were given and %d ended", placed.Load(), ended.Load())
+		return poll.Success()
+	})
 }
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -123,17 +123,22 @@
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.wg.Go(func() {
 		for clock.Sleep(f.ctx, o.Clock, sweepInterval) == nil {
-			o.Pool.Sweep()
-			f.checkSilentRuns(o.Clock.Now())
-			f.mu.Lock()
-			f.chooser.Sweep(o.Clock.Now())
-			f.updatePace(o.Clock.Now())
-			f.mu.Unlock()
+			f.sweep(o.Clock.Now())
 		}
 	})
 	return f
 }
 
+// sweep removes what has ended from the tables.
+func (f *Forwarder) sweep(now time.Time) {
+	f.o.Pool.Sweep()
+	f.checkSilentRuns(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.Sweep(now)
+	f.updatePace(now)
+}
+
 // Close stops the background work and waits for it.
 func (f *Forwarder) Close() {
 	f.Drain(Ending)
--- a/internal/gate/proxy/suspended_test.go
+++ b/internal/gate/proxy/suspended_test.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/gate/conf"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/test/rawup"
@@ -96,7 +98,7 @@
 		if name == "reset" {
 			setUpstreams(s)
 			assert.Equal(t, s.do(s.request("/x/", "empty")).status, http.StatusServiceUnavailable)
-			time.Sleep(1100 * time.Millisecond) // the table is swept meanwhile
+			s.forwarder.sweep(time.Now())
 		}
 		setUpstreams(s, next)
 		got := s.do(s.request("/x/", "id2"))
@@ -131,9 +133,12 @@
 	setUpstreams(s, u)
 	var late sync.WaitGroup
 	late.Go(func() { s.do(s.request("/x/", "late")) })
-	for len(up.Requests()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(up.Requests()) == 0 {
+			return poll.Continue("the late request has not arrived")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	assert.Equal(t, s.do(s.request("/x/", "id1")).status, 200)
 	assert.Equal(t, s.do(s.request("/x/", "id2")).status, http.StatusServiceUnavailable)
 
@@ -204,10 +209,14 @@
 	begin := time.Now()
 	var wg sync.WaitGroup
 	wg.Go(func() { assert.Check(t, s.do(s.request("/x/", "first")).status == 200) })
-	for len(times()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	time.Sleep(20 * time.Millisecond)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		u := s.view.Load().Services["desk"][0]
+		cause, _ := s.forwarder.o.Batcher.PaceTable().IsSuspended(time.Now(), u.ID, u.StartedMs)
+		if cause != pace.Paused && len(times()) < 2 { // on a slow machine the pause may have ended
+			return poll.Continue("the pause is not known: %v", cause)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	for i := range 30 {
 		wg.Go(func() {
 			got := s.do(s.request("/x/", fmt.Sprint("id", i)))
--- a/internal/state/raftd/bench_test.go
+++ b/internal/state/raftd/bench_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/berylledge/berylledge/internal/base/clock"
 )
 
 // command returns a proposal of 100 bytes, about the size of a claim in the ledger.
@@ -91,7 +93,7 @@
 					n := c.start(id)
 					opened += time.Since(start)
 					for n.Status().Raft.Applied < commit {
-						time.Sleep(100 * time.Microsecond)
+						assert.NilError(b, clock.Sleep(b.Context(), clock.Real(), 100*time.Microsecond))
 					}
 					read += c.stores[id].Stats.BytesRead
 				}
@@ -120,7 +122,7 @@
 			c, _ := newBenchCluster(b, voters, 4096)
 			bytes, used := c.totalBytesSent(), cpuTime()
 			b.ResetTimer()
-			time.Sleep(time.Duration(b.N) * time.Second)
+			assert.NilError(b, clock.Sleep(b.Context(), clock.Real(), time.Duration(b.N)*time.Second))
 			b.StopTimer()
 			b.ReportMetric(float64(c.totalBytesSent()-bytes)/float64(b.N), "B/s")
 			b.ReportMetric(float64((cpuTime()-used).Microseconds())/float64(b.N), "cpu-us/s")
--- a/internal/test/crowd/harness_test.go
+++ b/internal/test/crowd/harness_test.go
@@ -287,19 +287,36 @@
 	return err == nil
 }
 
-// settle waits until a process takes no more from its sockets: its processor time stands still. It bounds the wait only; no verdict
-// depends on how long that takes.
+// settle waits until a process takes no more from its sockets: its processor time stands still although it does not wait for a
+// processor.
 func (p *process) settle() {
 	p.t.Helper()
 	last := -1
-	for range 60 {
-		now := p.cpuTicks()
-		if last >= 0 && now-last <= 1 {
-			return
-		}
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		now, before := p.cpuTicks(), last
 		last = now
-		time.Sleep(250 * time.Millisecond)
+		if before < 0 || now-before > 1 || p.runnable() {
+			return poll.Continue("%s is busy: %d ticks, %d before", p.name, now, before)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(250*time.Millisecond))
+}
+
+// runnable reports whether a thread of the process runs or waits for a processor.
+func (p *process) runnable() bool {
+	p.t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	assert.NilError(p.t, err)
+	for _, name := range threads {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:])); len(fields) > 0 && fields[0] == "R" {
+			return true
+		}
 	}
+	return false
 }
 
 func (p *process) cpuTicks() int {
--- a/internal/wire/upcon/early_test.go
+++ b/internal/wire/upcon/early_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
@@ -32,7 +35,7 @@
 			}
 			_, _ = c.Read(make([]byte, 1024)) // the head of the request
 			_, _ = io.WriteString(c, head+"Request-Id: a\r\n\r\npart")
-			time.Sleep(20 * time.Millisecond) // the part is read before the reset would discard it
+			rawup.AwaitRead(t, c) // else the reset would discard the part
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}
@@ -103,6 +106,31 @@
 	}
 }
 
+// awaitMore waits until bytes after the last answer have arrived on the kept connection, if there is one. It leaves them in the socket.
+func awaitMore(t *testing.T, p *Pool, address string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, c := range p.hosts[address].idle {
+			raw, err := c.nc.(syscall.Conn).SyscallConn()
+			if err != nil {
+				return poll.Error(err)
+			}
+			var readErr error
+			if err := raw.Control(func(fd uintptr) {
+				_, _, readErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			}); err != nil {
+				return poll.Error(err)
+			}
+			if errors.Is(readErr, syscall.EAGAIN) {
+				return poll.Continue("nothing has arrived after the answer")
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
 // Guards against bytes that belong to no request, when an upstream contradicts its own framing.
 func TestContradictoryFramingEndsTheConnection(t *testing.T) {
 	for name, answer := range map[string]string{
@@ -119,7 +147,7 @@
 		for _, id := range []string{"a", "b"} {
 			_, err := send(t, p, request(up.Address, id))
 			assert.NilError(t, err, name)
-			time.Sleep(10 * time.Millisecond) // bytes after the answer may arrive later
+			awaitMore(t, p, up.Address)
 		}
 		assert.Equal(t, up.Requests()[1].Conn, 2, name)
 	}
