--- a/internal/gate/proxy/regions_test.go
+++ b/internal/gate/proxy/regions_test.go
@@ -33,10 +33,11 @@
 type regionProxy struct {
 	*testProxy
 	view   atomic.Pointer[poller.View]
-	owner  *batch.Batcher             // runs the queues of region n
-	ups    map[string]*rawup.Upstream // by ID, which is the service and the data centre
-	onView func()                     // called before the Forwarder reads the view; may be nil
-	stream bool                       // all routes are streams that may resume
+	owner  *batch.Batcher                // runs the queues of region n
+	ups    map[string]*rawup.Upstream    // by ID, which is the service and the data centre
+	onView func()                        // called before the Forwarder reads the view; may be nil
+	place  func(placeRequest) placeReply // answers for the placers of other nodes
+	stream bool                          // all routes are streams that may resume
 }
 
 var testRegions = map[string]string{"a": "n", "b": "s", "c": "w"}
@@ -49,7 +50,9 @@
 
 // newRegionProxyBeside starts a Forwarder whose node owns all queues, or one beside a node that owns those of region n.
 func newRegionProxyBeside(t *testing.T, remoteOwner bool, answer func(id string, c *rawup.Conn, r *rawup.Request) bool) *regionProxy {
-	p := &regionProxy{ups: map[string]*rawup.Upstream{}}
+	p := &regionProxy{
+		ups: map[string]*rawup.Upstream{}, place: func(placeRequest) placeReply { return placeReply{Ticket: 7, ID: "models-a"} },
+	}
 	view := &poller.View{Services: map[string][]roster.Upstream{}}
 	for _, service := range []string{"desk", "models", "prepare", "join"} {
 		for _, dc := range []string{"a", "b", "c"} {
@@ -79,7 +82,11 @@
 			ID: name, Address: "127.0.0.1:0", Clock: c, Events: events,
 			Handle: func(ctx context.Context, _ string, kind peer.Kind, body []byte) ([]byte, error) {
 				if kind == peer.KindPlace {
-					return cbor.Marshal(placeReply{Ticket: 7, ID: "models-a"})
+					var q placeRequest
+					if err := cbor.Unmarshal(body, &q); err != nil {
+						return nil, err
+					}
+					return cbor.Marshal(p.place(q))
 				}
 				return handle(ctx, body)
 			},
