Run queued pieces elsewhere when a region has no upstream left

Cause: when all upstreams of a stage service in a region are evacuated, leaving or draining, the queue refused its waiting pieces like those of an overloaded queue, and the request was refused with 503 although another region could run them. Waiting work must be placed anew (sections 2 and 3 of docs/design/hard-load.md).

Ruled out: a repeat like that of a lost piece. It counts as a failure of the request, and three waiting pieces are too many then. Relying on the view of the requesting node: the owner of the queue may know of the evacuation first.

Change: the queue says that its region has no upstream (Outcome.NoUpstream; nodes of earlier releases ignore it). The request withdraws these pieces and requests them from the next nearest allowed region; it does not choose the region again while there is another one, so that each region is left at most once. Without another region the pieces are refused as before.

--- a/internal/gate/proxy/regions.go
+++ b/internal/gate/proxy/regions.go
@@ -152,6 +152,19 @@
 	s.plan, s.results, s.pending, s.groups, s.reason = plan, make(chan stageResult, cap(s.results)), 0, nil, stage.ReasonNone
 }
 
+// leftRegion is a region whose queue of a service said that no upstream there accepts work.
+type leftRegion struct{ service, region string }
+
+// leaveRegion makes the pieces of a service run in another region, and reports whether there is one. The region is remembered, because
+// the view of this node may be older than that of the queue's owner and still have upstreams there.
+func (s *stageRun) leaveRegion(service, region string) bool {
+	if l := (leftRegion{service, region}); !slices.Contains(s.left, l) {
+		s.left = append(s.left, l)
+	}
+	_, found := s.nearestUpstream(service, s.left)
+	return found
+}
+
 // repeatCancels cancels the groups of the last restart once more: the owner of a queue may handle the first message before it has
 // added the pieces.
 func (s *stageRun) repeatCancels() {
--- a/internal/gate/proxy/regions_test.go
+++ b/internal/gate/proxy/regions_test.go
@@ -35,6 +35,7 @@
 	view   atomic.Pointer[poller.View]
 	owner  *batch.Batcher                // runs the queues of region n
 	ups    map[string]*rawup.Upstream    // by ID, which is the service and the data centre
+	older  atomic.Pointer[poller.View]   // what the Forwarder knows in place of view; nil: the same
 	onView func()                        // called before the Forwarder reads the view; may be nil
 	place  func(placeRequest) placeReply // answers for the placers of other nodes
 	stream bool                          // all routes are streams that may resume
@@ -129,6 +130,9 @@
 	if p.onView != nil {
 		p.onView()
 	}
+	if v := p.older.Load(); v != nil {
+		return v
+	}
 	return p.view.Load()
 }
 
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -29,14 +29,16 @@
 	counts         []int        // pieces of each stage
 	groups         []stageGroup // requested for plan
 	cancelled      []stageGroup // by the last restart
+	left           []leftRegion // nearer regions that had no upstream
 }
 
 // stageResult holds the results of pieces of one stage that were requested together.
 type stageResult struct {
-	items []stage.Item
-	made  []batch.JobResult
-	asked time.Time
-	ended time.Time
+	items  []stage.Item
+	made   []batch.JobResult
+	region string // of the queue
+	asked  time.Time
+	ended  time.Time
 }
 
 // pieceCounts parses the number of pieces of each stage.
@@ -183,7 +185,7 @@
 					made[i].Reason = stage.ReasonLost
 				}
 			}
-			results <- stageResult{group, made, asked, x.f.o.Clock.Now()}
+			results <- stageResult{group, made, region, asked, x.f.o.Clock.Now()}
 		})
 	}
 	return nil
@@ -242,18 +244,29 @@
 // requests and is in an allowed region. Without one, the result is false if the regions are restricted; otherwise it is the region
 // of the engine, whose queue refuses the pieces.
 func (s *stageRun) regionFor(service string) (string, bool) {
+	at, ok := s.nearestUpstream(service, s.left)
+	if !ok {
+		at, ok = s.nearestUpstream(service, nil)
+	}
+	return s.x.f.o.RegionOf[at], ok || !s.x.allowedRegions().Limited()
+}
+
+// nearestUpstream returns the data centre of the upstream of a service nearest to the model engine that accepts requests and is in an
+// allowed region, except some. Without one, the result is that of the engine, and false.
+func (s *stageRun) nearestUpstream(service string, except []leftRegion) (string, bool) {
 	f := s.x.f
 	allowed := s.x.allowedRegions()
 	best, least := s.homeDataCentre, -1
 	for _, u := range f.o.View().Services[service] {
-		if u.State != roster.Ready || u.Silent || f.isSuspended(u) || !allowed.Allows(f.o.RegionOf[u.DataCentre]) {
+		region := f.o.RegionOf[u.DataCentre]
+		if u.State != roster.Ready || u.Silent || f.isSuspended(u) || !allowed.Allows(region) || slices.Contains(except, leftRegion{service, region}) {
 			continue
 		}
 		if d := f.distance(s.homeDataCentre, u.DataCentre); least < 0 || d < least || d == least && u.DataCentre < best {
 			best, least = u.DataCentre, d
 		}
 	}
-	return f.o.RegionOf[best], least >= 0 || !allowed.Limited()
+	return best, least >= 0
 }
 
 // recordResults records results. It returns false if the request cannot continue.
@@ -272,6 +285,10 @@
 			freed = append(freed, s.plan.RecordResult(item.Stage, item.Piece, m.Handle, m.Owner, m.Upstream)...)
 			continue
 		}
+		if m.NoUpstream && s.leaveRegion(s.x.route.Stages[item.Stage].Service, r.region) {
+			s.plan.Withdraw(item.Stage, item.Piece)
+			continue
+		}
 		s.reason, s.blocked = m.Reason, blocked{m.Cause, m.RetryIn}
 		if !s.plan.RecordFailure(item.Stage, item.Piece, m.Reason) {
 			s.freeResults(freed)
--- a/internal/gate/stage/plan.go
+++ b/internal/gate/stage/plan.go
@@ -196,6 +196,9 @@
 	return true
 }
 
+// Withdraw makes a piece without result ready again, because it has to be requested elsewhere. It does not count as a failure.
+func (p *Plan) Withdraw(stage, position int) { p.pieces[stage][position].requested = false }
+
 // RecordLostResults records that the results of the terminal stages no longer exist. It returns false if the request
 // cannot continue; see RecordFailure.
 func (p *Plan) RecordLostResults() bool {
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -340,7 +340,7 @@
 	var out []Reply
 	q.filterGroups(func(g *group) bool {
 		for _, r := range q.endGroup(now, g, ReasonRefused) {
-			r.Cause = cause
+			r.Cause, r.NoUpstream = cause, true
 			out = append(out, r)
 		}
 		return false
--- a/internal/gate/stage/types.go
+++ b/internal/gate/stage/types.go
@@ -38,6 +38,8 @@
 	RetryIn time.Duration `cbor:"8,keyasint,omitempty"` // 3 to 7 are left to messages that embed an Outcome
 	// Cause is why no upstream accepts work: all of them are paused or leaving.
 	Cause pace.Cause `cbor:"9,keyasint,omitempty"`
+	// NoUpstream is set if the queue's region has no upstream that accepts work, so that the piece may run in another one.
+	NoUpstream bool `cbor:"10,keyasint,omitempty"`
 }
 
 // PieceTiming breaks down the time that a piece spent in a queue.
