Start no work in the batcher once it closes

Cause: a message to free results, or the end of a request, that arrives while a node stops started a goroutine in the wait group that Close was waiting for. The race detector reports it, and the process may panic while it stops. Seen in a run of another test with -race.

Ruled out: dispatch and watchConnection, which check under the lock that Close takes.

Change: sendFree checks it, too. Results that are not freed expire at the upstream.

--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -222,8 +222,11 @@
 }
 
 // sendFree tells an upstream to free results. If the call fails, the results expire at the upstream a few seconds
-// later.
+// later. The caller holds the lock, so that nothing is started once Close waits.
 func (m *Batcher) sendFree(address string, handles []string) {
+	if m.ctx.Err() != nil {
+		return
+	}
 	body, err := m.o.Dialect.EncodeFree(handles)
 	if err != nil { // encoding a list of strings cannot fail
 		panic(err)
