Free the results beside a piece that ends its request

Cause: when a piece ended a request, the results of the pieces after it in the same group were not recorded, so that they were freed neither by the request nor by the wait for pending pieces. They held memory of their upstreams until they expired (some seconds), mostly while queues refuse work.

Change: all results of the group are recorded, and freed with the others.

--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -279,23 +279,24 @@
 		}
 	}
 	s.spans = append(s.spans, span)
+	ok := true
 	for i, item := range r.items {
 		m := r.made[i]
-		if m.Handle != "" {
+		switch {
+		case m.Handle != "": // recorded even if the request ends, so that it is freed
 			freed = append(freed, s.plan.RecordResult(item.Stage, item.Piece, m.Handle, m.Owner, m.Upstream)...)
-			continue
-		}
-		if m.NoUpstream && s.leaveRegion(s.x.route.Stages[item.Stage].Service, r.region) {
+		case !ok:
+		case m.NoUpstream && s.leaveRegion(s.x.route.Stages[item.Stage].Service, r.region):
 			s.plan.Withdraw(item.Stage, item.Piece)
-			continue
-		}
-		s.reason, s.blocked = m.Reason, blocked{m.Cause, m.RetryIn}
-		if !s.plan.RecordFailure(item.Stage, item.Piece, m.Reason) {
-			s.freeResults(freed)
-			return false
+		default:
+			s.reason, s.blocked = m.Reason, blocked{m.Cause, m.RetryIn}
+			ok = s.plan.RecordFailure(item.Stage, item.Piece, m.Reason)
 		}
 	}
 	s.freeResults(freed)
+	if !ok {
+		return false
+	}
 	if number := r.items[0].Stage; s.plan.StageFinished(number) {
 		s.x.f.notifyStageDone(s.x.placement, number)
 	}
