Take back only what is left of work in the account of shares

Cause: sums of the account decay with 3 s, but the end of a request that had waited took back its work as it was entered. A request refused after 3 s removed 2.7 times what the account still held of it, so that the other work of its team and data centre vanished. A flood, whose requests wait last and are refused late, looked smaller than it was.

Change: the placer takes back what is left (share.Left). Nothing changes without fair_shares.

The new test on the code before:

shares_test.go:108: assertion failed: b (report.Team string) != a (string): 5

--- a/internal/gate/engine/shares.go
+++ b/internal/gate/engine/shares.go
@@ -50,26 +50,22 @@
 // leaveShare records the end of a request. Room that was not used is no longer counted, but a request that has begun has
 // used it.
 func (p *Placer) leaveShare(now time.Time, t *ticket, r Result) {
+	left := share.Left(t.work, now.Sub(t.placedAt))
 	switch {
 	case t.work == 0: // not in the account
+	case r == Refused && t.started:
+		p.shares.Refuse(now, t.caller, 0)
 	case r == Refused:
-		p.shares.Refuse(now, t.caller, t.unusedWork())
+		p.shares.Refuse(now, t.caller, left)
 	case r != Cancelled || t.started || !t.stagesDone.IsZero():
 	case t.asked:
-		p.shares.Withdraw(now, t.caller, t.work)
+		p.shares.Withdraw(now, t.caller, left)
 		t.asked = false
 	default:
-		p.shares.Return(now, t.caller, t.work)
+		p.shares.Return(now, t.caller, left)
 	}
 }
 
-func (t *ticket) unusedWork() float64 {
-	if t.started {
-		return 0
-	}
-	return t.work
-}
-
 // order returns the order of a request within its rank.
 func order(s share.Standing) int {
 	switch {
--- a/internal/gate/engine/shares_test.go
+++ b/internal/gate/engine/shares_test.go
@@ -83,3 +83,28 @@
 	}
 	assert.Equal(t, p.shares.Demand(t0, r.caller()), 0.0)
 }
+
+// Load: a request waits for three seconds and is then refused, or cancelled. Guards against an account that takes back the work as it was
+// entered, although most of it has decayed: the other work of the team would vanish with it.
+func TestLateEndTakesBackWhatIsLeft(t *testing.T) {
+	for _, result := range []Result{Refused, Cancelled} {
+		p := New()
+		p.SetFairShares(true)
+		p.SetTargets([]Target{{ID: "e"}})
+		p.SetPools(map[string]Pool{"s": {Upstreams: 1, Batch: 1, Call: time.Second}})
+		place := func(now time.Time, team string, pieces int) uint64 {
+			placed, ok := p.Place(now, Request{Rank: 1, Due: time.Second, Team: team, PendingStages: []PendingStage{{Service: "s", Pieces: pieces}}})
+			assert.Assert(t, ok)
+			return placed.Ticket
+		}
+		waits := place(t0, "a", 4)
+		late := t0.Add(3 * time.Second)
+		place(late, "a", 4)
+		place(late, "b", 2)
+		p.End(late, waits, result)
+		p.shares.Refuse(late, share.Caller{Rank: 1}, 0)
+		report := p.ShareReports(late)[0]
+		assert.Equal(t, report.Team, "a", "%v", result)
+		assert.Assert(t, report.Given > 0.66 && report.Given < 0.67, "%v: %v", result, report.Given)
+	}
+}
--- a/internal/gate/share/share.go
+++ b/internal/gate/share/share.go
@@ -7,7 +7,7 @@
 //	caller := share.Caller{Rank: 2, Team: "search", DataCentre: "delta-a"}
 //	a.Ask(now, caller, work)    // a request arrives for the first time
 //	a.Give(now, caller, work)   // it gets room
-//	a.Refuse(now, caller, work) // it was refused after all, and its room is free again
+//	a.Refuse(now, caller, share.Left(work, age)) // it was refused after all, and its room is free again
 //	a.Standing(now, caller)     // Even while room is not scarce
 //
 // Room is scarce for a rank while requests of it were refused within the last second. The fair shares are max-min fair:
@@ -102,13 +102,18 @@
 // Give records that a caller gets room.
 func (a *Account) Give(now time.Time, c Caller, work float64) { a.add(now, c, 0, work) }
 
-// Return records that room given to a caller was not used.
+// Left returns what an account still holds of work that was recorded some time ago.
+func Left(work float64, age time.Duration) float64 {
+	return work * math.Exp(-float64(max(age, 0))/float64(decayTime))
+}
+
+// Return records that room given to a caller was not used. The work is what is left of it.
 func (a *Account) Return(now time.Time, c Caller, work float64) { a.add(now, c, 0, -work) }
 
-// Withdraw records that a request no longer asks for the room that it was given.
+// Withdraw records that a request no longer asks for the room that it was given. The work is what is left of it.
 func (a *Account) Withdraw(now time.Time, c Caller, work float64) { a.add(now, c, -work, -work) }
 
-// Refuse records that a request was refused after it had been given room.
+// Refuse records that a request was refused after it had been given room. The work is what is left of it.
 func (a *Account) Refuse(now time.Time, c Caller, work float64) {
 	a.Return(now, c, work)
 	a.rank(c.Rank).refusedAt = now
@@ -173,9 +178,7 @@
 
 func (m *member) decay(now time.Time) {
 	if passed := now.Sub(m.at); passed > 0 {
-		factor := math.Exp(-float64(passed) / float64(decayTime))
-		m.asked *= factor
-		m.given *= factor
+		m.asked, m.given = Left(m.asked, passed), Left(m.given, passed)
 		m.at = now
 	}
 }
