--- a/internal/wire/upcon/body.go
+++ b/internal/wire/upcon/body.go
@@ -19,24 +19,29 @@
 	keep     time.Duration
 	hold     bool // the connection is given back by Close
 	ended    bool
+	failed   error // of a read; net/http reports an ordinary end to a read after some errors
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	if b.ended {
+	switch {
+	case b.failed != nil:
+		return 0, b.failed
+	case b.ended:
 		return 0, io.EOF
 	}
 	n, err := b.in.Read(p)
-	if errors.Is(err, io.EOF) {
-		if b.unframed && !b.requestWritten() {
-			return n, ErrReset
-		}
-		b.ended = true
-		if !b.hold {
-			b.finish()
-		}
-		return n, io.EOF
+	if errors.Is(err, io.EOF) && b.unframed && !b.requestWritten() {
+		err = ErrReset
+	}
+	if !errors.Is(err, io.EOF) {
+		b.failed = err
+		return n, err
+	}
+	b.ended = true
+	if !b.hold {
+		b.finish()
 	}
-	return n, err
+	return n, io.EOF
 }
 
 // requestWritten waits for the end of the request's write, which ends at the latest with the request's context, and reports whether
--- a/internal/wire/upcon/conn.go
+++ b/internal/wire/upcon/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"sync"
 	"syscall"
 	"time"
@@ -90,7 +93,7 @@
 		return nil, ErrForeign
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, head: hr}
-	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
+	resp.Unframed = hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && r.Method != http.MethodHead // HEAD: there is no body
 	resp.Body = &body{c: c, in: hr.Body, reusable: !hr.Close && !resp.Unframed, unframed: resp.Unframed, keep: keepFor(hr.Header, c.pool.o.IdleFor), hold: r.Hold}
 	return resp, nil
 }
@@ -105,12 +108,18 @@
 // may send bytes without end.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.in.left = maxHead
-	defer func() { c.in.left = unlimited }()
+	defer func() { c.in.left, c.in.copied = unlimited, nil }()
 	for {
+		if err := c.copyOldHead(); err != nil {
+			return nil, err
+		}
 		hr, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if !hr.ProtoAtLeast(1, 1) && c.announcedChunks() {
+			return nil, ErrFraming
+		}
 		switch status := hr.StatusCode; {
 		case status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus:
 			return nil, ErrStatus // what follows is not known to be an answer
@@ -120,5 +129,31 @@
 	}
 }
 
+// copyOldHead makes a copy of the head that follows, unless it is one of HTTP/1.1. It waits for the first byte only, so that a head
+// that is not one is refused at once.
+func (c *conn) copyOldHead() error {
+	c.in.copied = nil
+	if _, err := c.br.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	buffered, _ := c.br.Peek(c.br.Buffered()) // cannot fail
+	if !bytes.HasPrefix(buffered, []byte("HTTP/1.1")) {
+		c.in.copied = bytes.NewBuffer(bytes.Clone(buffered))
+	}
+	return nil
+}
+
+// announcedChunks reports whether the head that was copied has a Transfer-Encoding. net/http removes the field from answers of
+// HTTP/1.0, which has no chunks, and takes the chunks with their sizes for a body that the end of the connection ends.
+func (c *conn) announcedChunks() bool {
+	head := c.in.copied.Bytes()
+	_, fields, _ := bytes.Cut(head[:len(head)-c.br.Buffered()], []byte("\n"))
+	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	return err != nil || len(h["Transfer-Encoding"]) > 0
+}
+
 // maxStatus is the highest status that HTTP defines a class for.
 const maxStatus = 599
--- a/internal/wire/upcon/early_test.go
+++ b/internal/wire/upcon/early_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/test/rawup"
@@ -124,3 +125,78 @@
 		assert.Equal(t, up.Requests()[1].Conn, 2, name)
 	}
 }
+
+// Guards against chunks of HTTP/1.0, which net/http takes with their sizes for a body that the end of the connection ends, so that a
+// part of them counts as whole.
+func TestChunksOfHTTP10AreRefused(t *testing.T) {
+	for _, fields := range []string{
+		"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\n", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+		strings.Repeat("Pad: "+strings.Repeat("x", 1000)+"\r\n", 8) + "Transfer-Encoding: chunked\r\n",
+	} {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.0 103 Early Hints\r\n\r\n"} {
+			up := rawup.New(t, func(c *rawup.Conn, _ *rawup.Request) {
+				c.WriteString(before + "HTTP/1.0 200 OK\r\nRequest-Id: a\r\n" + fields + "\r\n4\r\npart\r\n")
+				c.End()
+			})
+			body, err := send(t, newPool(), request(up.Address, "a"))
+			assert.Assert(t, errors.Is(err, ErrFraming), "%q, %v", body, err)
+			assert.Equal(t, outcome(t, err), MaybeRan)
+		}
+	}
+}
+
+// Guards against an answer that is still read after an error, and then seems to have ended as it should.
+func TestErrorOfABodyLasts(t *testing.T) {
+	up := rawup.New(t, func(c *rawup.Conn, _ *rawup.Request) {
+		c.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 5\r\n\r\npart")
+		c.End()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := newPool().Send(ctx, request(up.Address, "a"))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	for range 3 {
+		_, err = io.ReadAll(resp.Body)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+// Guards against an answer to HEAD without a length that waits for the upload, although it has no body, and against a new connection
+// after each such answer.
+func TestAnswerToHeadDoesNotWaitForTheUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	read := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 1024))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n")
+		<-read // the rest of the upload is not read before the answer has ended
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	defer close(read)
+	r := request(l.Addr().String(), "a")
+	r.Method, r.Body = "HEAD", []byte(strings.Repeat("x", longUpload))
+	_, err = send(t, newPool(), r)
+	assert.NilError(t, err)
+
+	up := rawup.New(t, func(c *rawup.Conn, _ *rawup.Request) { c.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n") })
+	p := newPool()
+	for range 2 {
+		r := request(up.Address, "a")
+		r.Method = "HEAD"
+		_, err = send(t, p, r)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, up.Requests()[1].Conn, 1)
+}
--- a/internal/wire/upcon/head_limit.go
+++ b/internal/wire/upcon/head_limit.go
@@ -1,6 +1,7 @@
 package upcon
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,8 @@
 type meter struct {
 	from io.Reader
 	left int // bytes; unlimited: no limit
+	// copied receives what is read under a limit; nil: it is not needed.
+	copied *bytes.Buffer
 }
 
 func (m *meter) Read(p []byte) (int, error) {
@@ -29,5 +32,8 @@
 	}
 	n, err := m.from.Read(p[:min(len(p), m.left)])
 	m.left -= n
+	if m.copied != nil {
+		m.copied.Write(p[:n])
+	}
 	return n, err
 }
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -25,7 +25,12 @@
 // An upstream may answer before it has read the whole body. If the rest has not been written when the answer ends, the
 // connection is closed, so that nothing else stands where the rest of the body is due. An answer that only the end of its
 // connection ends is whole only if the body could be written: the kernel reports a reset once, and if the write gets that
-// error, the read sees an ordinary end.
+// error, the read sees an ordinary end. An answer to HEAD never waits for the upload, because it has no body.
+//
+// # Framing
+//
+// net/http decides where an answer ends, except that an answer of HTTP/1.0 with a Transfer-Encoding is refused (RFC 9112,
+// section 6.1): net/http would ignore that field and hand out the chunks with their sizes.
 package upcon
 
 import (
@@ -83,6 +88,7 @@
 	ErrAllInUse = errors.New("all connections to the upstream are in use")
 	ErrReset    = errors.New("the connection ended before the request was written, so the answer may be truncated")
 	ErrStatus   = errors.New("the status of the answer is not between 100 and 599, or changes the protocol")
+	ErrFraming  = errors.New("the answer has chunks, which its version of the protocol does not have")
 )
 
 // Options configure a Pool.
@@ -280,7 +286,7 @@
 		p.mu.Unlock()
 		return nil, false, err
 	}
-	in := &meter{nc, unlimited}
+	in := &meter{from: nc, left: unlimited}
 	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, false, nil
 }
 
