Do not believe an upstream of serve whose status is none of the interface

An answer to serve with a status like 000, 600 or 999 was read as an error of the interface: its body could say not_started, and work that may run only once was reported as not_run. After a 101 the body is the connection itself, which no context ends, so that the request was held beyond its deadline for as long as the upstream kept the connection open. A 307 or 308 was followed: the work ran again, at an address that nobody chose.

An answer other than 200 is now an error of the interface only between 400 and 599, as docs/upstream_api.md says; any other is a failed answer that leaves unknown whether the work ran, counts against the upstream and is not read. Clients made by httpd.NewClient follow no redirects; no server here sends any.

Ruled out: parts of answers. Results and chunks are JSON objects with the identity of their work, and a stream is whole only with its count, so that cut answers with each framing, and a stream that is reset while its request is still being written, failed before the change too.

--- a/internal/flow/exec/upstream.go
+++ b/internal/flow/exec/upstream.go
@@ -45,13 +45,22 @@
 		}
 		return nil, o
 	}
-	if resp.StatusCode == http.StatusOK {
+	switch {
+	case resp.StatusCode == http.StatusOK:
 		return resp, outcome{}
+	case resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxStatus:
+		// No answer of the interface has such a status, so what the body says is not believed. It isn't read either: after 101, no context
+		// ends the read.
+		_ = resp.Body.Close()
+		return nil, outcome{class: retry.ClassReset, dispatched: true, message: "invalid status: " + resp.Status}
 	}
 	defer drainBody(resp)
 	return nil, errorOutcome(resp)
 }
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
 func errorOutcome(resp *http.Response) outcome {
 	var e upapi.Error
 	if err := json.NewDecoder(limitBody(resp.Body)).Decode(&e); err != nil {
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -214,9 +214,13 @@
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	return httpc.NewServiceWithClient(name, &http.Client{Transport: t}), t
+	return httpc.NewServiceWithClient(name, &http.Client{Transport: t, CheckRedirect: refuseRedirect}), t
 }
 
+// refuseRedirect makes a client return a redirect as the answer. No server of the project sends one, and following it would run work
+// again, at an address that nobody chose.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // maxResponseHeaderBytes bounds what a server in trouble can make a client keep; the default of net/http is 10 MB.
 const maxResponseHeaderBytes = 256 << 10
 
