Keep the limit of a cold upstream when its start window is passed over

Cause: the window of a start opens at the end of the cold time that was known when the start was first seen. If the upstream turns cold again before, the window is open while the upstream is cold. State.Allow asked the window first, and its verdict New hid the cold limit. Choosers, placers and stage queues pass over New when nothing else is left (all upstreams silent, or most of them new), and so sent without any limit.

Change: State.Allow returns Returning before Cold and Cold before New.

--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -225,9 +225,20 @@
 	case now.Before(s.PausedUntil):
 		return Verdict{From: s.PausedUntil, Cause: Paused}
 	}
-	if v := s.allowWindow(now, d); !v.OK {
+	v := s.allowWindow(now, d)
+	if !v.OK && v.Cause != New {
 		return v
 	}
+	// The window of a start is a preference that deciders pass over when nothing else is left, so it must not hide the limit of
+	// an upstream that has turned cold again.
+	if c := s.allowCold(now, d); !c.OK {
+		return c
+	}
+	return v
+}
+
+// allowCold reports whether the limit of a cold upstream permits one more request.
+func (s *State) allowCold(now time.Time, d Decider) Verdict {
 	if s.ColdPerSecond <= 0 {
 		return Verdict{OK: true}
 	}
