Wait for the reader in the test of an early stream

Cause: the test slept 20 ms for the client to read a part before the reset, so that its verdict depended on the machine's speed.

Change: it waits until the kernel shows no unread byte (rawup.AwaitRead). Ruled out: a longer sleep.

Measured: go test ./internal/node/entry: ok.

--- a/internal/node/entry/invalid_answers_test.go
+++ b/internal/node/entry/invalid_answers_test.go
@@ -259,7 +259,7 @@
 				id, _, _ = strings.Cut(after, `"`)
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+chunk(upapi.Work{RequestID: id, Stage: "g", Attempt: 1}, 0))
-			time.Sleep(20 * time.Millisecond) // the part is read before the reset would discard it
+			rawup.AwaitRead(t, c) // else the reset would discard the part
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}
