Count a reset that only the writer of an upload sees as a crash

When an upstream ends while it runs a request, the proxy counts that against the content of the request, so that content which crashes its upstreams is blocked after three. If the upload was still being written, the reset reaches either the reader or the writer; in the second case the error is upcon.ErrReset, which did not count, so that such content went on to crash upstreams. Both cases count now.

On the code before:

TestEarlyAnswerThatIsResetCountsAsCrash: 502 (got.status) != 503

--- a/internal/gate/proxy/crashes.go
+++ b/internal/gate/proxy/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/berylledge/berylledge/internal/gate/deny"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/poison"
+	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
 
 // contentFingerprint identifies the content of the request, so that a repetition of it is recognised.
@@ -95,7 +96,7 @@
 // isDisconnect reports whether err means that the upstream closed the connection, as it does when its process
 // dies. A request at an upstream that stops responding ends at its deadline instead (noteSilentRun).
 func isDisconnect(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errIncomplete} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, upcon.ErrReset, errIncomplete} {
 		if errors.Is(err, cause) {
 			return true
 		}
