Send work that may run only once over a connection of its own

Errors of the interface of serve carry no identity of their work. A second copy of a not_started that arrived late on a kept connection was taken for the answer to the next request there: work that may run only once was reported as not_run although the upstream ran it. Results and chunks carry the identity, so that a copy of one reaches no other request.

Such work now uses a client that keeps no connections. It costs one connection for each call of a stage that may not repeat; other work keeps its connections, since a wrong not_started there only causes a repetition.

Ruled out: closing the connection after each error. net/http gives the connection back while the error is being read, and refusals are frequent under load.

On the code before:

TestLateSecondCopyOfAnErrorReachesNoWorkThatRunsOnce: error is not nil: upstream_failed (not_run): stage s: not_started: x (not_repeatable)

--- a/internal/flow/exec/exec.go
+++ b/internal/flow/exec/exec.go
@@ -41,6 +41,9 @@
 	Events     *event.Log
 	View       func() *upview.View
 	Client     httpc.Service
+	// OnceClient sends work that may run only once; nil means Client. It must not reuse connections: errors of upstreams carry no
+	// identity, so that a late second copy of one would be taken for the answer to the next request on its connection.
+	OnceClient httpc.Service
 	Ledger     Ledger
 	Route      route.Policy
 	Retry      retry.Policy
@@ -99,6 +102,9 @@
 
 // New returns a Runner without pipelines; see SetConfig.
 func New(o Options) *Runner {
+	if o.OnceClient == nil {
+		o.OnceClient = o.Client
+	}
 	r := &Runner{
 		o: o, router: route.New(o.Route, o.Seed), retry: retry.New(o.Retry, o.Seed), book: budget.New(&fleet.Config{}),
 	}
--- a/internal/flow/exec/upstream.go
+++ b/internal/flow/exec/upstream.go
@@ -33,7 +33,11 @@
 // post sends a message to the chosen upstream. attempt is the context of the attempt, which may end before ctx, that of the
 // stage. If the response is nil, the outcome describes the failure.
 func (st *stageRun) post(ctx, attempt context.Context, path string, body []byte) (*http.Response, outcome) {
-	resp, err := httpd.Post(attempt, st.o.Client.DoRequest, "http://"+st.choice.Upstream.Address+path, body)
+	client := st.o.Client
+	if st.stage.NotRepeatable {
+		client = st.o.OnceClient
+	}
+	resp, err := httpd.Post(attempt, client.DoRequest, "http://"+st.choice.Upstream.Address+path, body)
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -135,9 +135,11 @@
 	}
 	client, trans := httpd.NewClient("upstream", maxIdlePerUpstream, nil)
 	n.trans = trans
+	once, onceTrans := httpd.NewClient("upstream_once", 0, nil)
+	onceTrans.DisableKeepAlives = true
 	run := exec.Options{
 		Node: o.Node, DataCentre: o.DataCentre, Region: o.Region, Clock: o.Clock, Events: o.Events, View: n.ups.View,
-		Client: client, Ledger: o.Ledger, Route: route.DefaultPolicy(), Retry: retry.DefaultPolicy(), Seed: o.Seed,
+		Client: client, OnceClient: once, Ledger: o.Ledger, Route: route.DefaultPolicy(), Retry: retry.DefaultPolicy(), Seed: o.Seed,
 	}
 	if o.Guard != nil { // a nil pointer in the interface would not be nil
 		run.Guard = o.Guard
--- a/internal/node/entry/invalid_answers_test.go
+++ b/internal/node/entry/invalid_answers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,12 +76,18 @@
 }
 
 func (b *rawBench) do(t *testing.T, pipeline string) (*caller.Answer, error) {
+	t.Helper()
+	return b.doUnder(t, pipeline, "k")
+}
+
+// doUnder sends a request with an idempotency key, if the pipeline needs one.
+func (b *rawBench) doUnder(t *testing.T, pipeline, key string) (*caller.Answer, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // well above the deadline of the pipelines
 	defer cancel()
 	s := caller.Submit{Pipeline: pipeline, Rank: "urgent", Input: "x"}
 	if pipeline == "once" {
-		s.IdempotencyKey, s.KeyCreatedMS = "k", keyCreated
+		s.IdempotencyKey, s.KeyCreatedMS = key, keyCreated
 	}
 	return b.client.Do(ctx, s, nil)
 }
@@ -173,6 +180,38 @@
 	}
 }
 
+// Guards against work that may run only once and is said not to have run, because a late second copy of the answer to another request
+// comes before its own.
+func TestLateSecondCopyOfAnErrorReachesNoWorkThatRunsOnce(t *testing.T) {
+	for _, first := range []string{"once", "again"} { // the answer to work that may be repeated can be late as well
+		b := startRaw(t)
+		refused := withLength("503 Service Unavailable", `{"code":"not_started","message":"x"}`)
+		var mu sync.Mutex
+		copies := map[int]bool{} // connections on which a request was refused
+		up := rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case len(copies) == 0:
+				copies[r.Conn] = true
+				c.WriteString(refused)
+			case copies[r.Conn]:
+				c.WriteString(refused + withLength("200 OK", result(r, "ok")))
+			default:
+				c.WriteString(withLength("200 OK", result(r, "ok")))
+			}
+		})
+		b.announce(t, "u1", up.Address, upapi.KindService, "s")
+		_, err := b.doUnder(t, first, "k1")
+		if first == "once" {
+			assert.Equal(t, refusalOf(t, err).ProtectedRan, caller.NotRun)
+		}
+		a, err := b.doUnder(t, "once", "k2")
+		assert.NilError(t, err)
+		assert.Equal(t, a.Output, "ok")
+	}
+}
+
 // Guards against a part of an answer that counts as whole, whatever ends it.
 func TestPartOfAnUpstreamsAnswerIsNotWhole(t *testing.T) {
 	for name, head := range map[string]string{
