Bound the stated size of a request in the account of shares

Cause: the account took the prompt size of a caller's header as it is. One request with the largest number counts as 1.8e14 s of work of its team and of all callers of its data centre, which takes over a minute and a half to decay; a negative size empties both accounts.

Change: the work of a request is 0 to 20 s, the lifetime of its ticket. Nothing changes without fair_shares.

The new test on the code before:

go test passes for internal/gate/engine and internal/test/stgsim.

--- a/internal/gate/engine/shares.go
+++ b/internal/gate/engine/shares.go
@@ -21,14 +21,15 @@
 
 // work returns the time in seconds for which a request occupies the whole region: its pieces at their services, and its
 // prompt at the engines. It does not depend on what engines have cached, so that a request that returns counts the same.
+// Callers state these sizes, so that a request counts as no more than the lifetime of its ticket, and never as less than nothing.
 func (p *Placer) work(r Request) float64 {
-	out := float64(r.Prompt) / (tokensPerSecond * float64(max(len(p.targets), 1)))
+	out := float64(max(r.Prompt, 0)) / (tokensPerSecond * float64(max(len(p.targets), 1)))
 	for _, n := range r.PendingStages {
 		if pool := p.pools[n.Service]; pool.Upstreams > 0 && pool.Batch > 0 {
 			out += float64(n.Pieces) / pool.rate()
 		}
 	}
-	return out
+	return min(out, TicketTTL.Seconds())
 }
 
 // enterShare records a request in the account and returns the standing of its caller without the room that it gets now. A
--- a/internal/gate/engine/shares_test.go
+++ b/internal/gate/engine/shares_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -108,3 +109,21 @@
 		assert.Assert(t, report.Given > 0.66 && report.Given < 0.67, "%v: %v", result, report.Given)
 	}
 }
+
+// Load: callers that nobody controls state the size of their prompts. Guards against a size that fills the account of all callers in a data
+// centre for minutes, and against a negative one that empties it.
+func TestStatedSizeIsBoundedInTheAccount(t *testing.T) {
+	for prompt, want := range map[int]float64{math.MinInt: 0, -1_000_000: 0, math.MaxInt: TicketTTL.Seconds()} {
+		p := New()
+		p.SetFairShares(true)
+		p.SetTargets([]Target{{ID: "e"}})
+		r := Request{Rank: 1, Due: time.Second, Team: "a", Prompt: 50}
+		_, ok := p.Place(t0, r)
+		assert.Assert(t, ok)
+		before := p.shares.Demand(t0, r.caller())
+		r.Prompt = prompt
+		_, ok = p.Place(t0, r)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.shares.Demand(t0, r.caller()), before+want, "%d", prompt)
+	}
+}
