Bound the token counts that callers state

Cause: the numbers in the headers of tokens and prefix parts were passed to the placer as they are. By reading: a negative part makes the sum of an engine's cached tokens negative, so that parts are never evicted; the largest number overflows sums and dominates the fits of reading times, on which forecasts and the account of shares rest, for thousands of requests.

Change: numbers below 0 or above 2^24 are left out like those that cannot be parsed.

The new test on the code before:

placement_test.go:159: assertion failed: -700 (r.Prompt int) != 0 (c.prompt int)

go test passes for internal/gate/proxy.

--- a/internal/gate/proxy/placement.go
+++ b/internal/gate/proxy/placement.go
@@ -246,6 +246,18 @@
 	})
 }
 
+// maxTokens is far more than any engine reads. Larger numbers would shift the placer's fits of reading times for thousands of requests.
+const maxTokens = 1 << 24
+
+// parseTokens parses a number of tokens that a caller states.
+func parseTokens(text string) (n int, ok bool) {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 || n > maxTokens {
+		return 0, false
+	}
+	return n, true
+}
+
 // engineRequest builds the request to the placer from the headers. Values that cannot be parsed are left out.
 func (x *exchange) engineRequest() engine.Request {
 	names := x.f.o.Dialect.Headers
@@ -253,12 +265,12 @@
 	r.Due, r.Gap = x.slack(), x.route.Gap.Duration()
 	r.Team, r.DataCentre = x.teamName(), x.f.o.DataCentre
 	prompt, output, _ := strings.Cut(x.r.Header.Get(names.Tokens), ",")
-	r.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
-	r.Output, _ = strconv.Atoi(strings.TrimSpace(output))
+	r.Prompt, _ = parseTokens(prompt)
+	r.Output, _ = parseTokens(output)
 	for _, text := range strings.Split(x.r.Header.Get(names.Prefix), ",") {
 		id, size, _ := strings.Cut(strings.TrimSpace(text), ":")
-		tokens, err := strconv.Atoi(size)
-		if err != nil {
+		tokens, ok := parseTokens(size)
+		if !ok {
 			break // without this part, those after it cannot be compared
 		}
 		r.Parts = append(r.Parts, engine.Part{ID: id, Tokens: tokens})
--- a/internal/gate/proxy/placement_test.go
+++ b/internal/gate/proxy/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/batch"
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
@@ -134,3 +137,27 @@
 	_, _, ok = p.askPlacer(t.Context(), placeRequest{Service: "models", Region: "s", Request: &engine.Request{}})
 	assert.Assert(t, ok, "still asked, because there is no other region: this node places the request itself")
 }
+
+// Callers that nobody controls state the sizes of prompts. Guards against negative sizes, by which the cache that the placer assumes grows
+// without end, and against sizes that overflow sums or shift its fits.
+func TestStatedTokensAreBounded(t *testing.T) {
+	p := newFakePlacers(t, map[string]string{"a": "n"})
+	for _, c := range []struct {
+		tokens, prefix string
+		prompt, output int
+		parts          []engine.Part
+	}{
+		{"700, 20", "a:500, b:200", 700, 20, []engine.Part{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 200}}},
+		{"-700,-20", "a:-500,b:200", 0, 0, nil},
+		{"9223372036854775807,16777217", "a:500,b:9223372036854775807,c:1", 0, 0, []engine.Part{{ID: "a", Tokens: 500}}},
+		{"16777216,x", "a", 16777216, 0, nil},
+	} {
+		x := &exchange{f: p.Forwarder, r: httptest.NewRequest(http.MethodPost, "/", nil), table: &conf.Table{}, route: &conf.Route{}}
+		x.r.Header.Set(p.o.Dialect.Headers.Tokens, c.tokens)
+		x.r.Header.Set(p.o.Dialect.Headers.Prefix, c.prefix)
+		r := x.engineRequest()
+		assert.Equal(t, r.Prompt, c.prompt)
+		assert.Equal(t, r.Output, c.output)
+		assert.DeepEqual(t, r.Parts, c.parts)
+	}
+}
