Correct an old report of an entry node that another control node shares

Cause: an entry node that changes its control node may report to two of them within the time of a Share. The owner of the later report ignored the other one's Share of the earlier report and, since its own record had not changed, never sent it again. All other control nodes kept the record and owner of the earlier report, and dropped the entry node when that owner no longer heard it, although it went on reporting. It stayed so until its record changed. For upstreams mergeStale corrects this; entry nodes had no such rule.

Change: the owner marks its record for the next Share when another control node shares an older report.

--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -305,6 +305,10 @@
 		reg.entries[e.Node] = r
 	} else if order := cmp.Or(cmp.Compare(e.Started, r.Started), cmp.Compare(e.ReportSequence, r.ReportSequence)); order <= 0 {
 		// A repeated report only updates the owner, or ends readiness when the owner no longer hears the entry node.
+		if order < 0 && r.owner == reg.cfg.Self && from != reg.cfg.Self {
+			reg.version++
+			r.syncVersion = reg.version // the other node received an old report and must learn the owner
+		}
 		if order < 0 || r.owner != from && r.owner != "" {
 			return false
 		}
--- a/internal/gate/roster/roster_test.go
+++ b/internal/gate/roster/roster_test.go
@@ -209,3 +209,39 @@
 		assert.Assert(t, n > callers/4, "%s is returned to %d of %d callers", node, n, callers)
 	}
 }
+
+// Guards against an entry node that counts as gone although it reports: a report to another control node arrives there a moment before
+// one to its owner, whose record does not change, so that the others wait for word of the other one.
+func TestOwnerCorrectsAnOldReport(t *testing.T) {
+	owner, other, third := newTestRegistryFor("a"), newTestRegistryFor("b"), newTestRegistryFor("c")
+	all := []*Registry{owner, other, third}
+	shared := map[*Registry]uint64{}
+	share := func(now time.Time) {
+		for _, from := range all {
+			from.Tick(now)
+			m := from.SyncSince(now, shared[from])
+			shared[from] = m.Version
+			for _, to := range all {
+				if to != from {
+					to.ApplySync(now, m)
+				}
+			}
+		}
+	}
+	sequence := int64(0)
+	report := func(now time.Time, to *Registry) {
+		sequence++
+		to.ReportEntry(now, Entry{Node: "e", DataCentre: "x", Region: "r", Ready: true, ReportSequence: sequence})
+	}
+	report(start, owner)
+	share(start)
+	report(start, other)
+	for i := range 8 {
+		now := start.Add(time.Duration(i) * time.Second)
+		report(now, owner)
+		share(now)
+		for _, reg := range all {
+			assert.Equal(t, len(reg.ReadyEntries(now, Caller{DataCentre: "x", Region: "r"})), 1, "%s after %d s", reg.cfg.Self, i)
+		}
+	}
+}
