Do not take the interval of sync messages for silence of upstreams

Cause: a control node marks the upstreams of another one silent after four heartbeats without a sync message. With heartbeats every 250 ms that is 1 s, and an empty sync message renews them about every 1,004 ms. Besides, nothing ended such a silence before the next change of the record, because renewals are not sent record by record. With heartbeats every second the first fault needs 4 s without a sync message; the second one follows whenever a held link is healed without a lost message.

Change: upstreams of another control node become silent after OwnerTimeout (2.5 s as for a partition) at the earliest, and Tick ends the silence of a record whose owner renews it. What an owner says itself counts at once, as before.

--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -111,8 +111,8 @@
 	s := &Server{
 		o: o, epoch: epoch, crashes: deny.New(), fetching: map[string]bool{},
 		roster: roster.New(roster.Config{
-			Self: o.Address, Epoch: epoch, SilentAfter: maxMissedHeartbeats * o.HeartbeatInterval, ForgetAfter: forgetAfter, EntryTimeout: entrySilentAfter,
-			OwnerGrace: holderGrace,
+			Self: o.Address, Epoch: epoch, SilentAfter: maxMissedHeartbeats * o.HeartbeatInterval, OwnerTimeout: partitionedAfter, ForgetAfter: forgetAfter,
+			EntryTimeout: entrySilentAfter, OwnerGrace: holderGrace,
 		}),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -110,9 +110,12 @@
 
 // Config configures a Registry.
 type Config struct {
-	Self         string        // peer address of this node
-	Epoch        uint64        // identifies this run of the node
-	SilentAfter  time.Duration // time without a heartbeat after which an upstream is marked silent
+	Self        string        // peer address of this node
+	Epoch       uint64        // identifies this run of the node
+	SilentAfter time.Duration // time without a heartbeat after which an upstream is marked silent
+	// OwnerTimeout is the least time without a sync message of another control node after which the upstreams that it owns are marked
+	// silent. It must be longer than the interval of these messages, which SilentAfter need not be.
+	OwnerTimeout time.Duration
 	ForgetAfter  time.Duration // time without a message after which a record is removed
 	EntryTimeout time.Duration // time without a report after which an entry node is not returned to callers
 	// OwnerGrace is added to EntryTimeout for entry nodes that report to another control node. If that node fails, they need
@@ -379,8 +382,8 @@
 			}
 			delete(reg.upstreams, id)
 			reg.removedVersion = max(reg.removedVersion, r.version, r.syncVersion)
-		case age > reg.cfg.SilentAfter && !r.Silent && r.State != Gone:
-			r.Silent = true
+		case r.State != Gone && r.Silent != (age > reg.silentTimeout(&r.recordMeta)) && (!r.Silent || r.owner != ""):
+			r.Silent = !r.Silent // renewals are not sent record by record, so that they end a silence here
 			reg.markChanged(&r.recordMeta)
 		}
 	}
@@ -398,6 +401,14 @@
 	reg.removeStalePeers(now)
 }
 
+// silentTimeout returns the time after which an upstream that was not heard is silent.
+func (reg *Registry) silentTimeout(o *recordMeta) time.Duration {
+	if o.owner == reg.cfg.Self || o.owner == "" {
+		return reg.cfg.SilentAfter
+	}
+	return max(reg.cfg.SilentAfter, reg.cfg.OwnerTimeout)
+}
+
 // entryTimeout returns the time without a report after which an entry node counts as unavailable.
 func (reg *Registry) entryTimeout(o *recordMeta) time.Duration {
 	if o.owner == reg.cfg.Self {
