Count an upstream that no control node hears as cold

Cause: an upstream that turns cold by itself while no control node that an entry node follows hears it is used as a warm one, without a limit. A VM that does not know takes the safe share.

Change: pace.Of marks a silent upstream of a service with cold_per_s as one that may be cold, and its cold time lasts until it is heard. Requests that a placer has placed are sent by the placer's knowledge, not by the entry node's, as the placer may hear the engine.

Weighed: only the word of a control node makes an upstream silent, so that a control group that restarts or is away does not slow down the fleet. Answers of the upstream are no proof that it is warm: only answers to health checks have the cold header. Not covered: the time until silence is known, four heartbeats or 2.5 s.

--- a/internal/gate/pace/cold_again_test.go
+++ b/internal/gate/pace/cold_again_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,6 +80,56 @@
 	}
 }
 
+// Load pattern: the only upstream that is left becomes silent for all VMs, each learning of it at another time, and then turns cold
+// unnoticed; a heartbeat is heard later. VMs come and go meanwhile. Guards against VMs that use a silent upstream as one that is warm, and
+// against those that hold it back after it is heard again.
+func TestSilentUpstreamGetsTheShareOfAColdOne(t *testing.T) {
+	for _, vms := range []int{3, 300} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			s := newStartFleet(vms, 1, 1)
+			service := coldService("desk")
+			view := s.list
+			silent := make([]time.Time, vms) // when each VM learns of it
+			for i := range silent {
+				silent[i] = t0.Add(time.Second + s.between(0, 700*time.Millisecond))
+			}
+			heard := t0.Add(8 * time.Second)
+			names := ids("vm", vms)
+			for k := range 2 {
+				s.after(time.Duration(3+2*k)*time.Second, func() {
+					left := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return k == 0 && n == names[vms/2] })
+					for _, c := range s.choosers {
+						at := s.between(0, 700*time.Millisecond)
+						s.after(at, func() { c.SetNodes(s.now, left) })
+					}
+				})
+			}
+			s.run(10*time.Second, func() {
+				for range 5 {
+					vm := s.rng.IntN(vms)
+					at, here := s.now, slices.Clone(view)
+					here[0].Silent = !at.Before(silent[vm]) && at.Before(heard)
+					s.list = here
+					s.askFor(service, vm)
+				}
+			})
+			var cold, warm []time.Time
+			for _, at := range s.arrivals["u0"] {
+				switch {
+				case !at.Before(t0.Add(1700*time.Millisecond)) && at.Before(heard):
+					cold = append(cold, at)
+				case !at.Before(heard):
+					warm = append(warm, at)
+				}
+			}
+			t.Logf("%d while it is silent, at most %d in a second; %d in two seconds after", len(cold), most(cold), len(warm))
+			assert.Assert(t, most(cold) <= boundOf(coldRate), "%d in a second, allowed are %d", most(cold), boundOf(coldRate))
+			assert.Assert(t, len(cold) >= 3*coldRate, "%d requests in six seconds leave it idle", len(cold))
+			assert.Equal(t, len(warm), 2*5*int(time.Second/tick))
+		})
+	}
+}
+
 // askFor sends a request of a service from a VM.
 func (s *startFleet) askFor(service *conf.Service, vm int) {
 	c, now := s.choosers[vm], s.now
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -27,6 +27,8 @@
 // each node (Shares) divide it: the first nodes in the rendezvous order of the upstream's start send a whole number of requests a
 // second each, and the other nodes send nothing.
 //
+// An upstream that no control node hears may have turned cold unnoticed and counts as cold until its next heartbeat.
+//
 // Work that is placed now and sent later counts from its placement until a second after its send. No window of a second can
 // therefore hold more sends than the limit, whenever the work that has been placed is sent.
 package pace
@@ -115,6 +117,7 @@
 	ColdPerSecond float64       // requests a second that it bears while cold; 0: no limit
 	SlowStart     bool          // its load grows step by step after a start
 	Slots         int           // requests or calls that it takes at the same time, with its queue; 0: not known
+	MaybeCold     bool          // no control node hears it, so that it may have turned cold unnoticed
 	Leaving       bool          // it gets no new work
 	PausedUntil   time.Time     // it gets no work before; zero: no pause
 }
@@ -127,6 +130,7 @@
 	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil, Slots: u.Slots}
 	if s != nil {
 		out.ColdTime, out.ColdPerSecond = s.ColdTime.Duration(), s.ColdPerSecond
+		out.MaybeCold = u.Silent && s.ColdPerSecond > 0
 		out.SlowStart = IsPaced(s)
 		switch {
 		case s.Engine != nil:
@@ -211,6 +215,9 @@
 			end = configured
 		}
 	}
+	if unheard := now.Add(coldWindow); s.MaybeCold && unheard.After(end) {
+		end = unheard // until its next heartbeat, at the earliest a moment from now
+	}
 	return end
 }
 
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -329,8 +329,9 @@
 	}
 	for _, now := range view.Services[u.Service] {
 		if now.ID == u.ID {
-			return f.isCold(now)
+			u = now
 		}
 	}
+	u.Silent = false // whether an upstream that is not heard may be cold is decided by the placer, which may hear it
 	return f.isCold(u)
 }
