Do not let the step of a return go back

The window of an upstream that returns after a pause counts requests by step of 100 ms. A request reads the clock before it takes the forwarder's lock, so that one that has read the time before the end of a step may come after one of the next step. The step then went back and the count began anew, twice, and a node sent more than its window permits. The step now only goes forward.

Seen over processes of three entry nodes after a pause, in the fourth 100 ms: 27 requests in place of at most 24. An early end of the window was ruled out: it ends at 64 slots, and 7 requests of each node had ended. The new test on the code before:

--- FAIL: TestStepOfAReturnDoesNotGoBack (0.00s) reopen_test.go:80: assertion failed: 21 (sent int) != 3 (int): one request in the first step and two in the second

--- a/internal/gate/pace/reopen_test.go
+++ b/internal/gate/pace/reopen_test.go
@@ -53,3 +53,29 @@
 	assert.Equal(t, served, want)
 	assert.Equal(t, refused, 0)
 }
+
+// Guards against a count that begins anew because a caller read the clock just before the step of another one and came after it: a
+// node then sends more in a step of its return than its window permits.
+func TestStepOfAReturnDoesNotGoBack(t *testing.T) {
+	t0 := time.Unix(1_700_000_000, 0)
+	d := NewShares(Bounds{}, "vm")
+	d.SetNodes(t0, []string{"vm"})
+	var s State
+	s.Update(Upstream{ID: "u", StartedMs: 5, Slots: 64, PausedUntil: t0})
+	sent := 0
+	send := func(at time.Duration) {
+		now := t0.Add(at)
+		if s.Allow(now, d).OK {
+			s.Sent(now, d)
+			s.Ended()
+			s.Worked(1)
+			sent++
+		}
+	}
+	send(0)
+	for range 10 {
+		send(windowStep)
+		send(windowStep - time.Millisecond)
+	}
+	assert.Equal(t, sent, 3, "one request in the first step and two in the second")
+}
--- a/internal/gate/pace/window.go
+++ b/internal/gate/pace/window.go
@@ -133,9 +133,10 @@
 		w.size, w.earlier = first, s.inFlight
 	}
 	step := int64(now.Sub(begin) / w.stepTime())
-	if step != w.step {
+	if step > w.step {
 		w.step, w.sent = step, 0
 	}
+	step = w.step // a time that was read earlier may come later
 	limit := min(w.size, first<<min(step, maxSteps))
 	if w.sent >= limit || s.inFlight-w.earlier >= limit {
 		return Verdict{From: begin.Add(time.Duration(step+1) * w.stepTime()), Cause: cause}
