Hear upstreams again after a late message of their control node

A control node that gets the message of another one late counts the upstreams that the other one hears as silent. Later messages hold only records that have changed, so that these upstreams stayed silent for good, and entry nodes that follow the control node sent all requests to one of them (the one that failed first). With heartbeats of 250 ms or less this came without a fault: upstreams count as silent after four heartbeats, and the messages are a second apart.

Seen over processes: all four upstreams silent for two of three entry nodes 2 to 11 s after the start, for over a minute, while their heartbeats were acknowledged (four a second each); one of them then got all requests, and another none after its pause. Lost messages were ruled out: they lead to a full one.

Upstreams that another control node hears now count as silent no earlier than after OwnerGrace (2 s), and are heard again with the next message of that node. With heartbeats of 500 ms or more, when they count as silent does not change. The new tests on the code before:

--- FAIL: TestUpstreamIsHeardAgainAfterALateSync (0.00s) share_test.go:237: assertion failed: 1 (int) != 0 (int) --- FAIL: TestUpstreamIsNotSilentBetweenTwoSyncs (0.00s) share_test.go:250: assertion failed: 1 (int) != 0 (int)

--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -116,7 +116,7 @@
 	ForgetAfter  time.Duration // time without a message after which a record is removed
 	EntryTimeout time.Duration // time without a report after which an entry node is not returned to callers
 	// OwnerGrace is added to EntryTimeout for entry nodes that report to another control node. If that node fails, they need
-	// time to switch to the next one.
+	// time to switch to the next one. It is also the least SilentAfter of upstreams that another control node hears.
 	OwnerGrace time.Duration
 }
 
@@ -372,6 +372,7 @@
 func (reg *Registry) Tick(now time.Time) {
 	for id, r := range reg.upstreams {
 		age := now.Sub(reg.lastHeardAt(&r.recordMeta))
+		missed := age > reg.silentAfter(&r.recordMeta)
 		switch {
 		case age > reg.cfg.ForgetAfter:
 			if reg.addresses[r.Address] == id {
@@ -379,9 +380,12 @@
 			}
 			delete(reg.upstreams, id)
 			reg.removedVersion = max(reg.removedVersion, r.version, r.syncVersion)
-		case age > reg.cfg.SilentAfter && !r.Silent && r.State != Gone:
+		case missed && !r.Silent && r.State != Gone:
 			r.Silent = true
 			reg.markChanged(&r.recordMeta)
+		case !missed && r.Silent && r.owner != "" && r.State != Gone: // a sync message of the owner was late
+			r.Silent = false
+			reg.markChanged(&r.recordMeta)
 		}
 	}
 	for id, r := range reg.entries {
@@ -398,6 +402,15 @@
 	reg.removeStalePeers(now)
 }
 
+// silentAfter returns the time without a heartbeat after which an upstream counts as silent. Sync messages renew those that another
+// control node hears, and may be further apart than heartbeats.
+func (reg *Registry) silentAfter(o *recordMeta) time.Duration {
+	if o.owner == reg.cfg.Self || o.owner == "" {
+		return reg.cfg.SilentAfter
+	}
+	return max(reg.cfg.SilentAfter, reg.cfg.OwnerGrace)
+}
+
 // entryTimeout returns the time without a report after which an entry node counts as unavailable.
 func (reg *Registry) entryTimeout(o *recordMeta) time.Duration {
 	if o.owner == reg.cfg.Self {
--- a/internal/gate/roster/share_test.go
+++ b/internal/gate/roster/share_test.go
@@ -218,3 +218,37 @@
 	assert.Equal(t, len(d.Upstreams), 1)
 	assert.Assert(t, d.Upstreams[0].Silent, "last heard by this node, now silent")
 }
+
+// Guards against an upstream that stays silent for good in the view of a control node which got a sync message of the owner late: later
+// ones hold no record that has not changed.
+func TestUpstreamIsHeardAgainAfterALateSync(t *testing.T) {
+	x := newTestCluster(2)
+	for second := range 3 {
+		now := start.Add(time.Duration(second) * time.Second)
+		x.heartbeat(now, "c0", 1, int64(second+1))
+		x.syncRound(now)
+	}
+	late := start.Add(9 * time.Second)
+	x.registries["c1"].Tick(late)
+	assert.Equal(t, x.countSilent("c1"), 1)
+	known := x.registries["c1"].Version()
+	x.heartbeat(late, "c0", 1, 4)
+	x.syncRound(late)
+	assert.Equal(t, x.countSilent("c1"), 0)
+	assert.Equal(t, len(x.registries["c1"].ChangesSince(late, known, unlimited).Upstreams), 1, "entry nodes learn of it")
+}
+
+// Guards against upstreams with short heartbeats that count as silent between two sync messages of their owner.
+func TestUpstreamIsNotSilentBetweenTwoSyncs(t *testing.T) {
+	x := newTestCluster(2)
+	for _, r := range x.registries {
+		r.cfg.SilentAfter = time.Second
+	}
+	for n := range 8 {
+		now := start.Add(time.Duration(n) * 1100 * time.Millisecond)
+		x.registries["c1"].Tick(now) // just before the message
+		assert.Equal(t, x.countSilent("c1"), 0)
+		x.heartbeat(now, "c0", 1, int64(n+1))
+		x.syncRound(now)
+	}
+}
