--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -379,6 +379,7 @@
 func (reg *Registry) Tick(now time.Time) {
 	for id, r := range reg.upstreams {
 		age := now.Sub(reg.lastHeardAt(&r.recordMeta))
+		missed := age > reg.silentTimeout(&r.recordMeta)
 		switch {
 		case age > reg.cfg.ForgetAfter:
 			if reg.addresses[r.Address] == id {
@@ -386,8 +387,11 @@
 			}
 			delete(reg.upstreams, id)
 			reg.removedVersion = max(reg.removedVersion, r.version, r.syncVersion)
-		case r.State != Gone && r.Silent != (age > reg.silentTimeout(&r.recordMeta)) && (!r.Silent || r.owner != ""):
-			r.Silent = !r.Silent // renewals are not sent record by record, so that they end a silence here
+		case missed && !r.Silent && r.State != Gone:
+			r.Silent = true
+			reg.markChanged(&r.recordMeta)
+		case !missed && r.Silent && r.owner != "" && r.State != Gone: // a sync message of the owner was late
+			r.Silent = false
 			reg.markChanged(&r.recordMeta)
 		}
 	}
@@ -405,7 +409,8 @@
 	reg.removeStalePeers(now)
 }
 
-// silentTimeout returns the time after which an upstream that was not heard is silent.
+// silentTimeout returns the time without a heartbeat after which an upstream counts as silent. Sync messages renew those that another
+// control node hears, and may be further apart than heartbeats.
 func (reg *Registry) silentTimeout(o *recordMeta) time.Duration {
 	if o.owner == reg.cfg.Self || o.owner == "" {
 		return reg.cfg.SilentAfter
