Test that a placer decides on engines that an entry node does not hear

Guards against requests that an entry node refuses because its own control node does not hear an engine, although the placer does.

--- a/internal/gate/proxy/pacing_test.go
+++ b/internal/gate/proxy/pacing_test.go
@@ -69,5 +69,13 @@
 	p.mu.Lock()
 	p.view.Services["models"][0].ColdUntil = time.Time{}
 	p.mu.Unlock()
-	assert.Assert(t, p.coversSend(&placement{service: "models", region: "n", upstream: u}), "a warm engine needs no count")
+	warm := placement{service: "models", region: "n", upstream: u}
+	assert.Assert(t, p.coversSend(&warm), "a warm engine needs no count")
+	// An engine that this node's control node does not hear counts as cold, but its placer may hear it.
+	p.mu.Lock()
+	p.view.Services["models"][0].Silent = true
+	silent := p.view.Services["models"][0]
+	p.mu.Unlock()
+	assert.Assert(t, p.isCold(silent))
+	assert.Assert(t, p.coversSend(&warm), "the placer decides whether an engine that is not heard may be cold")
 }
