Leave a control node that is cut off before raft notices

Cause: a control node that is cut off from its group tells its entry nodes so when raft gives up the leader, up to two election timeouts (2 s) after the cut. The directory drops an entry node 4 s (entrySilentAfter and holderGrace) after the last Share of the control node that it followed, or 2 s after its last report if it moved to the cut-off node at about the cut, since the former owner then counts. Worst sums by the timeouts, without the latency of links: from the last Share on: Share before the cut 1.0, raft 2.0, status 0.1, question 0.3, turn of the next control node 0.3, its Share 0.1: 3.8 s of 4, and 4.8 s if a Share is lost; from the last report to the former owner: 0.3 + 2.0 + 0.1 + 0.3 + 0.3: 3.0 s of 2. The former fits on an idle machine only, the latter does not fit at all.

Ruled out: a longer holderGrace, since an entry node that ended together with its control node would be named for over 7 s; reports to two control nodes, between which the owner of the record would alternate; the leader's heartbeats alone, since all entry nodes would look for another control node at each loss of a leader.

Change: a control node reports CutOff in its answers after 1 s without its leader (as the leader: without a majority; raft.Status has the time of the last contact) and 1.2 s without Shares of a majority of the voters. Entry nodes follow such a node last, and ask the next one at once instead of at its turn. While a leader is elected the voters hear each other, so that nothing changes there. The sums are 2.6 s (3.6 s with a lost Share) of 4, and 1.8 s of 2.

--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -69,8 +69,13 @@
 	maxMissedHeartbeats = 4 // heartbeats missed before an upstream counts as silent
 	forgetAfter         = 45 * time.Second
 	entrySilentAfter    = 2 * time.Second // an entry node that has not reported for this long is not returned to callers
-	holderGrace         = 2 * time.Second // longer than an entry node takes to switch to another control node
+	holderGrace         = 2 * time.Second // see leaderLostAfter
 	statusInterval      = 100 * time.Millisecond
+	// Times after which a node counts as cut off. Its entry nodes must have reported to another one within entrySilentAfter and
+	// holderGrace of its last Share. If they waited until raft notices that the leader is gone (up to 2 s), that took up to 3.5 s, and
+	// over 4 s if a Share was lost or the machine was busy.
+	leaderLostAfter = time.Second             // five heartbeats of the leader
+	votersLostAfter = 1200 * time.Millisecond // a Share of each node, and some delay
 )
 
 // maxRecords limits the records in one reply to an entry node. 256 records take about 25 kB.
@@ -100,26 +105,35 @@
 
 	statusMu sync.Mutex
 	statusAt time.Time
-	current  bool
-	others   []string
-	voters   int
+	group    groupStatus
+}
+
+// groupStatus is what this node's member of the control group knows.
+type groupStatus struct {
+	current bool      // it has everything that was acknowledged before its group's leader was elected
+	contact time.Time // when it last heard from the leader or, as the leader, from a majority
+	others  []string  // peer addresses of the other voters
+	voters  int
 }
 
 // New creates a Server and starts its background work.
 func New(o Options) *Server {
 	epoch := uint64(o.Clock.Now().UnixNano())
 	s := &Server{
-		o: o, epoch: epoch, crashes: deny.New(), fetching: map[string]bool{},
-		roster: roster.New(roster.Config{
-			Self: o.Address, Epoch: epoch, SilentAfter: maxMissedHeartbeats * o.HeartbeatInterval, ForgetAfter: forgetAfter, EntryTimeout: entrySilentAfter,
-			OwnerGrace: holderGrace,
-		}),
+		o: o, epoch: epoch, crashes: deny.New(), fetching: map[string]bool{}, roster: newRegistry(&o, epoch),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Go(s.run)
 	return s
 }
 
+func newRegistry(o *Options, epoch uint64) *roster.Registry {
+	return roster.New(roster.Config{
+		Self: o.Address, Epoch: epoch, SilentAfter: maxMissedHeartbeats * o.HeartbeatInterval, ForgetAfter: forgetAfter, EntryTimeout: entrySilentAfter,
+		OwnerGrace: holderGrace,
+	})
+}
+
 // Close stops the background work and waits for it.
 func (s *Server) Close() {
 	s.cancel()
@@ -187,28 +201,27 @@
 	}
 }
 
-// status returns whether this member has everything that was acknowledged before its group's leader was elected,
-// the peer addresses of the other voters, and the number of voters. It is cached for statusInterval.
-func (s *Server) status() (current bool, others []string, voters int) {
+// status returns the state of the control group, which is cached for statusInterval.
+func (s *Server) status() groupStatus {
 	now := s.o.Clock.Now()
 	s.statusMu.Lock()
 	defer s.statusMu.Unlock()
 	if now.Sub(s.statusAt) < statusInterval {
-		return s.current, s.others, s.voters
+		return s.group
 	}
 	s.statusAt = now
 	status, ok := s.o.Member.Status()
-	s.current, s.others, s.voters = ok && status.Raft.Current && status.Err == nil, nil, 0
+	s.group = groupStatus{current: ok && status.Raft.Current && status.Err == nil, contact: status.Raft.Contact}
 	for _, m := range status.Raft.Members {
 		if m.Learner {
 			continue
 		}
-		s.voters++
+		s.group.voters++
 		if m.ID != status.Raft.ID {
-			s.others = append(s.others, m.Address)
+			s.group.others = append(s.group.others, m.Address)
 		}
 	}
-	return s.current, s.others, s.voters
+	return s.group
 }
 
 // Handle handles a message from another process. ok is false if this package does not handle messages of that
@@ -298,10 +311,10 @@
 	if err := cbor.Unmarshal(body, &poll); err != nil {
 		return nil, err
 	}
-	current, _, _ := s.status()
+	group := s.status()
 	control := s.o.Member.Addresses()
 	latest := s.o.Member.Latest()
-	reply := poller.Reply{Epoch: s.epoch, Sure: current, Version: latest.Version, Place: s.o.Place}
+	reply := poller.Reply{Epoch: s.epoch, Sure: group.current, Version: latest.Version, Place: s.o.Place}
 	if poller.ControlSum(append(control, s.o.Address)) != poll.Control {
 		reply.Control = append(control, s.o.Address)
 	}
@@ -317,6 +330,7 @@
 	}
 	reply.Suspects, reply.SuspectsVersion = s.crashes.Suspects(now, poll.SuspectsSeen)
 	reply.Delta, reply.Apart = s.records(now, &poll, control)
+	reply.CutOff = s.cutOff(now, group)
 	if set := s.Evacuations(); set.Version > poll.Evacuations {
 		reply.Evacuations = &set
 	}
@@ -341,6 +355,18 @@
 	return roster.Delta{}, nil
 }
 
+// cutOff reports whether this node has lost its group: neither the leader nor, with this node, a majority of the voters was heard
+// lately. While a leader is elected the voters hear each other, so that entry nodes do not all look for another control node.
+func (s *Server) cutOff(now time.Time, group groupStatus) bool {
+	if now.Sub(group.contact) < leaderLostAfter {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := len(s.roster.UnreachablePeers(now, group.others, votersLostAfter))
+	return 2*lost >= group.voters && lost > 0
+}
+
 // Upstreams returns the number of registered upstreams by state, for metrics.
 func (s *Server) Upstreams() map[roster.State]int {
 	s.mu.Lock()
--- a/internal/gate/ctlsrv/leave.go
+++ b/internal/gate/ctlsrv/leave.go
@@ -92,7 +92,8 @@
 // notifyMajority tells the other members that an upstream is leaving, and reports whether a majority of the
 // group knows it. The remaining calls continue in the background.
 func (s *Server) notifyMajority(u roster.Upstream) bool {
-	_, others, voters := s.status()
+	group := s.status()
+	others, voters := group.others, group.voters
 	need := voters / 2 // in addition to this node
 	if need == 0 {
 		return voters > 0
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -51,6 +51,7 @@
 	Text            *Piece                `cbor:"10,keyasint,omitempty"`
 	Packed          []byte                `cbor:"11,keyasint,omitempty"` // a compressed Delta, in place of Delta
 	Evacuations     *evac.Set             `cbor:"12,keyasint,omitempty"` // if newer than the question's
+	CutOff          bool                  `cbor:"13,keyasint,omitempty"` // the control node has lost its group
 }
 
 // Place is where a process runs.
@@ -146,6 +147,9 @@
 	if reply.Sure {
 		p.freeze.answered(began)
 	}
+	if as == followAll && p.primary() != s {
+		p.AskNow() // the next one, which has to report this node before the directory drops it
+	}
 	if as == followAll {
 		p.asked = clock.Later(p.asked, began)
 		close(p.news)
@@ -192,7 +196,7 @@
 		s.seen, s.held = 0, 0
 	}
 	seen := s.seen + s.held
-	s.epoch, s.place, s.version, s.sure = reply.Epoch, reply.Place, reply.Version, reply.Sure
+	s.epoch, s.place, s.version, s.sure, s.cutOff = reply.Epoch, reply.Place, reply.Version, reply.Sure, reply.CutOff
 	s.failed, s.heard, s.told = 0, now, as
 	p.newest.note(now, reply.Version, s.address)
 	for _, a := range reply.Control {
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -33,6 +33,11 @@
 	"github.com/berylledge/berylledge/internal/wire/peer"
 )
 
+// Caller asks a process at a peer address. A peer.Hub is one.
+type Caller interface {
+	Call(ctx context.Context, address string, kind peer.Kind, body []byte) ([]byte, error)
+}
+
 // Options configure a Poller.
 type Options struct {
 	Self    roster.Entry // Started and Report are set by the poller
@@ -40,7 +45,7 @@
 	Dialect *proto.Dialect
 	Clock   clock.Clock
 	Events  *event.Log
-	Hub     *peer.Hub
+	Hub     Caller
 	Crashes *deny.Blocklist
 	// HoldAfterFreeze shows all upstreams as draining after the process was frozen, until a control node has answered.
 	HoldAfterFreeze bool
--- a/internal/gate/poller/schedule.go
+++ b/internal/gate/poller/schedule.go
@@ -38,6 +38,7 @@
 	held    uint64 // version of its last page of what it hears itself
 	version uint64 // of its configuration
 	sure    bool
+	cutOff  bool      // it has lost its group
 	told    duty      // of its last answer
 	pass    time.Time // start of a transfer of all records that has not ended yet
 	failed  int       // questions without an answer in a row
@@ -54,8 +55,8 @@
 	}
 }
 
-// primary returns the control node that this node follows, or nil. Without a group that has a leader none is sure, and the node
-// stays with one that answers.
+// primary returns the control node that this node follows, or nil. One that is cut off from its group comes last, since nobody else
+// learns what it hears. Without a group that has a leader none is sure, and the node stays with one that answers.
 func (p *Poller) primary() *source {
 	var best *source
 	for _, s := range p.sources {
@@ -67,6 +68,9 @@
 }
 
 func (p *Poller) better(a, b *source) bool {
+	if a.cutOff != b.cutOff {
+		return b.cutOff
+	}
 	if a.sure != b.sure {
 		return a.sure
 	}
@@ -161,7 +165,7 @@
 		return helloEvery
 	case s == primary:
 		return primaryEvery
-	case !primary.sure:
+	case !primary.sure || primary.cutOff:
 		return helloEvery
 	case p.duty(primary, s) == followHeld && s.failed == 0:
 		return apartEvery
--- a/internal/gate/poller/schedule_test.go
+++ b/internal/gate/poller/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -119,6 +120,32 @@
 	assert.Equal(t, f.primary(), first)
 }
 
+// Guards against an entry node that stays with a control node which is cut off, until that one or the others notice that the leader
+// is gone, and against one that reports to the next control node at its next turn only.
+func TestCutOffControlNodeIsFollowedLast(t *testing.T) {
+	f := feedOf("e", 6)
+	first := f.primary()
+	f.take(t0, first, followAll, Reply{Epoch: 1, Sure: true, CutOff: true, Place: north})
+	second := f.primary()
+	assert.Assert(t, second != first)
+	for _, s := range f.sources {
+		if s != first {
+			f.take(t0, s, lookIn, Reply{Epoch: 1, Place: s.place})
+		}
+	}
+	assert.Equal(t, f.primary(), second, "no other one has a leader")
+	second.asked = t0
+	f.hurry()
+	assert.Assert(t, slices.Contains(f.due(t0), second))
+	f.take(t0, first, lookIn, Reply{Epoch: 1, Sure: true, Place: north})
+	assert.Equal(t, f.primary(), first)
+	for _, s := range f.sources {
+		f.take(t0, s, lookIn, Reply{Epoch: 1, Sure: true, CutOff: true, Place: s.place})
+	}
+	assert.Equal(t, f.primary(), first, "all are alone")
+	assert.Equal(t, f.every(first, second), helloEvery)
+}
+
 // Guards against upstreams that report to one side of a divided group and are not known to entry nodes that follow the other.
 func TestControlNodesThatThePrimaryDoesNotHearAreAsked(t *testing.T) {
 	f := feedOf("e", 6)
--- a/internal/state/raft/machine.go
+++ b/internal/state/raft/machine.go
@@ -114,12 +114,14 @@
 		ID: m.cfg.ID, Cluster: m.cfg.Cluster, Role: m.role, Term: m.hardState.Term, Leader: m.leader,
 		First: m.log.base + 1, Last: m.log.last(), Commit: m.commit, Applied: m.applied,
 		SnapshotIndex: m.snapshot.Index, Members: slices.Clone(m.members()), LeaderUntil: m.electionDeadline,
+		Contact: m.lastContact,
 	}
 	if t, ok := m.log.term(m.applied); ok {
 		s.Current = m.leader != "" && t == m.hardState.Term
 	}
 	if m.role == Leader {
 		s.LeaderUntil = m.quorumActiveUntil(m.members())
+		s.Contact = s.LeaderUntil.Add(-m.cfg.ElectionTimeout)
 		s.Match = map[string]uint64{m.cfg.ID: m.persist.durableIndex}
 		for id, pr := range m.peers {
 			s.Match[id] = pr.match
--- a/internal/state/raft/raft.go
+++ b/internal/state/raft/raft.go
@@ -461,6 +461,8 @@
 	// LeaderUntil is when this member stops regarding the leader as active unless it receives another message from it.
 	// On the leader it is when the leader steps down unless further voters reply.
 	LeaderUntil time.Time
+	// Contact is when this member last heard from the leader of its term; on the leader, when it last heard from a quorum.
+	Contact time.Time
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
 	Members       []Member
--- a/internal/state/raft/step_test.go
+++ b/internal/state/raft/step_test.go
@@ -218,3 +218,25 @@
 	d.step(Persisted{Seq: p.Seq})
 	assert.Assert(t, d.m.Status().Current)
 }
+
+// Guards against a member that is cut off and shows contact with its group for as long as it knows a leader.
+func TestStatusTellsTheLastContact(t *testing.T) {
+	d := newMachineDriver(threeVoters, DurableState{HardState: HardState{Term: 1}})
+	d.receive(Message{Kind: KindAppend, From: "b", Term: 1})
+	heard := d.now
+	for range 4 {
+		d.now = d.now.Add(DefaultElectionTimeout)
+		d.step(Tick{})
+		assert.Equal(t, d.m.Status().Contact, heard)
+	}
+
+	d = newMachineDriver(threeVoters, DurableState{})
+	d.elect()
+	d.now = d.now.Add(DefaultHeartbeat)
+	heard = d.now
+	d.receive(Message{Kind: KindAppendReply, From: "b", Term: d.m.hardState.Term})
+	d.now = d.now.Add(DefaultHeartbeat)
+	d.step(Tick{})
+	assert.Equal(t, d.m.role, Leader)
+	assert.Equal(t, d.m.Status().Contact, heard)
+}
