Keep the limit of cold upstreams over both sides of a cut

Cause: a cut divides the entry nodes. Each side takes the other one for gone after some seconds and uses the whole limit of a cold upstream, in choosers, placers and stage queues. An entry node that follows a control node without its group, or none that answers, cannot know that and has to take the safe share.

Change: a view says that its node is isolated when no control node that is sure has answered for 2.5 s, or the one that it follows is cut off. Deciders of such a node keep to the slack of the limit, until 3 s after it is heard again.

--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -351,7 +351,9 @@
 		return
 	}
 	q.ownedView = view
-	q.SetOwned(m.o.Clock.Now(), m.OwnerInView(q.service, q.region).Peer == m.o.Peer)
+	now := m.o.Clock.Now()
+	q.SetOwned(now, m.OwnerInView(q.service, q.region).Peer == m.o.Peer)
+	q.SetIsolated(now, view.Isolated)
 }
 
 func (m *Batcher) targets(view *poller.View, p queueKey, service *conf.Service) []stage.Target {
--- a/internal/gate/engine/engine.go
+++ b/internal/gate/engine/engine.go
@@ -192,6 +192,9 @@
 // SetOwned tells whether this node is the one that places the requests on these engines, by its own view.
 func (p *Placer) SetOwned(now time.Time, owned bool) { p.owner.Set(now, owned) }
 
+// SetIsolated tells whether this node may have lost the others, so that another one may place requests on these engines too.
+func (p *Placer) SetIsolated(now time.Time, isolated bool) { p.owner.SetIsolated(now, isolated) }
+
 // SetTargets replaces the set of engines. The cached parts of an engine are kept while it is in the set or has
 // requests.
 func (p *Placer) SetTargets(list []Target) {
--- a/internal/gate/pace/owner.go
+++ b/internal/gate/pace/owner.go
@@ -7,6 +7,7 @@
 	b     Bounds
 	owned bool
 	quiet time.Time // nothing is sent to cold upstreams until then
+	alone isolation
 }
 
 // NewOwner returns a decider that does not own its upstreams yet.
@@ -21,6 +22,9 @@
 	o.owned = owned
 }
 
+// SetIsolated tells whether this node may have lost the others, so that one of them may own the same upstreams.
+func (o *Owner) SetIsolated(now time.Time, isolated bool) { o.alone.set(now, isolated) }
+
 func (o *Owner) bounds() Bounds { return o.b }
 
 func (o *Owner) share(now time.Time, _ *State, limit int) (int, time.Time) {
@@ -32,5 +36,5 @@
 	case limit == 0:
 		return 0, time.Time{}
 	}
-	return limit, time.Time{}
+	return o.alone.limit(now, limit, o.b), time.Time{}
 }
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -27,6 +27,9 @@
 // each node (Shares) divide it: the first nodes in the rendezvous order of the upstream's start send a whole number of requests a
 // second each, and the other nodes send nothing.
 //
+// A node that has lost the control group may have been replaced by others that use the whole limit, so that its deciders keep to the
+// slack of the limit (SetIsolated). With one cut, the sum over both sides thus stays within the bound.
+//
 // An upstream that no control node hears may have turned cold unnoticed and counts as cold until its next heartbeat.
 //
 // Work that is placed now and sent later counts from its placement until a second after its send. No window of a second can
@@ -48,6 +51,10 @@
 // count, and views of nodes differ for up to a second after a change.
 const changeover = 2 * time.Second
 
+// reunion is for how long a node that was isolated keeps to the slack. The others learn up to 1.5 s after it that it is back, and what
+// they sent until then counts for another second.
+const reunion = 3 * time.Second
+
 // Cause is the reason why an upstream may not get work.
 type Cause uint8
 
@@ -80,10 +87,32 @@
 	return "none"
 }
 
+// isolation is the state of a decider whose node may have lost the others: they take it for gone and use the whole limit among
+// themselves. Only the slack is left for it.
+type isolation struct {
+	on    bool
+	until time.Time // the others have learnt by then that the node is back, and what they sent before no longer counts
+}
+
+func (i *isolation) set(now time.Time, on bool) {
+	if i.on && !on {
+		i.until = now.Add(reunion)
+	}
+	i.on = on
+}
+
+// limit returns the part of a limit that is left.
+func (i *isolation) limit(now time.Time, limit int, b Bounds) int {
+	if i.on || now.Before(i.until) {
+		return min(limit, int(b.ColdSlack))
+	}
+	return limit
+}
+
 // Bounds are the limits that hold for all senders together.
 type Bounds struct {
 	ColdOverage float64 // multiple of its cold rate that a cold upstream may get in any second; 0: 1
-	ColdSlack   float64 // requests in addition, which absorb the overlap of two deciders
+	ColdSlack   float64 // requests in addition, for deciders that may have been replaced without knowing it
 }
 
 // limit returns how many requests a cold upstream may get in any window. A rate below one request a second gets a longer window
--- a/internal/gate/pace/shares.go
+++ b/internal/gate/pace/shares.go
@@ -15,6 +15,7 @@
 	nodes      []string
 	past       []pastNodes
 	generation uint64 // changes with nodes and past
+	alone      isolation
 }
 
 // pastNodes are the nodes of an earlier view. Other nodes may still have it.
@@ -47,6 +48,9 @@
 	s.expire(now)
 }
 
+// SetIsolated tells whether this node may have lost the others, so that they may divide the whole limit among themselves.
+func (s *Shares) SetIsolated(now time.Time, isolated bool) { s.alone.set(now, isolated) }
+
 func (s *Shares) expire(now time.Time) {
 	n := len(s.past)
 	s.past = slices.DeleteFunc(s.past, func(p pastNodes) bool { return !now.Before(p.until) })
@@ -61,6 +65,7 @@
 	if len(s.past) > 0 {
 		s.expire(now)
 	}
+	limit = s.alone.limit(now, limit, s.b)
 	if u.cached.generation != s.generation || u.cached.limit != limit {
 		u.cached = cachedShare{s.generation, limit, s.computeShare(u.ID, u.StartedMs, limit)}
 	}
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -96,6 +96,9 @@
 // SetNodes sets the names of the nodes that share the limits of cold upstreams.
 func (c *Chooser) SetNodes(now time.Time, names []string) { c.shares.SetNodes(now, names) }
 
+// SetIsolated tells whether this node may have lost the others, so that they may use the whole limits without it.
+func (c *Chooser) SetIsolated(now time.Time, isolated bool) { c.shares.SetIsolated(now, isolated) }
+
 func (c *Chooser) state(id string) *state {
 	s := c.upstreams[id]
 	if s == nil {
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -143,6 +143,7 @@
 	if s.epoch != reply.Epoch && s.epoch != 0 {
 		s.crashes = 0 // it restarted, and has forgotten what it was told
 	}
+	p.noteContact(began, as, reply)
 	again := p.take(now, s, as, reply)
 	if reply.Sure {
 		p.freeze.answered(began)
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -55,9 +55,12 @@
 
 // Times of the poller.
 const (
-	lostAfter   = 2 * time.Second
-	forgetAfter = 60 * time.Second
-	maxControl  = 32
+	lostAfter = 2 * time.Second
+	// isolatedAfter is the time without an answer of a control node that is sure after which a view is isolated. The others take this
+	// node for gone 3 s after its last report at the earliest, and use its part of limits 2 s later.
+	isolatedAfter = 2500 * time.Millisecond
+	forgetAfter   = 60 * time.Second
+	maxControl    = 32
 )
 
 // View is what an entry node knows. It does not change.
@@ -67,6 +70,8 @@
 	Entries  []roster.Entry // that report themselves ready or not, sorted by name
 	// Evacuations are the evacuated data centres, whose ready upstreams are shown as draining.
 	Evacuations evac.Set
+	// Isolated is set if no control node that is sure has answered lately, so that other entry nodes may take this one for gone.
+	Isolated bool
 }
 
 // IsPaced reports whether the configuration limits the requests to upstreams of a service that are cold.
@@ -104,6 +109,7 @@
 	apart       map[string]roster.SyncPosition // control nodes that the primary does not hear, by address
 	turned      time.Time                      // when a control node was last looked in on
 	answered    time.Time
+	sureAt      time.Time     // when the latest question was asked that a control node answered which was sure
 	asked       time.Time     // when the latest question that was answered was asked
 	news        chan struct{} // closed with each answer of the primary
 	lost        bool
--- a/internal/gate/poller/poller_test.go
+++ b/internal/gate/poller/poller_test.go
@@ -159,3 +159,38 @@
 	f.tell(t0, "a", entry(false, true, 4))
 	assert.Assert(t, !f.View().Entries[0].Ready)
 }
+
+// Guards against an entry node that uses its part of the limits of cold upstreams after the others have taken it for gone.
+func TestNodeWithoutTheControlGroupIsIsolated(t *testing.T) {
+	f := newTestPoller()
+	f.o.Seeds = func() []string { return nil }
+	at := t0
+	tell := func(reply Reply) {
+		f.noteContact(at, followAll, reply)
+		from := "a"
+		if s := f.primary(); s != nil {
+			from = s.address
+		}
+		f.tell(at, from, reply)
+	}
+	tell(withText(Reply{Sure: true, Control: []string{"a", "b"}}, 1, "{}"))
+	assert.Assert(t, f.table != nil && !f.View().Isolated)
+	later := func(d time.Duration) bool {
+		at = at.Add(d)
+		for _, s := range f.sources {
+			s.asking = true // nobody is asked
+		}
+		f.askDue(at)
+		return f.View().Isolated
+	}
+	assert.Assert(t, !later(2*time.Second), "an election is no isolation")
+	assert.Assert(t, later(time.Second), "no answer for 3 s")
+	tell(Reply{Sure: true})
+	assert.Assert(t, !later(0))
+	tell(Reply{})
+	assert.Assert(t, !later(0), "a leader is elected")
+	for range 2 {
+		tell(Reply{Sure: true, CutOff: true})
+	}
+	assert.Assert(t, later(0), "all control nodes that answer are cut off")
+}
--- a/internal/gate/poller/schedule.go
+++ b/internal/gate/poller/schedule.go
@@ -125,6 +125,9 @@
 		s.asking, s.asked = true, now
 		p.wg.Go(func() { p.follow(s) })
 	}
+	if p.table != nil && p.isolated(now) != p.view.Load().Isolated {
+		p.publish(now)
+	}
 	if !p.lost && now.Sub(p.answered) > lostAfter {
 		p.lost = true
 		p.o.Events.Emit(event.ControlLost, event.F("age_ms", now.Sub(p.answered).Milliseconds()), event.F("control", len(p.sources)))
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
@@ -170,8 +171,22 @@
 	}
 }
 
+// noteContact notes an answer to a question that was asked at a time.
+func (p *Poller) noteContact(asked time.Time, as duty, reply Reply) {
+	if reply.Sure && !reply.CutOff && as == followAll {
+		p.sureAt = clock.Later(p.sureAt, asked)
+	}
+}
+
+// isolated reports whether other entry nodes may take this one for gone: it follows a control node that is cut off, or none that is
+// sure has answered lately.
+func (p *Poller) isolated(now time.Time) bool {
+	s := p.primary()
+	return s == nil || s.cutOff || now.Sub(p.sureAt) > isolatedAfter
+}
+
 func (p *Poller) publish(now time.Time) {
-	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}, Evacuations: p.evacuations}
+	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}, Evacuations: p.evacuations, Isolated: p.isolated(now)}
 	for _, u := range p.upstreams {
 		out := u.Upstream
 		out.Silent = p.silent(now, u)
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -79,6 +79,7 @@
 		}
 	}
 	f.chooser.SetNodes(now, names)
+	f.chooser.SetIsolated(now, view.Isolated)
 }
 
 // updateOwned tells a placer whether it is the one that the view names. f.mu must be held.
@@ -91,6 +92,7 @@
 	}
 	f.pace.ownedViews[k] = view
 	p.SetOwned(now, f.o.Batcher.OwnerInView(k.service, k.region).Peer == f.o.Batcher.Self())
+	p.SetIsolated(now, view.Isolated)
 }
 
 // serviceNow returns a service of the configuration in force, which may be newer than that of the request; nil if there is none.
--- a/internal/gate/stage/queue.go
+++ b/internal/gate/stage/queue.go
@@ -161,6 +161,9 @@
 // SetOwned tells whether this node is the one that owns the queue, by its own view. Before, cold upstreams get no calls.
 func (q *Queue) SetOwned(now time.Time, owned bool) { q.owner.Set(now, owned) }
 
+// SetIsolated tells whether this node may have lost the others, so that another one may call these upstreams too.
+func (q *Queue) SetIsolated(now time.Time, isolated bool) { q.owner.SetIsolated(now, isolated) }
+
 // SetBounds sets the bounds of cold upstreams.
 func (q *Queue) SetBounds(b pace.Bounds) { q.owner = pace.NewOwner(b) }
 
