Cut no holder of memory that holds nothing

Cause: when the account was full and no other holder yielded, it also cut those with no bytes: requests whose bodies begin to arrive, which are then refused with 408, and the reservation of the handshake of a connection between processes, whose cut ends that connection. It makes no room.

Ruled out: connections of callers, which always hold their charge.

Change: makeRoom leaves out holders with no bytes.

The new test on the code before:

memory_test.go:227: assertion failed: 1 (empty.told int) != 0 (int)

go test passes for internal/wire/memory, httpd and peer.

--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -360,7 +360,8 @@
 		if !tooMuch && !ofKind {
 			return true
 		}
-		v, weight := a.weakest(func(v *Reservation) bool { return v != r && (tooMuch || v.kind == r.kind) })
+		// The end of one that holds nothing makes no room.
+		v, weight := a.weakest(func(v *Reservation) bool { return v != r && v.bytes > 0 && (tooMuch || v.kind == r.kind) })
 		if v == nil || large && a.cutting > 0 && a.cutting+v.bytes > a.o.Bytes/cuttingPart {
 			return false
 		}
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -216,3 +216,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "ab")
 }
+
+// Guards against cutting a holder that holds nothing, such as a request whose body begins to arrive, or a connection between processes: it
+// makes no room.
+func TestHoldersOfNothingAreNotCut(t *testing.T) {
+	a, _ := newAccount()
+	empty := a.body(t, 0)
+	assert.Assert(t, a.Reserve(Connection, nil).Cover(6*mib))
+	assert.Assert(t, !a.Reserve(Answer, nil).Cover(2*mib))
+	assert.Equal(t, empty.told, 0)
+	assert.Assert(t, empty.Finish(Upstream))
+}
