Let whole messages of other processes not yield memory

Cause: the reservation of a message stayed among those that yield until the message was handled. When the account was full, a whole message was cut: that freed nothing, but ended the connection, and with it all questions that wait for answers on it.

Change: the reservation is finished once the message is whole.

--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -315,6 +315,10 @@
 	if err != nil {
 		return false
 	}
+	if !held.Finish(memory.Message) { // cut at the last moment
+		h.refused(from, "the memory for messages is in use")
+		return false
+	}
 	h.bytesIn.Add(int64(len(data)))
 	h.received.Add(1)
 	e, err := h.decode(data)
