--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -32,7 +32,7 @@
 // request encodes a request.
 func request(method, target, host, id string, lines []string, body []byte) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", method, target, host, idHeader, id)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", method, target, host, wire["request_id"], id)
 	for _, l := range lines {
 		b.WriteString(l + "\r\n")
 	}
--- a/review/stand2/config.go
+++ b/review/stand2/config.go
@@ -1,25 +1,33 @@
 package main
 
-// host is the name that clients send requests to.
+import (
+	_ "embed"
+	"encoding/json"
+)
+
+// hostName is the name that clients send requests to.
 const hostName = "ponds.example"
 
-type table = map[string]any
+//go:embed wire.json
+var wireText []byte
 
-// config is a configuration of a small deployment: plain services and routes to them.
-func config(version int, services []table, routes []table) table {
-	return table{
-		"version": version, "routes": routes, "services": services, "tenants": []table{},
-		"limits": table{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}
-}
+//go:embed config.json
+var configText []byte
 
-func service(name string) table {
-	return table{"name": name, "healthCheckPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false}
-}
+// wire holds the names of the platform's pages.
+var wire = func() map[string]string {
+	out := map[string]string{}
+	if err := json.Unmarshal(wireText, &out); err != nil {
+		panic(err)
+	}
+	return out
+}()
 
-func route(name, prefix, kind, service string, attempts int) table {
-	return table{
-		"name": name, "host": hostName, "pathPrefix": prefix, "kind": kind, "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 1,
-		"service": service, "maxAttempts": attempts, "allowAnonymous": false, "sticky": false, "resumeStreams": false,
+// configs holds the configuration of each case.
+var configs = func() map[string]json.RawMessage {
+	out := map[string]json.RawMessage{}
+	if err := json.Unmarshal(configText, &out); err != nil {
+		panic(err)
 	}
-}
+	return out
+}()
--- a/review/stand2/control.go
+++ b/review/stand2/control.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -40,11 +39,7 @@
 }
 
 // putConfig sends a configuration to the core machines in turn until one acknowledges it.
-func (f *fleet) putConfig(config any, most time.Duration) error {
-	body, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
+func (f *fleet) putConfig(body []byte, most time.Duration) error {
 	end := f.clock.Now().Add(most)
 	var last string
 	for i := 0; f.clock.Now().Before(end); i++ {
@@ -60,12 +55,12 @@
 	return fmt.Errorf("no acknowledgement of the configuration: %s", last)
 }
 
-// waitReady waits until a front answers 200 to /readyz.
+// waitReady waits until a front answers 200 to the readiness check.
 func (f *fleet) waitReady(most time.Duration, names ...string) error {
 	end := f.clock.Now().Add(most)
 	for _, name := range names {
 		for {
-			status, _, _ := call(http.MethodGet, fmt.Sprintf("http://%s:%d/readyz", f.nodes[name].ip, readyPort), nil)
+			status, _, _ := call(http.MethodGet, fmt.Sprintf("http://%s:%d%s", f.nodes[name].ip, readyPort, wire["ready"]), nil)
 			if status == http.StatusOK {
 				break
 			}
--- a/review/stand2/evac.go
+++ b/review/stand2/evac.go
@@ -53,7 +53,7 @@
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
-	if err := f.putConfig(config(3, []table{service("desk")}, []table{route("safe", "/safe/", "safe", "desk", 2)}), 15*time.Second); err != nil {
+	if err := f.putConfig(configs["late-order"], 15*time.Second); err != nil {
 		return false, err
 	}
 	inside, err := f.addRunner("desk", "i-za", 101, "za", plain)
@@ -93,7 +93,7 @@
 				default:
 				}
 				id := fmt.Sprintf("c%d-%d", i, n)
-				f.send(fmt.Sprintf("front-%d", i+1), http.MethodGet, "/safe/"+id, hostName, id, []string{deadlineHeader + ": 5000"}, nil, 6*time.Second)
+				f.send(fmt.Sprintf("front-%d", i+1), http.MethodGet, "/lookup/"+id, hostName, id, []string{wire["deadline"] + ": 5000"}, nil, 6*time.Second)
 				s.sleep(100 * time.Millisecond)
 			}
 		})
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,17 +19,6 @@
 // beatEvery is the heartbeatMs of the deployment.
 const beatEvery = 1200 * time.Millisecond
 
-// Names on the wire.
-const (
-	idHeader        = "X-Berylledge-Request-Id"
-	signatureHeader = "X-Berylledge-Response-Signature"
-	notRunHeader    = "X-Berylledge-Not-Executed"
-	expectHeader    = "X-Berylledge-Expect-Instance"
-	instanceHeader  = "X-Berylledge-Instance-Id"
-	healthPath      = "/healthz"
-	deadlineHeader  = "X-Berylledge-Deadline-Ms"
-)
-
 // arrival is a request that a runner began to work on.
 type arrival struct {
 	id, method, target string
@@ -123,14 +111,14 @@
 
 // take handles one request: it refuses one that is meant for another instance or has no id.
 func (r *runner) take(c net.Conn, req *http.Request, body []byte) bool {
-	id := req.Header.Get(idHeader)
-	if expected := req.Header.Get(expectHeader); expected != "" && expected != r.id {
+	id := req.Header.Get(wire["request_id"])
+	if expected := req.Header.Get(wire["expect"]); expected != "" && expected != r.id {
 		return r.refuse(c, id, http.StatusMisdirectedRequest)
 	}
-	if req.RequestURI == healthPath {
+	if req.RequestURI == wire["health"] {
 		return r.answerHealth(c)
 	}
-	if id == "" && !strings.HasPrefix(req.RequestURI, "/stage-") {
+	if id == "" && req.RequestURI != wire["call"] && req.RequestURI != wire["free"] {
 		return r.refuse(c, id, http.StatusBadRequest)
 	}
 	a := arrival{id: id, method: req.Method, target: req.RequestURI, header: req.Header, body: body, at: r.f.clock.Now(), instance: r.id}
@@ -151,13 +139,13 @@
 	r.mu.Lock()
 	cold := max(r.coldTill.Sub(r.f.clock.Now()).Milliseconds(), 0)
 	r.mu.Unlock()
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Berylledge-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", instanceHeader, r.id, cold)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", wire["instance"], r.id, wire["cold"], cold)
 	return err == nil
 }
 
 func (r *runner) refuse(c net.Conn, id string, status int) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), idHeader, id,
-		notRunHeader, instanceHeader, r.id)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), wire["request_id"], id,
+		wire["not_run"], wire["instance"], r.id)
 	return err == nil
 }
 
@@ -176,7 +164,7 @@
 }
 
 func head(r *runner, a arrival, status int, lines ...string) string {
-	out := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: sig.%s.%s\r\n", status, http.StatusText(status), idHeader, a.id, signatureHeader, r.id, a.id)
+	out := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: sig.%s.%s\r\n", status, http.StatusText(status), wire["request_id"], a.id, wire["signature"], r.id, a.id)
 	for _, l := range lines {
 		out += l + "\r\n"
 	}
@@ -209,8 +197,8 @@
 	r.sequence++
 	body, err := json.Marshal(map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": r.state,
-		"coldRemainingMs": max(r.coldTill.Sub(r.f.clock.Now()).Milliseconds(), 0),
-		"stage":           "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": r.sequence, "born": r.born,
+		wire["cold_field"]: max(r.coldTill.Sub(r.f.clock.Now()).Milliseconds(), 0),
+		"stage":            "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": r.sequence, "born": r.born,
 	})
 	r.mu.Unlock()
 	if err != nil {
