--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -26,7 +26,7 @@
 	directoryPort = 8629
 	peerPort      = 7740
 	metricsPort   = 7755
-	runnerPort    = 8080
+	runnerPort    = 8636
 )
 
 // noEnd is the context of waits that nothing ends.
