--- a/review/stand2/cold.go
+++ b/review/stand2/cold.go
@@ -19,7 +19,7 @@
 	coldSlack = 5.0
 	coldBound = coldRate*coldOver + coldSlack
 	coldTime  = 3 * time.Second
-	coldCut   = 5500 * time.Millisecond
+	coldCut   = 5 * time.Second
 	// coldNotice is not judged: the system has to learn of it.
 	coldNotice = time.Second
 )
@@ -132,13 +132,17 @@
 	if s.trouble {
 		k.setCut(core, true)
 	}
+	cutAt := s.clock.Now()
 	s.sleep(300 * time.Millisecond)
 	turned := s.clock.Now()
 	one.mu.Lock()
 	one.coldTill = turned.Add(coldTime)
 	one.mu.Unlock()
 	f.rec.note("%s turns cold and reports to %s: %d", one.id, core, one.beat(core))
-	s.sleep(coldCut)
+	one.mu.Lock()
+	f.rec.note("the address for its later heartbeats is %s", one.told)
+	one.mu.Unlock()
+	s.sleep(coldCut - s.clock.Now().Sub(cutAt))
 	k.setCut("", false)
 	s.sleep(time.Second)
 	var times []time.Time
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -48,6 +48,7 @@
 
 	mu       sync.Mutex
 	core     string    // the only core machine that it reports to; empty: any
+	told     string    // address for its later heartbeats, by the last answer
 	coldTill time.Time // when it stops being cold
 	born     int64
 	sequence int64
@@ -204,7 +205,13 @@
 	if err != nil {
 		return 0
 	}
-	status, _, _ := call(http.MethodPut, r.f.controlURL(core, "/instances/"+r.id), body)
+	status, text, _ := call(http.MethodPut, r.f.controlURL(core, "/instances/"+r.id), body)
+	var answer map[string]string
+	if status == http.StatusOK && json.Unmarshal(text, &answer) == nil {
+		r.mu.Lock()
+		r.told = answer[wire["beat_field"]]
+		r.mu.Unlock()
+	}
 	return status
 }
 
