--- a/internal/test/crowd/harness_test.go
+++ b/internal/test/crowd/harness_test.go
@@ -70,9 +70,25 @@
 	return p.log.Write(b)
 }
 
-func start(t *testing.T, name string, args ...string) *process {
+// launch is what a process is started with beside its arguments.
+type launch struct {
+	env   []string // NAME=value, besides the environment of the test
+	files int      // limit of open descriptors of the process; 0: that of the test
+}
+
+// command returns the command that runs the program. The shell lowers the limit of descriptors for the program alone.
+func (l launch) command(args []string) *exec.Cmd {
+	cmd := exec.Command(build.Program(), args...)
+	if l.files > 0 {
+		cmd = exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, l.files), build.Program()}, args...)...)
+	}
+	cmd.Env = append(os.Environ(), l.env...)
+	return cmd
+}
+
+func start(t *testing.T, name string, with launch, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, cmd: exec.Command(build.Program(), args...), exited: make(chan struct{})}
+	p := &process{t: t, name: name, cmd: with.command(args), exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	assert.NilError(t, p.cmd.Start())
 	go func() {
@@ -135,21 +151,28 @@
 // system is a control node and an entry node of `berylledge gate`, each with an IP number of its own as on VMs.
 type system struct {
 	t              *testing.T
+	launch         launch
 	control, entry *process
 	controlIP      string
 	entryIP        string
 }
 
-// upstreams are the stand-ins by service; nil entries are left out.
+// startSystem starts a system whose settings name its memory in MB. ups are the addresses of the upstreams by service.
 func startSystem(t *testing.T, memory int, ups map[string]string) *system {
 	t.Helper()
-	s := &system{t: t, controlIP: loopip.New(t), entryIP: loopip.New(t)}
+	return startSystemWith(t, gwnode.Limits{MemoryMB: float64(memory), Descriptors: maxFiles}, launch{}, ups)
+}
+
+// startSystemWith starts a system whose settings name these limits; 0 names none.
+func startSystemWith(t *testing.T, limits gwnode.Limits, with launch, ups map[string]string) *system {
+	t.Helper()
+	s := &system{t: t, launch: with, controlIP: loopip.New(t), entryIP: loopip.New(t)}
 	settings := func(name, ip string) gwnode.Settings {
 		return gwnode.Settings{
 			Node: name, IP: ip, DataCentre: "a", Region: "north", Regions: map[string]string{"a": "north"}, PeerPort: peerPort,
 			Metrics: metricsPort, Seeds: []string{at(s.controlIP, controlPort)}, FirstStart: true, BeatMS: 60_000,
 			Bounds: gwnode.Bounds{StopS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
-			Limits: gwnode.Limits{MemoryMB: float64(memory), Descriptors: maxFiles},
+			Limits: limits,
 		}
 	}
 	control, entry := settings("c1", s.controlIP), settings("e1", s.entryIP)
@@ -183,7 +206,7 @@
 	assert.NilError(s.t, err)
 	path := filepath.Join(s.t.TempDir(), "settings.json")
 	assert.NilError(s.t, os.WriteFile(path, data, 0o600))
-	return start(s.t, settings.Node, "gate", "--settings", path)
+	return start(s.t, settings.Node, s.launch, "gate", "--settings", path)
 }
 
 // put sends a document to the control node until it is acknowledged.
@@ -331,12 +354,15 @@
 	return user + system
 }
 
-// serveNode is a process of `berylledge serve` with all roles.
-func serveNode(t *testing.T) (p *process, ip string) {
+// serveNode is a process of `berylledge serve` with all roles that is told its memory in MB.
+func serveNode(t *testing.T, memory int, args ...string) (p *process, ip string) {
 	t.Helper()
 	ip = loopip.New(t)
-	p = start(t, "n1", "serve", "--node", "n1", "--region", "r", "--roles", "entry,control", "--data-centre", "a",
-		"--listen", at(ip, servePort), "--peer-listen", at(ip, peerPort), "--control", "n1="+at(ip, peerPort), "--data", t.TempDir())
+	with := launch{env: []string{fmt.Sprintf("BERYLLEDGE_MEMORY_MB=%d", memory), fmt.Sprintf("BERYLLEDGE_DESCRIPTORS=%d", maxFiles)}}
+	p = start(t, "n1", with, append([]string{
+		"serve", "--node", "n1", "--region", "r", "--roles", "entry,control", "--data-centre", "a",
+		"--listen", at(ip, servePort), "--peer-listen", at(ip, peerPort), "--control", "n1=" + at(ip, peerPort), "--data", t.TempDir(),
+	}, args...)...)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if err := answers(at(ip, servePort)); err != nil {
 			return poll.Continue("%v", err)
@@ -379,7 +405,7 @@
 	}
 	serve := func(port int) func(*testing.T) target {
 		return func(t *testing.T) target {
-			p, ip := serveNode(t)
+			p, ip := serveNode(t, smallestMB)
 			return target{at(ip, port), p, smallestMB, func() error { return answers(at(ip, servePort)) }}
 		}
 	}
