Give every process an account of memory and descriptors

Callers saw nothing until the process ended: `gate` without limits.memory_mb, and `serve` always, bounded each body and connection and not all of them together. A hundred unfinished bodies of 4 MiB took 612 MB of an entry node and 614 MB of a control node.

Cause: the account was made only if the settings named a size.

All listeners of serve share the account with the peers' connections and messages, and its metrics have the names of those of gate. The log of refusals moves to quota, so that it stands once.

Without a setting, the descriptors come from the limit of the process, so that the account bounds connections as well.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -113,7 +113,7 @@
 )
 
 var catalogue = []Kind{
-	{ProcessStarted, "process_started", hclog.Info, "The process serves its roles.", []string{"roles", "address"}, ""},
+	{ProcessStarted, "process_started", hclog.Info, "The process serves its roles. It has memory_bytes of memory and may hold memory_bound for others; memory_from and descriptors_from tell where the limits are known from: setting, runtime (GOMEMLIMIT), cgroup, machine, rlimit (RLIMIT_NOFILE) or unknown.", []string{"roles", "address", "memory_bytes", "memory_from", "memory_bound", "descriptors", "descriptors_from"}, ""},
 	{ProcessStopped, "process_stopped", hclog.Info, "The process has ended its last task.", []string{"reason"}, ""},
 	{DrainStarted, "drain_started", hclog.Info, "A planned stop began; this VM is no longer given to callers.", []string{"in_flight", "wait_ms"}, ""},
 	{DrainFinished, "drain_finished", hclog.Info, "The planned stop ended: no request is in flight.", []string{"cut_off"}, "If cut_off is above 0, raise --drain-limit."},
--- a/internal/cli/cmds/gate.go
+++ b/internal/cli/cmds/gate.go
@@ -16,7 +16,6 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/node/gwnode"
-	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Dialects are the ways to speak that the gate command offers, by name.
@@ -77,11 +76,12 @@
 	if err != nil {
 		return err
 	}
-	memory.LimitRuntime(s.Limits.MemoryBytes())
+	may := s.Limits.Quota()
+	may.LimitRuntime()
 	sink := event.NewSink(c.Root().Writer)
 	defer sink.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: level, Output: sink, JSONFormat: true})
-	p, err := gwnode.New(s, gwnode.Options{Dialect: dialect, Clock: clock.Real(), Logger: logger, Path: path})
+	p, err := gwnode.New(s, gwnode.Options{Dialect: dialect, Clock: clock.Real(), Logger: logger, Path: path, Quota: may})
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -42,7 +42,9 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
-	p, err := serve.New(s, serve.Options{Clock: clock.Real(), Logger: newLogger(s, c.Root().ErrWriter)})
+	may := s.Quota()
+	may.LimitRuntime()
+	p, err := serve.New(s, serve.Options{Clock: clock.Real(), Logger: newLogger(s, c.Root().ErrWriter), Quota: may})
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/berylledge/berylledge/internal/flow/route"
 	"github.com/berylledge/berylledge/internal/node/crashd"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -55,7 +56,11 @@
 	Extra       []rest.Route    // administration and metrics
 	Measure     Measure
 	Guard       *crashd.Guard // nil: no defence against requests that crash upstreams; the owner closes it
-	Seed        uint64
+	// Account counts connections, submissions and answers with what the process holds besides; nil: no bound for all together.
+	Account *memory.Account
+	// Refused is told which peers were refused because of a limit; nil: nobody is.
+	Refused func(httpd.Refusal)
+	Seed    uint64
 }
 
 // Service is the work that a node may take.
@@ -150,7 +155,7 @@
 	n.gate = newGate(ctx, o.Clock, admit.Policy{Seed: o.Seed})
 	n.server, err = httpd.New(httpd.Options{
 		Name: "entry", Address: o.Address, Listener: o.Listener, MaxBytes: maxBody, NotFound: http.HandlerFunc(notFound),
-		LongHeader: http.HandlerFunc(longHeader),
+		LongHeader: http.HandlerFunc(longHeader), Account: o.Account, Refused: o.Refused,
 	}, append(n.routes(), o.Extra...))
 	if err != nil {
 		cancel()
--- a/internal/node/flags/flags.go
+++ b/internal/node/flags/flags.go
@@ -17,11 +17,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
+
+	"github.com/berylledge/berylledge/internal/node/quota"
 )
 
 // Roles of a process.
@@ -45,6 +48,8 @@
 	EntryValid  time.Duration
 	SpreadDelay time.Duration
 	DrainLimit  time.Duration
+	MemoryMB    float64 // in 10^6 bytes; 0: what the system permits
+	Descriptors int     // 0: what the system permits
 	LogLevel    string
 	LogJSON     bool
 	Seed        uint64
@@ -65,6 +70,8 @@
 	flagEntryValid  = "entry-valid"
 	flagSpreadDelay = "spread-delay"
 	flagDrainLimit  = "drain-limit"
+	flagMemory      = "memory-mb"
+	flagDescriptors = "descriptors"
 	flagLogLevel    = "log-level"
 	flagLogJSON     = "log-json"
 	flagSeed        = "seed"
@@ -99,6 +106,11 @@
 		span(flagEntryValid, 30*time.Second, "how long callers may keep the address of an entry VM"),
 		span(flagSpreadDelay, 2*time.Second, "time until all nodes know that this one stops"),
 		span(flagDrainLimit, 2*time.Minute, "a planned stop waits no longer than this for requests in flight"),
+		&cli.FloatFlag{
+			Name: flagMemory, Sources: env(flagMemory),
+			Usage: "memory of this process in 10^6 bytes; 0 takes what GOMEMLIMIT, the cgroup and the VM permit, less a tenth of the last two",
+		},
+		&cli.IntFlag{Name: flagDescriptors, Usage: "descriptors of this process; 0 takes RLIMIT_NOFILE", Sources: env(flagDescriptors)},
 		str(flagLogLevel, "info", "least level of log lines: trace, debug, info, warn, error"),
 		&cli.BoolFlag{Name: flagLogJSON, Usage: "write log lines as JSON", Sources: env(flagLogJSON)},
 		&cli.Uint64Flag{Name: flagSeed, Usage: "seed of sampling and jitter; 0 takes one from the clock", Sources: env(flagSeed)},
@@ -113,10 +125,16 @@
 		Join: c.StringSlice(flagJoin), Control: c.StringSlice(flagControl), Data: c.String(flagData),
 		ConfigFile: c.String(flagConfigFile), EntryValid: c.Duration(flagEntryValid),
 		SpreadDelay: c.Duration(flagSpreadDelay), DrainLimit: c.Duration(flagDrainLimit),
+		MemoryMB: c.Float(flagMemory), Descriptors: c.Int(flagDescriptors),
 		LogLevel: c.String(flagLogLevel), LogJSON: c.Bool(flagLogJSON), Seed: c.Uint64(flagSeed),
 	}
 }
 
+const bytesPerMB = 1_000_000
+
+// Quota returns what the process may use; what the settings do not name comes from the system.
+func (s *Settings) Quota() quota.Quota { return quota.Of(int64(s.MemoryMB*bytesPerMB), s.Descriptors) }
+
 // Has reports whether the process has a role.
 func (s *Settings) Has(role string) bool { return slices.Contains(s.Roles, role) }
 
@@ -197,6 +215,12 @@
 	for _, a := range s.Join {
 		c.address(flagJoin, a, false)
 	}
+	if !(s.MemoryMB >= 0) {
+		c.add(flagMemory, fmt.Sprint(s.MemoryMB), "0 or more is allowed")
+	}
+	if s.Descriptors < 0 {
+		c.add(flagDescriptors, strconv.Itoa(s.Descriptors), "0 or more is allowed")
+	}
 	s.checkEntry(c)
 	s.checkControl(c)
 	if hclog.LevelFromString(s.LogLevel) == hclog.NoLevel {
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -28,6 +28,7 @@
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/proxy"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/node/quota"
 	"github.com/berylledge/berylledge/internal/state/quorum"
 	"github.com/berylledge/berylledge/internal/state/store"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
@@ -45,6 +46,8 @@
 	Path    string // settings file, read again when it changes
 	// Store configures the store of a control node each time it is opened; nil: the defaults.
 	Store func() store.Options
+	// Quota is what the process may use; zero: what the settings name, or else the system permits.
+	Quota quota.Quota
 	// Dial opens connections to the other processes of the system; nil: package dial does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -72,8 +75,8 @@
 	http      *http.Server
 	callers   *callerListener
 
-	account  *memory.Account // nil: the memory of the VM is not known
-	refused  *refusalLog
+	account  *memory.Account
+	refused  *quota.Refusals
 	page     *stats.Page        // metrics; nil without an address for them
 	sampled  map[queueName]bool // queues whose state was published last; owned by the page's goroutine
 	servers  []*httpd.Server
@@ -90,7 +93,10 @@
 		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger, Keep: keptEvents, PerSecond: linesPerSecond}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.account, p.refused = newAccount(s.Limits, o.Clock), newRefusalLog(o.Clock, p.events)
+	if p.o.Quota == (quota.Quota{}) {
+		p.o.Quota = s.Limits.Quota()
+	}
+	p.account, p.refused = p.o.Quota.Account(o.Clock), quota.NewRefusals(o.Clock, p.events)
 	p.setSeeds(s)
 	if err := p.start(); err != nil {
 		p.Close()
@@ -99,7 +105,9 @@
 	close(p.ready)
 	p.wg.Go(p.watchSettings)
 	p.wg.Go(p.logTraffic)
-	p.events.Emit(event.ProcessStarted, event.F("roles", p.roles()), event.F("address", s.Listen.Callers+s.Listen.Control))
+	p.events.Emit(event.ProcessStarted, append([]event.Field{
+		event.F("roles", p.roles()), event.F("address", s.Listen.Callers+s.Listen.Control),
+	}, p.o.Quota.Fields()...)...)
 	return p, nil
 }
 
@@ -132,7 +140,7 @@
 	address := p.s.ownPeer()
 	p.hub, err = peer.New(peer.Options{
 		ID: p.s.Node, Address: p.s.peerAddress(p.s.IP), Clock: p.o.Clock, Events: p.events, Handle: p.handle, Dial: p.o.Dial,
-		Account: p.account, Refused: p.refused.add,
+		Account: p.account, Refused: p.refused.Add,
 	})
 	if err != nil {
 		return err
@@ -161,7 +169,7 @@
 // serve starts a server for go-zero routes.
 func (p *Process) serve(name, address string, routes []rest.Route) error {
 	s, err := httpd.New(httpd.Options{
-		Name: name, Address: address, MaxBytes: maxConfigBytes, Account: p.account, Refused: p.refused.add,
+		Name: name, Address: address, MaxBytes: maxConfigBytes, Account: p.account, Refused: p.refused.Add,
 	}, routes)
 	if err != nil {
 		return err
@@ -249,10 +257,10 @@
 		RetryBudget: proxy.RetryBudget{Ratio: ratio, Window: seconds(b.RetryWindowS, defaultRetryWindow), Slack: int(b.RetrySlack)},
 		Pace:        b.pace(),
 		Crashes:     p.blocklist, Metrics: p.measure(), ReportCrashes: p.poller.AskNow, RefreshCrashes: p.poller.Consult, Seed: uint64(p.o.Clock.Now().UnixNano()),
-		Memory: p.account, Limited: p.refused.add,
+		Memory: p.account, Limited: p.refused.Add,
 	})
 	guard := &httpd.Guard{
-		Clock: p.o.Clock, Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.add,
+		Clock: p.o.Clock, Account: p.account, HeadBytes: func() int { return p.callerLimits().HeaderBytes }, Refused: p.refused.Add,
 	}
 	p.callers = &callerListener{Listener: guard.Listen(listener), clock: p.o.Clock, limits: p.callerLimits, guard: guard}
 	p.http = &http.Server{Handler: http.HandlerFunc(p.serveCaller), ConnState: p.callers.connState, ErrorLog: log.New(io.Discard, "", 0)}
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/berylledge/berylledge/internal/gate/batch"
 	"github.com/berylledge/berylledge/internal/gate/proxy"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/node/quota"
 )
 
 // Names of metrics.
@@ -42,12 +43,6 @@
 	stageRoom      = "stage_room_bytes"
 	stageLimit     = "stage_room_limit_bytes"
 	engineSpeed    = "engine_speed_ratio"
-	memoryHeld     = "memory_held_bytes"
-	memoryBound    = "memory_bound_bytes"
-	memoryCuts     = "memory_cuts_total"
-	memoryRefused  = "memory_refusals_total"
-	connections    = "connections"
-	limitReached   = "limit_reached_total"
 	entryCapacity  = "entry_capacity_cores"
 	stageSpeed     = "stage_speed_ratio"
 	stageCallTime  = "stage_call_seconds"
@@ -62,7 +57,7 @@
 	byQueue  = []string{"service", "region"}
 )
 
-var metrics = []stats.Metric{
+var metrics = append([]stats.Metric{
 	{Name: answers, Type: stats.Counter, Labels: byStatus, Help: "Final answers of requests for which an upstream was tried, by status; 0: closed without a whole answer."},
 	{Name: refusals, Type: stats.Counter, Labels: byStatus, Help: "Answers that this node gave instead of an upstream, by status, also without having tried one."},
 	{Name: answerTime, Type: stats.Histogram, Help: "Time from the arrival of a request for which an upstream was tried to the end of its answer."},
@@ -91,17 +86,11 @@
 	{Name: stageRoom, Type: stats.Gauge, Labels: byQueue, Help: "Bytes of results that a queue keeps account of."},
 	{Name: stageLimit, Type: stats.Gauge, Labels: byQueue, Help: "Bytes that its upstreams seem to have room for."},
 	{Name: engineSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt time in which the fastest (bound least) and the slowest engine (most) reads a token, relative to the median engine. Of nodes that have placed requests on the engines."},
-	{Name: memoryHeld, Type: stats.Gauge, Labels: byKind, Help: "Bytes that the account of memory holds, by kind: connection (with heads), body, upstream (bodies that wait for one), answer, message; 0 without limits.memory_mb, as are the next four."},
-	{Name: memoryBound, Type: stats.Gauge, Help: "Bytes that the account may hold."},
-	{Name: memoryCuts, Type: stats.Counter, Labels: byKind, Help: "Unfinished or idle holders that were told to end, by kind."},
-	{Name: memoryRefused, Type: stats.Counter, Labels: byKind, Help: "Holders for which there was no room, by kind."},
-	{Name: connections, Type: stats.Gauge, Labels: []string{"state"}, Help: "Incoming connections of all listeners: open, and busy with a request."},
-	{Name: limitReached, Type: stats.Counter, Labels: []string{"limit"}, Help: "Peers that were refused or cut off, by limit: head_lines, head_bytes, heads, connections, idle, bodies, body_cut."},
 	{Name: entryCapacity, Type: stats.Gauge, Help: "Processor time of the VM, in cores, that an entry node reports for its share of callers and of queues; 0: unknown."},
 	{Name: stageSpeed, Type: stats.Gauge, Labels: append([]string{"bound"}, byQueue...), Help: "Learnt duration of calls at the fastest (bound least) and the slowest stage upstream (most), relative to the median upstream; 0 once another node keeps the queue."},
 	{Name: stageCallTime, Type: stats.Gauge, Labels: byQueue, Help: "Learnt fixed time of a call at the median stage upstream; the configured one until calls differ from it."},
 	{Name: stagePiece, Type: stats.Gauge, Labels: byQueue, Help: "Learnt time of each piece in a call, in addition."},
-}
+}, quota.Metrics()...)
 
 // MetricsPage renders the catalogue as the page docs/gate_metrics.md.
 func MetricsPage() string {
@@ -149,7 +138,7 @@
 		page.Raise(peerMessages, v.Messages, tags)
 	}
 	page.Raise(peerDropped, c.Dropped, nil)
-	p.sampleMemory(page)
+	p.refused.Sample(page, p.account)
 	if p.member != nil {
 		p.sampleControl(page)
 	}
@@ -158,22 +147,6 @@
 	}
 }
 
-func (p *Process) sampleMemory(page *stats.Page) {
-	u := p.account.Usage()
-	page.Set(memoryBound, float64(u.Bound), nil)
-	for _, k := range u.Kinds {
-		tags := stats.Tags{"kind": k.Kind.String()}
-		page.Set(memoryHeld, float64(k.Bytes), tags)
-		page.Raise(memoryCuts, k.Cuts, tags)
-		page.Raise(memoryRefused, k.Refusals, tags)
-	}
-	page.Set(connections, float64(u.Open), stats.Tags{"state": "open"})
-	page.Set(connections, float64(u.Busy), stats.Tags{"state": "busy"})
-	for limit, n := range p.refused.counts() {
-		page.Raise(limitReached, n, stats.Tags{"limit": limit})
-	}
-}
-
 func (p *Process) sampleControl(page *stats.Page) {
 	s, _ := p.member.Status() // zero values before the group is formed
 	page.Set(groupTerm, float64(s.Raft.Term), nil)
--- a/internal/node/meter/catalogue.go
+++ b/internal/node/meter/catalogue.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/berylledge/berylledge/internal/base/stats"
+	"github.com/berylledge/berylledge/internal/node/quota"
 )
 
 // Names of metrics.
@@ -37,7 +38,7 @@
 	dropped       = "dropped_messages_total"
 )
 
-var catalogue = []stats.Metric{
+var catalogue = append([]stats.Metric{
 	{Name: requests, Type: stats.Counter, Labels: []string{"team", "rank", "outcome"}, Help: "Requests by their end: on_time, late, failed or refused. Attainment is on_time divided by the sum."},
 	{Name: refusals, Type: stats.Counter, Labels: []string{"rank", "code", "ran"}, Help: "Requests that were refused before they were admitted, by code."},
 	{Name: failures, Type: stats.Counter, Labels: []string{"rank", "code", "ran"}, Help: "Admitted requests that ended without a whole answer, by code."},
@@ -64,7 +65,7 @@
 	{Name: messagesIn, Type: stats.Counter, Help: "Messages received from other processes."},
 	{Name: messagesOut, Type: stats.Counter, Help: "Messages sent to other processes."},
 	{Name: dropped, Type: stats.Counter, Labels: []string{"where"}, Help: "Messages dropped because a queue was full or the peer not reachable: peer, agent or control."},
-}
+}, quota.Metrics()...)
 
 // Catalogue returns the metrics in the order of the documentation.
 func Catalogue() []stats.Metric { return append([]stats.Metric(nil), catalogue...) }
--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -21,6 +21,8 @@
 	"github.com/berylledge/berylledge/internal/base/stats"
 	"github.com/berylledge/berylledge/internal/flow/admit"
 	"github.com/berylledge/berylledge/internal/node/entry"
+	"github.com/berylledge/berylledge/internal/node/quota"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
@@ -30,6 +32,9 @@
 type Options struct {
 	Clock clock.Clock
 	Read  func() Sample // called from the goroutine of the meter
+	// Account and Refused are what the process holds for others and whom it has refused.
+	Account *memory.Account
+	Refused *quota.Refusals
 }
 
 // Sample is the state of a process at one moment.
@@ -74,6 +79,7 @@
 
 func (m *Meter) sample(p *stats.Page) {
 	s := m.o.Read()
+	m.o.Refused.Sample(p, m.o.Account)
 	if a := s.Admission; a != nil {
 		p.Set(admitLimit, float64(a.Limit), nil)
 		p.Set(admitInFlight, float64(a.InFlight), nil)
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -32,8 +32,10 @@
 	"github.com/berylledge/berylledge/internal/node/entry"
 	"github.com/berylledge/berylledge/internal/node/flags"
 	"github.com/berylledge/berylledge/internal/node/meter"
+	"github.com/berylledge/berylledge/internal/node/quota"
 	"github.com/berylledge/berylledge/internal/state/raftcl"
 	"github.com/berylledge/berylledge/internal/wire/httpd"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -43,6 +45,7 @@
 type Options struct {
 	Clock  clock.Clock
 	Logger hclog.Logger // nil: events are only kept for the time line
+	Quota  quota.Quota  // what the process may use; zero: what the settings name, or else the system permits
 }
 
 // Process is a running process.
@@ -50,6 +53,8 @@
 	settings flags.Settings
 	clock    clock.Clock
 	events   *event.Log
+	account  *memory.Account
+	refused  *quota.Refusals
 	hub      *peer.Hub
 	agent    *agent.Agent
 	ctrl     *ctrl.Node // nil without the control role
@@ -76,13 +81,19 @@
 		settings: s, clock: o.Clock, started: o.Clock.Now(), ready: make(chan struct{}), stop: make(chan struct{}),
 		events: event.New(event.Options{Node: s.Node, Clock: o.Clock, Logger: o.Logger}),
 	}
+	if o.Quota == (quota.Quota{}) {
+		o.Quota = s.Quota()
+	}
+	p.account, p.refused = o.Quota.Account(o.Clock), quota.NewRefusals(o.Clock, p.events)
 	if err := p.start(); err != nil {
 		p.Close()
 		return nil, err
 	}
 	close(p.ready)
 	p.admin.Start()
-	p.events.Emit(event.ProcessStarted, event.F("roles", strings.Join(s.Roles, ",")), event.F("address", s.Listen))
+	p.events.Emit(event.ProcessStarted, append([]event.Field{
+		event.F("roles", strings.Join(s.Roles, ",")), event.F("address", s.Listen),
+	}, o.Quota.Fields()...)...)
 	return p, nil
 }
 
@@ -97,7 +108,9 @@
 		}
 		p.settings.Listen = listener.Addr().String()
 	}
-	p.hub, err = peer.New(peer.Options{ID: s.Node, Address: s.PeerListen, Clock: p.clock, Events: p.events, Handle: p.handle})
+	p.hub, err = peer.New(peer.Options{
+		ID: s.Node, Address: s.PeerListen, Clock: p.clock, Events: p.events, Handle: p.handle, Account: p.account, Refused: p.refused.Add,
+	})
 	if err != nil {
 		return err
 	}
@@ -110,7 +123,7 @@
 		}
 	}
 	p.makeAdmin()
-	if p.meter, err = meter.New(meter.Options{Clock: p.clock, Read: p.sample}); err != nil {
+	if p.meter, err = meter.New(meter.Options{Clock: p.clock, Read: p.sample, Account: p.account, Refused: p.refused}); err != nil {
 		return err
 	}
 	if err := p.startServer(listener); err != nil {
@@ -129,7 +142,9 @@
 		return nil
 	}
 	var err error
-	p.server, err = httpd.New(httpd.Options{Name: "admin", Listener: listener}, p.routes())
+	p.server, err = httpd.New(httpd.Options{
+		Name: "admin", Listener: listener, Account: p.account, Refused: p.refused.Add,
+	}, p.routes())
 	return err
 }
 
@@ -254,7 +269,7 @@
 		Node: s.Node, DataCentre: s.DataCentre, Region: s.Region, Listener: listener, Clock: p.clock, Events: p.events,
 		Ledger: exec.Ledger(p.access), Members: p.entryNodes, Service: p.service, Ready: p.settled, EntryValid: s.EntryValid,
 		SpreadDelay: s.SpreadDelay, DrainLimit: s.DrainLimit, Seed: s.Seed, Extra: p.routes(),
-		Measure: p.meter.Measure(), Guard: p.guard,
+		Measure: p.meter.Measure(), Guard: p.guard, Account: p.account, Refused: p.refused.Add,
 		Tell: entry.Tell{Announce: p.agent.Announced, Renew: p.agent.Renewed, Leave: p.agent.Left, Load: p.agent.Loaded},
 	})
 	return err
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -62,6 +62,9 @@
 	IdleBytes = 16 << 10
 	// BusyBytes is charged for a connection with a request, with the buffers of the exchange with an upstream.
 	BusyBytes = 48 << 10
+	// headLineBytes and headByteFactor are what a head takes: net/http needs some 200 bytes for a line of four.
+	headLineBytes  = 300
+	headByteFactor = 2
 	// largeBytes is the size from which a holder may not use the last eighth of the account, so that ordinary requests are served
 	// beside a crowd of large ones.
 	largeBytes = 64 << 10
@@ -82,6 +85,9 @@
 // RuntimeLimit returns the limit for debug.SetMemoryLimit.
 func RuntimeLimit(machine int64) int64 { return max(machine-runtimeBytes, machine/2) }
 
+// OfRuntimeLimit returns the memory for which RuntimeLimit returns a limit.
+func OfRuntimeLimit(limit int64) int64 { return min(limit+runtimeBytes, 2*limit) }
+
 // LimitRuntime makes the collector work harder before the memory of the machine is used up. It changes nothing if that is not known or the
 // environment sets GOMEMLIMIT.
 func LimitRuntime(machine int64) {
@@ -90,6 +96,9 @@
 	}
 }
 
+// HeadCost returns what a head takes once it is parsed: its lines as strings and entries of a map, and their copy for the other side.
+func HeadCost(bytes, lines int) int64 { return int64(bytes*headByteFactor + lines*headLineBytes) }
+
 // ErrFull says that the account has no room for a holder.
 var ErrFull = errors.New("the memory for requests is in use")
 
