Count submissions, inputs and kept answers of serve

Callers of `serve` could fill its memory with requests of legal size: 100 submissions that stop a byte short of their end took 671 MB, 100 inputs of 1 MiB that wait for an upstream 179 MB, and 100 answers of 900 kB 393 MB; 96 MB were allowed. Finished answers alone had a bound of 64 MiB, more than a small VM has.

Cause: only the size of each submission was bounded.

A request now reserves its input while it waits and runs, and is refused with 503 `overloaded` and a spread retry time before anything runs if there is no room. What upstreams send back is reserved while it is read, and the events of an answer while they are made and kept. An answer that is kept for callers who resume yields to others, the largest and oldest first: it is forgotten, and callers that do not read it are cut. The bound of 64 MiB is gone; the account is the one bound. A request whose answer finds no room ends with `internal` and `ran`, since it has run.

A body that ReadJSON decodes is charged four times its bytes, not twice: the decoder doubles a buffer until it holds the whole value, beside the buffer before and the decoded value.

--- a/internal/flow/exec/exec.go
+++ b/internal/flow/exec/exec.go
@@ -27,6 +27,7 @@
 	"github.com/berylledge/berylledge/internal/flow/route"
 	"github.com/berylledge/berylledge/internal/flow/stream"
 	"github.com/berylledge/berylledge/internal/state/rstate"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -49,6 +50,8 @@
 	Retry      retry.Policy
 	Seed       uint64
 	Guard      Guard // nil disables protection against requests that crash upstreams
+	// Account counts results while they are read; nil: no bound for all together.
+	Account *memory.Account
 }
 
 // Request is an admitted request.
@@ -67,6 +70,7 @@
 	BodyHash     [32]byte
 	InputHash    [32]byte // SHA-256 of Input
 	Out          *stream.Buffer
+	Held         *memory.Reservation // of Out and of the outputs of stages; nil: no bound
 }
 
 // Result summarizes a run.
@@ -141,6 +145,13 @@
 	return out
 }
 
+// SpreadRetry returns when a caller may return, spread around the base, so that those that were refused together do not return together.
+func (r *Runner) SpreadRetry(base time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retry.RetryAfter(base)
+}
+
 // WaitBackground waits until all outcomes are recorded and all cancellations are sent, or ctx ends.
 func (r *Runner) WaitBackground(ctx context.Context) {
 	done := make(chan struct{})
@@ -172,6 +183,8 @@
 	queueDelay   time.Duration
 	claim        *claim
 	stageResults []StageResult
+	reserved     int64 // bytes of the answer's events that are reserved
+	noRoom       bool  // the account has no memory for the answer
 }
 
 // failure is the error that ends a run.
@@ -235,6 +248,26 @@
 func (u *run) emit(name string, v any) {
 	data, _ := json.Marshal(v)
 	u.req.Out.Append(name, data)
+	u.coverAnswer()
+}
+
+const (
+	// answerFactor is what a byte of an event takes: in the event, in the output of its stage, and encoded once more for the caller.
+	answerFactor = 3
+	answerStep   = 64 << 10
+)
+
+// coverAnswer reserves what the events take.
+func (u *run) coverAnswer() {
+	_, bytes := u.req.Out.Len()
+	need := int64(bytes) * answerFactor
+	if need <= max(u.reserved, memory.FreeBytes) {
+		return
+	}
+	u.reserved = (need + answerStep - 1) / answerStep * answerStep
+	if !u.req.Held.Cover(u.reserved) {
+		u.noRoom = true
+	}
 }
 
 func (u *run) emitToken(text string) {
--- a/internal/flow/exec/stage.go
+++ b/internal/flow/exec/stage.go
@@ -1,10 +1,12 @@
 package exec
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
@@ -12,6 +14,7 @@
 	"github.com/berylledge/berylledge/internal/flow/retry"
 	"github.com/berylledge/berylledge/internal/flow/route"
 	"github.com/berylledge/berylledge/internal/state/rstate"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 	"github.com/berylledge/berylledge/pkg/upapi"
@@ -144,6 +147,10 @@
 		}
 		o := st.runAttempt(ctx, resume)
 		st.notifyGuard(o)
+		if st.noRoom { // another attempt would only cost the upstream more
+			st.ran = strongerRan(st.ran, retry.DidRun)
+			return "", &failure{code: caller.CodeInternal, message: "stage " + st.stage.Name + ": the memory for answers is in use"}
+		}
 		if o.ok {
 			st.ran = strongerRan(st.ran, retry.DidRun)
 			return o.output, nil
@@ -349,8 +356,8 @@
 		return o
 	}
 	defer drainBody(resp)
-	var res upapi.StageResult
-	if err := json.NewDecoder(limitBody(resp.Body)).Decode(&res); err != nil {
+	res, err := st.readResult(resp)
+	if err != nil {
 		return outcome{class: errorClass(ctx, err), dispatched: true, connLost: isConnectionError(err), message: "read result: " + err.Error()}
 	}
 	if res.Work != work {
@@ -361,6 +368,23 @@
 	return outcome{ok: true, output: res.Output, cost: res.Cost, firstByte: st.o.Clock.Now().Sub(began)}
 }
 
+// readResult reads the result of a call. What it takes while it is decoded is reserved for as long; the output itself belongs to the answer.
+func (st *stageRun) readResult(resp *http.Response) (res upapi.StageResult, err error) {
+	held := st.o.Account.Reserve(memory.Answer, nil)
+	defer held.Release()
+	data, err := held.ReadAll(limitBody(resp.Body), resp.ContentLength)
+	if err == nil && len(data) > memory.FreeBytes && !held.Grow(int64(len(data))) {
+		err = memory.ErrFull
+	}
+	if errors.Is(err, memory.ErrFull) {
+		st.noRoom = true
+	}
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(&res)
+	}
+	return res, err
+}
+
 func (st *stageRun) remainingMS() int64 { return st.deadline.Sub(st.o.Clock.Now()).Milliseconds() }
 
 // idempotencyKey returns the key sent to the upstream. It is qualified by the team, because two teams may use the same key.
--- a/internal/flow/exec/upstream.go
+++ b/internal/flow/exec/upstream.go
@@ -200,7 +200,7 @@
 			g.emitToken(strings.Join(newChunks, ""))
 		}
 	}
-	return true
+	return !g.noRoom
 }
 
 // matchDelivered compares chunks of a rerun with the delivered ones and returns the new chunks. A rerun that differs cannot
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -119,8 +119,8 @@
 
 	mu       sync.Mutex
 	requests map[requestKey]*request
-	done     []*request // finished, in the order of their ends
-	kept     int        // bytes of finished answers
+	done     []*request    // finished, in the order of their ends
+	yielded  chan struct{} // has a value when a kept answer yields its memory
 	running  int
 	idle     *sync.Cond
 	cutOff   int
@@ -132,7 +132,7 @@
 	if o.Ledger == nil {
 		return nil, errors.New("entry: a ledger is required")
 	}
-	n := &Node{o: o, ups: upview.New(), requests: map[requestKey]*request{}}
+	n := &Node{o: o, ups: upview.New(), requests: map[requestKey]*request{}, yielded: make(chan struct{}, 1)}
 	n.idle = sync.NewCond(&n.mu)
 	var err error
 	if n.life, err = loadChart(); err != nil {
@@ -145,6 +145,7 @@
 	run := exec.Options{
 		Node: o.Node, DataCentre: o.DataCentre, Region: o.Region, Clock: o.Clock, Events: o.Events, View: n.ups.View,
 		Client: client, OnceClient: once, Ledger: o.Ledger, Route: route.DefaultPolicy(), Retry: retry.DefaultPolicy(), Seed: o.Seed,
+		Account: o.Account,
 	}
 	if o.Guard != nil { // a nil pointer in the interface would not be nil
 		run.Guard = o.Guard
@@ -155,7 +156,8 @@
 	n.gate = newGate(ctx, o.Clock, admit.Policy{Seed: o.Seed})
 	n.server, err = httpd.New(httpd.Options{
 		Name: "entry", Address: o.Address, Listener: o.Listener, MaxBytes: maxBody, NotFound: http.HandlerFunc(notFound),
-		LongHeader: http.HandlerFunc(longHeader), Account: o.Account, Refused: o.Refused,
+		LongHeader: http.HandlerFunc(longHeader), Account: o.Account, BodyFactor: httpd.JSONFactor,
+		Refused: o.Refused,
 	}, append(n.routes(), o.Extra...))
 	if err != nil {
 		cancel()
@@ -164,6 +166,7 @@
 	}
 	n.self = Member{ID: o.Node, Address: n.server.Address(), DataCentre: o.DataCentre, Region: o.Region}
 	n.wg.Go(func() { n.sweep(ctx) })
+	n.wg.Go(func() { n.dropYielded(ctx) })
 	return n, nil
 }
 
--- a/internal/node/entry/lifecycle.go
+++ b/internal/node/entry/lifecycle.go
@@ -63,18 +63,18 @@
 			n.running--
 			if t.To == stateRefused {
 				delete(n.requests, r.key)
+				r.input.Release()
+				n.dropAnswer(r)
 			}
 		case actionKeep:
 			r.ended = n.o.Clock.Now()
-			_, bytes := r.run.Out.Len()
-			n.kept += bytes
 			n.done = append(n.done, r)
+			n.keepAnswer(r)
 		case actionNoteSent:
 			r.sent = true
 		case actionDrop:
-			_, bytes := r.run.Out.Len()
-			n.kept -= bytes
 			delete(n.requests, r.key)
+			n.dropAnswer(r)
 		}
 	}
 	n.idle.Broadcast()
--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -13,6 +13,7 @@
 	"github.com/berylledge/berylledge/internal/flow/admit"
 	"github.com/berylledge/berylledge/internal/flow/exec"
 	"github.com/berylledge/berylledge/internal/flow/stream"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
 )
@@ -29,6 +30,8 @@
 	whole  bool   // the answer is whole
 	sent   bool   // a caller got the last event before the node noted the end
 	ended  time.Time
+	input  *memory.Reservation // while the request waits or runs
+	kept                       // the answer
 }
 
 // prepare checks a submission and returns the request that it describes.
@@ -150,6 +153,13 @@
 		cancel()
 		return nil, refusal(caller.CodeDraining, "this VM stops; ask for another one")
 	}
+	if !n.reserve(r) {
+		n.mu.Unlock()
+		cancel()
+		ref := refusal(caller.CodeOverloaded, "the memory for requests is in use")
+		ref.RetryAfterMS = n.runner.SpreadRetry(memoryRetry).Milliseconds()
+		return nil, ref
+	}
 	n.requests[key] = r
 	n.running++
 	n.mu.Unlock()
@@ -219,19 +229,17 @@
 			event.F("tokens", res.Tokens), event.F("elapsed_ms", elapsed))
 	}
 	r.cancel()
+	r.input.Release()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.whole = res.Refusal == nil
 	n.move(r, eventEnded)
 }
 
-// maxKept bounds the memory of finished answers; the oldest are forgotten first.
-const maxKept = 64 << 20
-
 // defaultResume is how long a finished answer is kept.
 const defaultResume = time.Minute
 
-// forget drops finished answers after the resume window or above the bound.
+// forget drops finished answers after the resume window.
 func (n *Node) forget(now time.Time) {
 	window := defaultResume
 	if c := n.config.Load(); c != nil && c.cfg.Limits.ResumeWindowMS > 0 {
@@ -240,7 +248,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	first := 0
-	for first < len(n.done) && (now.Sub(n.done[first].ended) > window || n.kept > maxKept) {
+	for first < len(n.done) && now.Sub(n.done[first].ended) > window {
 		n.move(n.done[first], eventWindow)
 		first++
 	}
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -104,6 +104,7 @@
 		refuse(w, refusal(caller.CodeBadRequest, "the body is not a submission: %s", err))
 		return
 	}
+	httpd.ReleaseBody(r) // the handler waits for the answer, and the input is counted with the request
 	x, ref := n.prepare(r.Header.Get(caller.HeaderTeam), s)
 	var q *request
 	if ref == nil {
@@ -161,6 +162,7 @@
 
 // answer sends the events of a request after the given one, as a stream or as one JSON value.
 func (n *Node) answer(w http.ResponseWriter, r *http.Request, q *request, after int) {
+	defer n.read(q, w)()
 	if !strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
 		n.answerWhole(w, r, q)
 		return
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -53,6 +53,8 @@
 	Internal bool
 	// HeadBytes returns the limit of a head as a configuration counts it, names and values; 0: no limit.
 	HeadBytes func() int
+	// BodyFactor is what a byte of a body takes while its handler decodes it; 0 means wholeFactor.
+	BodyFactor int64
 	// Refused is told each refusal; nil: nobody is. It must not block.
 	Refused func(Refusal)
 }
@@ -210,8 +212,7 @@
 	}
 }
 
-// countedBody reserves memory for a body while a handler reads it. Handlers decode bodies as they read, so twice the size is
-// reserved.
+// countedBody reserves memory for a body while a handler reads and decodes it.
 type countedBody struct {
 	io.ReadCloser
 	guard *Guard
@@ -223,8 +224,12 @@
 }
 
 const (
-	decodedFactor = 2
-	bodyStep      = 64 << 10
+	// wholeFactor is what a byte takes that is read whole and then decoded.
+	wholeFactor = 2
+	// JSONFactor is what a byte takes that ReadJSON decodes: its decoder doubles a buffer until it holds the whole value, beside the one
+	// before and the decoded value.
+	JSONFactor = 4
+	bodyStep   = 64 << 10
 )
 
 // Read refuses the request when the account has no room, which the handler sees as an error of the body.
@@ -234,7 +239,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.bytes += int64(n)
-	steps := (b.bytes*decodedFactor + bodyStep - 1) / bodyStep
+	steps := (b.bytes*b.guard.bodyFactor() + bodyStep - 1) / bodyStep
 	if b.bytes <= memory.FreeBytes || b.held.Cover(steps*bodyStep) {
 		whole := errors.Is(err, io.EOF) && b.held.Finish(memory.Body)
 		if err == nil || whole || !b.held.WasCut() {
@@ -255,6 +260,20 @@
 	return 0, memory.ErrFull
 }
 
+func (g *Guard) bodyFactor() int64 {
+	if g.BodyFactor > 0 {
+		return g.BodyFactor
+	}
+	return wholeFactor
+}
+
+// ReleaseBody gives back the memory of a body that its handler has decoded, of a request that goes on.
+func ReleaseBody(r *http.Request) {
+	if b, ok := r.Body.(*countedBody); ok {
+		b.held.Release()
+	}
+}
+
 // countBody lets a request's body yield to others.
 func (g *Guard) countBody(w http.ResponseWriter, r *http.Request) (release func()) {
 	if g.Account == nil || r.Body == nil || r.Body == http.NoBody {
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -196,6 +196,14 @@
 	return true
 }
 
+// yieldFrom lets a holder yield from a time on. The lock is held.
+func (r *Reservation) yieldFrom(at time.Time) {
+	if !r.ended && !r.wasCut {
+		r.since = at
+		r.a.yielding[r] = true
+	}
+}
+
 // Busy says that the connection has a request, which makes it keep what it holds, or is idle again.
 func (r *Reservation) Busy(on bool) {
 	if r == nil {
@@ -288,6 +296,19 @@
 	return true
 }
 
+// Keep says that what is held is no longer in use and kept only in case that somebody asks for it: it yields from now on, with cut as in
+// Reserve.
+func (r *Reservation) Keep(cut func()) {
+	if r == nil {
+		return
+	}
+	a := r.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.cut = cut
+	r.yieldFrom(a.o.Clock.Now())
+}
+
 // Shrink gives back all but n bytes.
 func (r *Reservation) Shrink(n int64) {
 	if r == nil {
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -227,3 +227,16 @@
 	assert.Equal(t, empty.told, 0)
 	assert.Assert(t, empty.Finish(Upstream))
 }
+
+// Guards against memory that is kept in case that somebody asks for it while others need it.
+func TestKeptMemoryYields(t *testing.T) {
+	a, c := newAccount()
+	told := 0
+	old := a.Reserve(Answer, nil)
+	assert.Assert(t, old.Cover(3*mib))
+	assert.Assert(t, !a.Reserve(Answer, nil).Cover(2*mib), "it is in use")
+	old.Keep(func() { told++ })
+	c.Advance(time.Second)
+	assert.Assert(t, a.Reserve(Answer, nil).Cover(2*mib))
+	assert.Equal(t, told, 1)
+}
