Serve heads whatever their lines while there is memory

Callers inside the configured limits got 431, after which they do not come back: heads of 1,900 short names, or of 3,000 lines `a:`, are below 16,384 bytes, and more than 1,000 lines were refused on every listener.

Cause: the guard counted lines, which the pages do not limit, in place of what they take. The bound on bytes as sent, twice header_bytes and 8 KiB, was below what the shortest legal lines need as well.

The account already charged a head 300 bytes a line and twice its bytes. That charge alone decides now: a head that finds no room gets 503 with Retry-After, and a crowd of them yields like other unfinished holders. The bound on bytes as sent is four times header_bytes and 8 KiB, since the shortest line, a name of one letter, is sent as four bytes. Servers without an account, which no process has, keep the old limit. The fuzz target demands that no head is refused while there is room; before, it permitted that above 1,000 lines.

--- a/internal/wire/httpd/fuzz_test.go
+++ b/internal/wire/httpd/fuzz_test.go
@@ -104,7 +104,7 @@
 }
 
 // FuzzRequestHead guards against heads that the guard changes, refuses without need, or does not bound: with and without it, the handler
-// sees the same requests unless a head has more lines than allowed, and nothing stays in the account.
+// sees the same requests, whatever their lines, and nothing stays in the account.
 func FuzzRequestHead(f *testing.F) {
 	head := "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
 	for _, s := range []string{
@@ -132,14 +132,10 @@
 		seen, out := serveScript(data, size, guard)
 		mu.Lock()
 		defer mu.Unlock()
-		if len(limits) > 0 {
-			assert.DeepEqual(t, limits, []string{LimitHeadLines})
-			assert.Assert(t, bytes.Count(data, []byte{'\n'}) > maxHeadLines)
-		} else {
-			wantSeen, wantOut := serveScript(data, size, nil)
-			assert.Equal(t, seen, wantSeen)
-			assert.Equal(t, out, wantOut)
-		}
+		assert.Equal(t, len(limits), 0, "refused without need: %v", limits)
+		wantSeen, wantOut := serveScript(data, size, nil)
+		assert.Equal(t, seen, wantSeen)
+		assert.Equal(t, out, wantOut)
 		u := account.Usage()
 		assert.Assert(t, u.Held == 0 && u.Open == 0 && u.Busy == 0, "%+v", u)
 	})
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -14,16 +14,14 @@
 	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
-// Limits of a head beside its size. net/http keeps each header line as strings and an entry of a map, some 200 bytes for a line of
-// four, and reads lines for as long as the size allows.
+// Limits of a head. Within them net/http reads lines for as long as the account has memory for them.
 const (
-	// maxHeadLines is far above the heads of sound callers: 16 KiB hold 400 lines of 40 bytes.
+	// sentFactor and headSlack leave room for what the configured size does not count: colons, white space and line ends. The shortest
+	// line, a name of one letter, is sent as four bytes.
+	sentFactor = 4
+	headSlack  = 8 << 10
+	// maxHeadLines bounds a head where no account of memory exists.
 	maxHeadLines = 1000
-	// headLineBytes and headByteFactor are what a head is charged: the parsed lines and their copy for an upstream.
-	headLineBytes  = 300
-	headByteFactor = 2
-	// headSlack and the doubled limit leave room for what the configured size does not count: colons, white space and line ends.
-	headSlack = 8 << 10
 )
 
 // Names of limits in log lines and metrics.
@@ -44,8 +42,8 @@
 	Held  int64 // bytes
 }
 
-// Guard bounds what connections hold before a handler sees their requests: the size and the lines of a head always, and, with an
-// account, the connections and all heads together.
+// Guard bounds what connections hold before a handler sees their requests: the size of each head, and, with an account, the
+// connections and all heads together as they take memory once they are parsed.
 type Guard struct {
 	Clock   clock.Clock // real, since the kernel measures the deadlines
 	Account *memory.Account
@@ -106,6 +104,9 @@
 
 var errHeadRefused = errors.New("the head is refused")
 
+// past is a deadline that makes a read return.
+var past = time.Unix(1, 0)
+
 // Read counts what belongs to a head. net/http reads only when it has used up what it had, so all bytes before a read in a head are part
 // of that head, while the bytes that a read returns may go beyond it.
 func (c *guardedConn) Read(b []byte) (int, error) {
@@ -129,20 +130,24 @@
 		if begun {
 			limit = LimitHeads
 		}
-		c.once.Do(func() { c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held()) })
+		c.report(limit)
 	case !fits:
 		return 0, c.refuse(LimitHeads)
 	}
 	return n, err
 }
 
+func (c *guardedConn) report(limit string) {
+	c.once.Do(func() { c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held()) })
+}
+
 // exceeded returns the limit that the present head is over. The lock is held.
 func (c *guardedConn) exceeded() string {
-	if c.lines > maxHeadLines {
+	if c.guard.Account == nil && c.lines > maxHeadLines {
 		return LimitHeadLines
 	}
 	if c.guard.HeadBytes != nil {
-		if most := c.guard.HeadBytes(); most > 0 && c.bytes > 2*most+headSlack {
+		if most := c.guard.HeadBytes(); most > 0 && c.bytes > sentFactor*most+headSlack {
 			return LimitHeadBytes
 		}
 	}
@@ -159,7 +164,7 @@
 	}
 	c.bytes += len(read)
 	c.lines += bytes.Count(head, []byte{'\n'})
-	charge := int64(c.bytes*headByteFactor + c.lines*headLineBytes)
+	charge := memory.HeadCost(c.bytes, c.lines)
 	return charge <= memory.FreeBytes || c.held.Cover(memory.IdleBytes+charge)
 }
 
@@ -280,7 +285,7 @@
 		return func() {}
 	}
 	control := http.NewResponseController(w)
-	held := g.Account.Reserve(memory.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	held := g.Account.Reserve(memory.Body, func() { _ = control.SetReadDeadline(past) })
 	r.Body = &countedBody{ReadCloser: r.Body, guard: g, held: held, w: w, peer: r.RemoteAddr}
 	return held.Release
 }
--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -214,3 +214,17 @@
 	status, _ := c.answer()
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// Guards against a limit on the lines of heads where the account has memory for them.
+func TestLinesAreServedWhileTheAccountHasRoom(t *testing.T) {
+	a := memory.New(memory.Options{Clock: clock.Real(), Bytes: 4 << 20, Descriptors: 100})
+	s, told := echoServer(t, a)
+	c := dialServer(t, s)
+	c.send(post(strings.Repeat("a:\r\n", 8000), ""))
+	status, _ := c.answer()
+	assert.Equal(t, status, http.StatusOK, "%v", told.list())
+	c.send(post(strings.Repeat("a:\r\n", 16_000), "")) // 5 MB as counted
+	status, _ = c.answer()
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	told.await(t, httpd.LimitHeads)
+}
