Pass over a few empty lines before the first request

A caller that sends one or two line ends before its request got 400. RFC 9112, section 2.2, has a server ignore at least one empty line.

Cause: net/http passes over them only after a POST on the same connection.

Later requests of a connection are as before: the guard cannot tell the line ends before them from the end of a head of which net/http has read the beginning ahead, and taking these away would change where the head ends.

--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -22,6 +22,9 @@
 	headSlack  = 8 << 10
 	// maxHeadLines bounds a head where no account of memory exists.
 	maxHeadLines = 1000
+	// maxEmptyBytes is how much of the line ends before the first request of a connection is passed over: RFC 9112, section 2.2, asks for
+	// one at least. net/http refuses what follows.
+	maxEmptyBytes = 8
 )
 
 // Names of limits in log lines and metrics.
@@ -98,7 +101,9 @@
 
 	mu     sync.Mutex
 	inHead bool
-	bytes  int // of the present head
+	begun  bool // a byte of the first request was read
+	empty  int  // line ends that were passed over
+	bytes  int  // of the present head
 	lines  int
 }
 
@@ -119,7 +124,7 @@
 	if limit != "" {
 		return 0, c.refuse(limit)
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readPastEmpty(b)
 	c.mu.Lock()
 	begun := c.bytes > 0
 	fits := !c.inHead || c.count(b[:n])
@@ -137,6 +142,25 @@
 	return n, err
 }
 
+// readPastEmpty leaves out a few line ends before the first request. Later ones cannot be told from the end of a head of which net/http
+// has read the beginning ahead.
+func (c *guardedConn) readPastEmpty(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if c.begun || n == 0 {
+			return n, err
+		}
+		skip := n - len(bytes.TrimLeft(b[:n], "\r\n"))
+		skip = min(skip, maxEmptyBytes-c.empty)
+		c.empty += skip
+		n = copy(b, b[skip:n])
+		if n > 0 || err != nil {
+			c.begun = n > 0
+			return n, err
+		}
+	}
+}
+
 func (c *guardedConn) report(limit string) {
 	c.once.Do(func() { c.guard.Report(limit, c.RemoteAddr().String(), c.held.Held()) })
 }
--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -228,3 +228,14 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	told.await(t, httpd.LimitHeads)
 }
+
+// Guards against a refusal of the line ends before a request that RFC 9112 has a server pass over, and against passing over any number.
+func TestFewEmptyLinesArePassedOver(t *testing.T) {
+	s, _ := echoServer(t, nil)
+	for empty, want := range map[string]int{"\r\n": 200, "\r\n\r\n": 200, "\n\n\n": 200, strings.Repeat("\r\n", 5): 400} {
+		c := dialServer(t, s)
+		c.send(empty + post("", "in"))
+		status, _ := c.answer()
+		assert.Equal(t, status, want, "%q", empty)
+	}
+}
