Let connections that wait for a body yield

Ordinary callers were refused for as long as the timeout of a route: 400 requests of which each lacks the one byte of its body kept all descriptors of an entry node of 256, with their heads.

Cause: only idle connections, unfinished heads and bodies of 4 KiB or more yielded. A connection with a request kept what it held, and a small body has no reservation of its own.

A connection now yields while net/http waits for bytes of a body on it, with all that it holds, by the same weight as others. Its read then reports that its time is up, so that the handler still answers 408 with Retry-After: nothing has run. Reads of one byte, with which net/http looks whether the caller leaves, and connections between processes do not count as waiting. That holds on all listeners, since it is decided in the guard.

--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -179,9 +179,13 @@
 		x.refuse(refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.w.Header().Set("Connection", "close") // the rest of the body may still arrive
+		late := refusal{http.StatusRequestTimeout, "the body did not arrive in time", 0}
+		if x.remaining() > 0 { // the connection yields to others
+			late = refusal{http.StatusRequestTimeout, "the body did not arrive before others needed the connection", retryLater}
+		}
 		// A failed read makes net/http cancel the request's context, so refuse would take the caller for
 		// disconnected.
-		x.writeRefusal(refusal{http.StatusRequestTimeout, "the body did not arrive in time", 0})
+		x.writeRefusal(late)
 	default:
 		x.logFinished(0, "body was truncated: "+err.Error())
 		panic(http.ErrAbortHandler) // closes the connection: the caller disconnected or violated the protocol
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +48,7 @@
 }
 
 // Guard bounds what connections hold before a handler sees their requests: the size of each head, and, with an account, the
-// connections and all heads together as they take memory once they are parsed.
+// connections, all heads together as they take memory once they are parsed, and the wait for bodies.
 type Guard struct {
 	Clock   clock.Clock // real, since the kernel measures the deadlines
 	Account *memory.Account
@@ -82,8 +84,8 @@
 		if err != nil {
 			return nil, err
 		}
-		g := &guardedConn{Conn: c, guard: l.guard, inHead: true}
-		g.held, err = l.guard.Account.Connect(l.guard.Internal, func() { _ = c.Close() })
+		g := &guardedConn{Conn: c, guard: l.guard}
+		g.held, err = l.guard.Account.Connect(l.guard.Internal, g.yield)
 		if err == nil {
 			return g, nil
 		}
@@ -92,34 +94,75 @@
 	}
 }
 
+// phase is what a connection is used for.
+type phase int32
+
+const (
+	inHead    phase = iota // idle, or a head arrives
+	inRequest              // a handler has the request; its body may still arrive
+	hijacked               // no longer HTTP
+)
+
 // guardedConn counts the head of each request on a connection.
 type guardedConn struct {
 	net.Conn
 	guard *Guard
 	held  *memory.Reservation
 	once  sync.Once
+	phase atomic.Int32 // yield reads it under the lock of the account
 
-	mu     sync.Mutex
-	inHead bool
-	begun  bool // a byte of the first request was read
-	empty  int  // line ends that were passed over
-	bytes  int  // of the present head
-	lines  int
+	mu    sync.Mutex
+	begun bool // a byte of the first request was read
+	empty int  // line ends that were passed over
+	bytes int  // of the present head
+	lines int
 }
 
 var errHeadRefused = errors.New("the head is refused")
 
+// yield makes the connection end. A handler that waits for a body sees that its time is up, and can still answer.
+func (c *guardedConn) yield() {
+	if phase(c.phase.Load()) == inRequest {
+		_ = c.SetReadDeadline(past)
+		return
+	}
+	_ = c.Conn.Close()
+}
+
 // past is a deadline that makes a read return.
 var past = time.Unix(1, 0)
 
-// Read counts what belongs to a head. net/http reads only when it has used up what it had, so all bytes before a read in a head are part
-// of that head, while the bytes that a read returns may go beyond it.
+// Read reads for net/http, and counts what belongs to a head.
 func (c *guardedConn) Read(b []byte) (int, error) {
-	c.mu.Lock()
-	limit := ""
-	if c.inHead {
-		limit = c.exceeded()
+	switch phase(c.phase.Load()) {
+	case inHead:
+		return c.readHead(b)
+	case inRequest:
+		// net/http reads a single byte to see whether the caller leaves. All other reads wait for the body.
+		if len(b) > 1 {
+			return c.readBody(b)
+		}
+	case hijacked:
 	}
+	return c.Conn.Read(b)
+}
+
+// readBody lets the connection yield while it waits.
+func (c *guardedConn) readBody(b []byte) (int, error) {
+	c.held.Await()
+	n, err := c.Conn.Read(b)
+	if !c.held.Arrived() {
+		c.report(LimitBody)
+		return 0, os.ErrDeadlineExceeded // also if the last bytes have just arrived: the deadline would end the handler's context
+	}
+	return n, err
+}
+
+// readHead counts a head. net/http reads only when it has used up what it had, so all bytes before a read in a head are part of that head,
+// while the bytes that a read returns may go beyond it.
+func (c *guardedConn) readHead(b []byte) (int, error) {
+	c.mu.Lock()
+	limit := c.exceeded()
 	c.mu.Unlock()
 	if limit != "" {
 		return 0, c.refuse(limit)
@@ -127,7 +170,7 @@
 	n, err := c.readPastEmpty(b)
 	c.mu.Lock()
 	begun := c.bytes > 0
-	fits := !c.inHead || c.count(b[:n])
+	fits := c.count(b[:n])
 	c.mu.Unlock()
 	switch {
 	case err != nil && c.held.WasCut():
@@ -228,15 +271,19 @@
 	if !ok {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch s {
 	case http.StateIdle:
-		c.inHead, c.bytes, c.lines = true, 0, 0
+		c.mu.Lock()
+		c.bytes, c.lines = 0, 0
+		c.mu.Unlock()
+		c.phase.Store(int32(inHead)) // before the connection yields
 		c.held.Busy(false)
-	case http.StateActive, http.StateHijacked:
-		c.inHead = false
+	case http.StateActive:
+		c.held.Busy(true)
+		c.phase.Store(int32(inRequest))
+	case http.StateHijacked:
 		c.held.Busy(true)
+		c.phase.Store(int32(hijacked))
 	case http.StateNew, http.StateClosed:
 	}
 }
@@ -269,7 +316,8 @@
 	n, err := b.ReadCloser.Read(p)
 	b.bytes += int64(n)
 	steps := (b.bytes*b.guard.bodyFactor() + bodyStep - 1) / bodyStep
-	if b.bytes <= memory.FreeBytes || b.held.Cover(steps*bodyStep) {
+	late := errors.Is(err, os.ErrDeadlineExceeded) // or the connection yields
+	if !late && (b.bytes <= memory.FreeBytes || b.held.Cover(steps*bodyStep)) {
 		whole := errors.Is(err, io.EOF) && b.held.Finish(memory.Body)
 		if err == nil || whole || !b.held.WasCut() {
 			return n, err
@@ -277,7 +325,7 @@
 	}
 	b.ended = true
 	limit, status := LimitBodies, http.StatusServiceUnavailable
-	if b.held.WasCut() {
+	if late || b.held.WasCut() {
 		limit, status = LimitBody, http.StatusRequestTimeout
 	}
 	// Written here, since handlers answer bodies that they cannot read with statuses that say something else.
--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -229,6 +229,25 @@
 	told.await(t, httpd.LimitHeads)
 }
 
+// Guards against requests whose small body never arrives: each keeps a descriptor and its head. They yield, and are told that they have
+// not run.
+func TestConnectionsThatWaitForABodyYield(t *testing.T) {
+	a := memory.New(memory.Options{Clock: clock.Real(), Bytes: 8 << 20, Descriptors: 40})
+	s, told := echoServer(t, a)
+	first := dialServer(t, s)
+	first.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n")
+	for range 40 {
+		dialServer(t, s).send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n")
+	}
+	status, _ := first.answer()
+	assert.Equal(t, status, http.StatusRequestTimeout)
+	told.await(t, httpd.LimitBody)
+	c := dialServer(t, s)
+	c.send(post("", "in"))
+	status, _ = c.answer()
+	assert.Equal(t, status, http.StatusOK)
+}
+
 // Guards against a refusal of the line ends before a request that RFC 9112 has a server pass over, and against passing over any number.
 func TestFewEmptyLinesArePassedOver(t *testing.T) {
 	s, _ := echoServer(t, nil)
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -196,6 +196,19 @@
 	return true
 }
 
+// Await says that a connection with a request waits for its peer to send the rest of the body. Until Arrived it yields with all that it
+// holds, the head too: a body that never arrives must not keep them.
+func (r *Reservation) Await() {
+	if r == nil {
+		return
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	if r.isBusy {
+		r.yieldFrom(r.a.o.Clock.Now())
+	}
+}
+
 // yieldFrom lets a holder yield from a time on. The lock is held.
 func (r *Reservation) yieldFrom(at time.Time) {
 	if !r.ended && !r.wasCut {
@@ -204,6 +217,19 @@
 	}
 }
 
+// Arrived ends an Await. It returns false if the connection was cut.
+func (r *Reservation) Arrived() bool {
+	if r == nil {
+		return true
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	if r.isBusy {
+		delete(r.a.yielding, r)
+	}
+	return !r.wasCut
+}
+
 // Busy says that the connection has a request, which makes it keep what it holds, or is idle again.
 func (r *Reservation) Busy(on bool) {
 	if r == nil {
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -228,6 +228,26 @@
 	assert.Assert(t, empty.Finish(Upstream))
 }
 
+// Guards against connections that keep what they hold while the rest of their request does not come, and against cutting those that wait for
+// nothing.
+func TestConnectionYieldsWhileItWaitsForABody(t *testing.T) {
+	a, c := newAccount()
+	told := 0
+	r, err := a.Connect(false, func() { told++ })
+	assert.NilError(t, err)
+	assert.Assert(t, r.Cover(7*mib))
+	r.Busy(true)
+	assert.Assert(t, !a.Reserve(Body, func() {}).Cover(mib), "it waits for nothing")
+	r.Await()
+	assert.Assert(t, r.Arrived())
+	assert.Equal(t, told, 0)
+	r.Await()
+	c.Advance(time.Second)
+	a.body(t, mib)
+	assert.Equal(t, told, 1)
+	assert.Assert(t, !r.Arrived())
+}
+
 // Guards against memory that is kept in case that somebody asks for it while others need it.
 func TestKeptMemoryYields(t *testing.T) {
 	a, c := newAccount()
