Leave descriptors to operators and to the other processes

Cause: without a setting no limit held. With one, connections of operators, readers of metrics and other processes shared one margin, and 16 descriptors were left for the files, listeners and outgoing connections of the process: a crowd at its peer port ended in "too many open files", so that the control node could not reach its group until the crowd was cut for its time.

Listeners now have a side: callers leave an eighth of the descriptors to the next, operators (with upstreams and readers) 3/32, other processes a sixteenth, and each 16 more. Only callers' requests count twice, for the connection to an upstream.

--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -169,7 +169,8 @@
 // serve starts a server for go-zero routes.
 func (p *Process) serve(name, address string, routes []rest.Route) error {
 	s, err := httpd.New(httpd.Options{
-		Name: name, Address: address, MaxBytes: maxConfigBytes, Account: p.account, Refused: p.refused.Add,
+		Name: name, Address: address, MaxBytes: maxConfigBytes, Account: p.account, Side: memory.Operators,
+		Refused: p.refused.Add,
 	}, routes)
 	if err != nil {
 		return err
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -143,7 +143,7 @@
 	}
 	var err error
 	p.server, err = httpd.New(httpd.Options{
-		Name: "admin", Listener: listener, Account: p.account, BodyFactor: httpd.JSONFactor, Refused: p.refused.Add,
+		Name: "admin", Listener: listener, Account: p.account, Side: memory.Operators, BodyFactor: httpd.JSONFactor, Refused: p.refused.Add,
 	}, p.routes())
 	return err
 }
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -52,8 +52,8 @@
 type Guard struct {
 	Clock   clock.Clock // real, since the kernel measures the deadlines
 	Account *memory.Account
-	// Internal listeners may use descriptors that callers leave free.
-	Internal bool
+	// Side is who connects; zero: callers.
+	Side memory.Side
 	// HeadBytes returns the limit of a head as a configuration counts it, names and values; 0: no limit.
 	HeadBytes func() int
 	// BodyFactor is what a byte of a body takes while its handler decodes it; 0 means wholeFactor.
@@ -85,7 +85,7 @@
 			return nil, err
 		}
 		g := &guardedConn{Conn: c, guard: l.guard}
-		g.held, err = l.guard.Account.Connect(l.guard.Internal, g.yield)
+		g.held, err = l.guard.Account.Connect(l.guard.Side, g.yield)
 		if err == nil {
 			return g, nil
 		}
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -51,6 +51,8 @@
 	LongHeader http.Handler
 	// Account counts connections, heads and bodies with those of other servers; nil: no bound for all together.
 	Account *memory.Account
+	// Side is who connects; zero: callers.
+	Side memory.Side
 	// BodyFactor is what a byte of a body takes while its handler decodes it; JSONFactor for handlers that use ReadJSON, 0 for those that read
 	// a body whole first.
 	BodyFactor int64
@@ -95,7 +97,7 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
-	guard := &Guard{Clock: clock.Real(), Account: o.Account, Internal: true, BodyFactor: o.BodyFactor, Refused: o.Refused}
+	guard := &Guard{Clock: clock.Real(), Account: o.Account, Side: o.Side, BodyFactor: o.BodyFactor, Refused: o.Refused}
 	handler, err := engine(o, guard, routes)
 	if err != nil {
 		return nil, err
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -72,9 +72,10 @@
 	// cuttingPart is the part of the account that holders which were told to end may still have, beyond its bound. One that is larger may
 	// end alone.
 	cuttingPart = 4
-	// spareFiles are descriptors for listeners, files and connections to other processes.
-	spareFiles = 16
-	filePart   = 8
+	// spareFiles are left by all sides, besides their parts of the descriptors: a process that serves nobody has some 15 open.
+	spareFiles   = 16
+	callersLeave = 8
+	peersLeave   = 16
 )
 
 // Bound returns the bytes of an account for a process with that much memory.
@@ -118,7 +119,8 @@
 	cutting  int64 // by those that were cut and have not released it yet
 	byKind   [kinds]int64
 	open     int // connections
-	busy     int // of which with a request; each may need a connection to an upstream
+	busy     int // of which with a request
+	sending  int // of which of callers; each may need a connection to an upstream
 	yielding map[*Reservation]bool
 	cuts     [kinds]int64
 	refusals [kinds]int64
@@ -131,6 +133,7 @@
 type Reservation struct {
 	a       *Account
 	kind    Kind
+	side    Side
 	bytes   int64
 	since   time.Time // of the last growth
 	cut     func()
@@ -155,16 +158,25 @@
 	return r
 }
 
-// Connect returns the reservation of a new connection, or ErrFull. Idle connections yield to it. Those that internal is true for may use
-// some of the descriptors that callers leave free.
-func (a *Account) Connect(internal bool, cut func()) (*Reservation, error) {
+// Side is who connects to a listener. Each may use some of the descriptors that the ones before it leave free.
+type Side int
+
+// The sides, by how far a crowd of them may fill the process.
+const (
+	Callers   Side = iota
+	Operators      // with upstreams that report to control nodes, readers of the directory and of metrics
+	Peers          // the other processes of the system
+)
+
+// Connect returns the reservation of a new connection, or ErrFull. Idle connections yield to it.
+func (a *Account) Connect(side Side, cut func()) (*Reservation, error) {
 	if a == nil {
 		return nil, nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := &Reservation{a: a, kind: Connection, cut: cut, since: a.o.Clock.Now()}
-	if !a.makeFiles(a.files(internal)-1) || !a.makeRoom(r, IdleBytes) {
+	r := &Reservation{a: a, kind: Connection, side: side, cut: cut, since: a.o.Clock.Now()}
+	if !a.makeFiles(a.files(side)-1) || !a.makeRoom(r, IdleBytes) {
 		a.refusals[Connection]++
 		return nil, ErrFull
 	}
@@ -175,18 +187,25 @@
 	return r, nil
 }
 
-// files returns how many descriptors connections may use.
-func (a *Account) files(internal bool) int {
-	margin := a.o.Descriptors / filePart
-	if internal {
-		margin /= 2
-	}
-	return a.o.Descriptors - spareFiles - margin
+// files returns how many descriptors connections may use when one of a side comes. What even peers leave is for listeners, files, and
+// connections to other processes.
+func (a *Account) files(side Side) int {
+	most := a.o.Descriptors
+	margin := 0
+	switch side {
+	case Callers:
+		margin = most / callersLeave
+	case Operators:
+		margin = (most/callersLeave + most/peersLeave) / 2
+	case Peers:
+		margin = most / peersLeave
+	}
+	return most - spareFiles - margin
 }
 
 // makeFiles cuts idle connections until at most n descriptors are in use.
 func (a *Account) makeFiles(n int) bool {
-	for a.o.Descriptors > 0 && a.open+a.busy > n {
+	for a.o.Descriptors > 0 && a.open+a.sending > n {
 		v, _ := a.weakest(func(r *Reservation) bool { return r.kind == Connection })
 		if v == nil {
 			return false
@@ -244,7 +263,7 @@
 	r.isBusy = on
 	r.since = a.o.Clock.Now()
 	if !on {
-		a.busy--
+		a.endBusy(r)
 		a.add(r, IdleBytes-r.bytes)
 		a.yielding[r] = true
 		return
@@ -252,7 +271,10 @@
 	delete(a.yielding, r)
 	a.busy++
 	// A request that has arrived is not refused for these; others yield instead.
-	_ = a.makeFiles(a.files(true))
+	if r.side == Callers {
+		a.sending++
+		_ = a.makeFiles(a.files(Operators))
+	}
 	_ = a.makeRoom(r, BusyBytes-IdleBytes)
 	a.add(r, BusyBytes-IdleBytes)
 }
@@ -369,7 +391,14 @@
 		a.open--
 	}
 	if r.isBusy {
-		a.busy--
+		a.endBusy(r)
+	}
+}
+
+func (a *Account) endBusy(r *Reservation) {
+	a.busy--
+	if r.side == Callers {
+		a.sending--
 	}
 }
 
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -130,20 +130,20 @@
 	var cut []int
 	var conns []*Reservation
 	for i := range 40 {
-		r, err := a.Connect(false, func() { cut = append(cut, i) })
+		r, err := a.Connect(Callers, func() { cut = append(cut, i) })
 		assert.NilError(t, err)
 		conns = append(conns, r)
 		c.Advance(time.Second)
 	}
 	assert.Equal(t, len(cut), 0)
 	conns[0].Busy(true)
-	_, err := a.Connect(false, func() {})
+	_, err := a.Connect(Callers, func() {})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, cut, []int{1, 2}) // the busy one needs a second descriptor
 	for _, r := range conns {
 		r.Busy(true)
 	}
-	_, err = a.Connect(false, func() {})
+	_, err = a.Connect(Callers, func() {})
 	assert.Assert(t, errors.Is(err, ErrFull))
 	u := a.Usage()
 	assert.Assert(t, u.Open+u.Busy <= 64-spareFiles, "%+v", u)
@@ -156,7 +156,7 @@
 // Guards against bytes that are lost or counted twice.
 func TestReleasedAccountIsEmpty(t *testing.T) {
 	a, _ := newAccount()
-	r, err := a.Connect(true, func() {})
+	r, err := a.Connect(Peers, func() {})
 	assert.NilError(t, err)
 	r.Busy(true)
 	assert.Assert(t, r.Grow(100))
@@ -209,7 +209,7 @@
 	assert.Assert(t, Bound(20_000_000) > 0)
 	assert.Assert(t, Bound(424_000_000) > 3*Bound(144_000_000))
 	var none *Account
-	r, err := none.Connect(false, func() {})
+	r, err := none.Connect(Callers, func() {})
 	assert.NilError(t, err)
 	assert.Assert(t, r.Cover(1<<40) && r.Finish(Upstream) && !r.WasCut())
 	got, err := none.Reserve(Body, nil).ReadAll(strings.NewReader("ab"), 2)
@@ -233,7 +233,7 @@
 func TestConnectionYieldsWhileItWaitsForABody(t *testing.T) {
 	a, c := newAccount()
 	told := 0
-	r, err := a.Connect(false, func() { told++ })
+	r, err := a.Connect(Callers, func() { told++ })
 	assert.NilError(t, err)
 	assert.Assert(t, r.Cover(7*mib))
 	r.Busy(true)
@@ -260,3 +260,21 @@
 	assert.Assert(t, a.Reserve(Answer, nil).Cover(2*mib))
 	assert.Equal(t, told, 1)
 }
+
+// Guards against a crowd on one side that leaves no descriptor to the others.
+func TestEachSideLeavesDescriptorsToTheNext(t *testing.T) {
+	a := New(Options{Clock: clock.NewFake(time.Unix(1000, 0)), Bytes: 64 * mib, Descriptors: 160})
+	fill := func(side Side) (n int) {
+		for {
+			r, err := a.Connect(side, func() {})
+			if err != nil {
+				return n
+			}
+			r.Busy(true)
+			n++
+		}
+	}
+	assert.Equal(t, fill(Callers), (160-spareFiles-20)/2) // each may need a connection to an upstream
+	assert.Equal(t, fill(Operators), 5)
+	assert.Equal(t, fill(Peers), 5)
+}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -133,7 +133,8 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.server, err = httpd.New(httpd.Options{
-		Name: "peer", Address: o.Address, Listener: o.Listener, Account: o.Account, Refused: o.Refused,
+		Name: "peer", Address: o.Address, Listener: o.Listener, Account: o.Account, Side: memory.Peers,
+		Refused: o.Refused,
 	}, []rest.Route{
 		{Method: http.MethodGet, Path: path, Handler: h.accept},
 	})
