Count the heads of upstreams' answers

With an upstream in trouble that answers with heads of 240 kB of short lines, 100 requests made an entry node of 96 MB collect garbage without end: it was still busy after 40 s.

Cause: each head was bounded to 256 KiB of bytes, and parsed it takes many times that. Nothing bounded all of them.

The reader of heads now reserves what a head takes once it is parsed, as the guard does for callers' heads (memory.HeadCost stands once for both), until the answer has ended. Without room the answer is given up as one with too large a head is: the request may have run, 502. Heads below 4 KiB cost nothing.

--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	p.pool = upcon.New(upcon.Options{Clock: p.o.Clock, IDHeader: p.o.Dialect.Headers.RequestID})
+	p.pool = upcon.New(upcon.Options{Clock: p.o.Clock, IDHeader: p.o.Dialect.Headers.RequestID, Account: p.account})
 	// The callback may run before New has returned, so it waits for the assignment.
 	assigned := make(chan struct{})
 	changed := func(v *poller.View) {
--- a/internal/wire/upcon/body.go
+++ b/internal/wire/upcon/body.go
@@ -79,6 +79,7 @@
 		c.close()
 		return
 	}
+	c.in.release()
 	p := c.pool
 	c.until = p.o.Clock.Now().Add(b.keep)
 	p.mu.Lock()
--- a/internal/wire/upcon/conn.go
+++ b/internal/wire/upcon/conn.go
@@ -32,6 +32,7 @@
 func (c *conn) close() {
 	c.once.Do(func() {
 		_ = c.nc.Close()
+		c.in.held.Release()
 		c.pool.mu.Lock()
 		c.host.open--
 		c.pool.mu.Unlock()
@@ -107,8 +108,8 @@
 // readHead reads the head of an answer and skips informational ones before it. All of them together are bounded: a faulty upstream
 // may send bytes without end.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.in.left = maxHead
-	defer func() { c.in.left, c.in.copied = unlimited, nil }()
+	c.in.begin(maxHead)
+	defer c.in.end()
 	for {
 		if err := c.copyOldHead(); err != nil {
 			return nil, err
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -48,6 +48,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/wire/dial"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // Outcome says what became of a request that got no answer.
@@ -97,6 +98,8 @@
 	IDHeader    string        // header that carries a request's id and is repeated in its answer
 	DialTimeout time.Duration // 0 means DefaultDialTimeout
 	IdleFor     time.Duration // longest time that a kept connection stays unused; 0 means DefaultIdleFor
+	// Account counts the heads of answers with what the process holds besides; nil: no bound for all together.
+	Account *memory.Account
 }
 
 // Defaults of Options.
@@ -286,7 +289,7 @@
 		p.mu.Unlock()
 		return nil, false, err
 	}
-	in := &meter{from: nc, left: unlimited}
+	in := &meter{from: nc, left: unlimited, held: p.o.Account.Reserve(memory.Answer, nil)}
 	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, false, nil
 }
 
