Let a body yield that its upstream does not take

One upstream that takes connections and reads nothing made an entry node refuse large bodies for all others with 408, until the time of the requests for it was over (120 s in the test).

Cause: a body that is whole never yielded, and bodies for one upstream may have the whole share of bodies.

Bodies are written in pieces of 64 KiB. When an upstream has taken nothing for 2 s and others need the memory, the body yields: its connection is closed, and the caller gets 502 or 504, since the upstream may have run the request. It is not sent to another upstream, as its memory is promised to others. Nothing happens while there is room. A bound for each upstream's share was weighed: a service with one upstream could then use half of the memory only.

--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -81,6 +81,7 @@
 	head, err := x.f.o.Pool.Send(x.ctx, upcon.Request{
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.upstreamHeader(u, extra),
 		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: limit,
+		Held: x.bodyHeld,
 	})
 	resp := &response{head, u, start, x.f.o.Clock.Now().Sub(start)}
 	if err != nil {
@@ -160,6 +161,8 @@
 		r = x.gatewayError("the time of the request is over", retrySoon)
 	case x.maybeRan && !x.route.Idempotent():
 		r = x.gatewayError("the upstream did not answer, and the request may have run", 0)
+	case x.bodyHeld.WasCut():
+		r = x.gatewayError("the upstream did not take the body before others needed the memory", 0)
 	case x.sent >= max(x.route.Attempts, 1):
 		r = x.gatewayError("all attempts of the route are used up", 0)
 	case x.refusals >= maxRefusals && !x.hasWarm() && x.isBlocked():
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -228,6 +228,18 @@
 	}
 }
 
+// Stall says that what is held waits for its peer to take it. Until Arrived it yields once that has taken the given time. cut is as in
+// Reserve.
+func (r *Reservation) Stall(after time.Duration, cut func()) {
+	if r == nil {
+		return
+	}
+	r.a.mu.Lock()
+	defer r.a.mu.Unlock()
+	r.cut = cut
+	r.yieldFrom(r.a.o.Clock.Now().Add(after))
+}
+
 // yieldFrom lets a holder yield from a time on. The lock is held.
 func (r *Reservation) yieldFrom(at time.Time) {
 	if !r.ended && !r.wasCut {
@@ -236,14 +248,14 @@
 	}
 }
 
-// Arrived ends an Await. It returns false if the connection was cut.
+// Arrived ends an Await or a Stall. It returns false if the holder was cut.
 func (r *Reservation) Arrived() bool {
 	if r == nil {
 		return true
 	}
 	r.a.mu.Lock()
 	defer r.a.mu.Unlock()
-	if r.isBusy {
+	if r.isBusy || !r.counted {
 		delete(r.a.yielding, r)
 	}
 	return !r.wasCut
@@ -420,12 +432,22 @@
 	return a.o.Bytes
 }
 
-// used returns what a kind has, with the bodies that became whole.
-func (a *Account) used(k Kind) int64 {
-	if k == Body || k == Upstream {
-		return a.byKind[Body] + a.byKind[Upstream]
+// sharePool returns the kind whose share a kind uses: bodies that became whole stay in that of bodies.
+func sharePool(k Kind) Kind {
+	if k == Upstream {
+		return Body
+	}
+	return k
+}
+
+// used returns what the kinds with the share of this one have.
+func (a *Account) used(k Kind) (n int64) {
+	for other := range kinds {
+		if sharePool(other) == sharePool(k) {
+			n += a.byKind[other]
+		}
 	}
-	return a.byKind[k]
+	return n
 }
 
 // makeRoom cuts holders until r may have n more bytes. It returns false if r itself is the one that should yield.
@@ -446,7 +468,9 @@
 			return true
 		}
 		// The end of one that holds nothing makes no room.
-		v, weight := a.weakest(func(v *Reservation) bool { return v != r && v.bytes > 0 && (tooMuch || v.kind == r.kind) })
+		v, weight := a.weakest(func(v *Reservation) bool {
+			return v != r && v.bytes > 0 && (tooMuch || sharePool(v.kind) == sharePool(r.kind))
+		})
 		if v == nil || large && a.cutting > 0 && a.cutting+v.bytes > a.o.Bytes/cuttingPart {
 			return false
 		}
@@ -471,7 +495,7 @@
 	for r := range a.yielding {
 		w := weigh(r.bytes, r.since, now)
 		// Equal weights are ordered by age, so that the choice does not depend on the order of the map.
-		if fits(r) && (found == nil || w > most || w == most && r.since.Before(found.since)) {
+		if !r.since.After(now) && fits(r) && (found == nil || w > most || w == most && r.since.Before(found.since)) {
 			found, most = r, w
 		}
 	}
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -248,6 +248,22 @@
 	assert.Assert(t, !r.Arrived())
 }
 
+// Guards against a body that is cut in the short waits of an upstream that reads, and against one that stays for an upstream that does not.
+func TestBodyYieldsWhenItsUpstreamStalls(t *testing.T) {
+	a, c := newAccount()
+	told := 0
+	sent := a.body(t, 5*mib)
+	assert.Assert(t, sent.Finish(Upstream))
+	sent.Stall(2*time.Second, func() { told++ })
+	c.Advance(time.Second)
+	assert.Assert(t, !a.Reserve(Body, func() {}).Cover(2*mib), "it may still be read")
+	assert.Equal(t, told, 0)
+	c.Advance(2 * time.Second)
+	a.body(t, 2*mib)
+	assert.Equal(t, told, 1)
+	assert.Assert(t, !sent.Arrived())
+}
+
 // Guards against memory that is kept in case that somebody asks for it while others need it.
 func TestKeptMemoryYields(t *testing.T) {
 	a, c := newAccount()
--- a/internal/wire/upcon/conn.go
+++ b/internal/wire/upcon/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // conn is one connection. It belongs to one request at a time.
@@ -76,11 +78,8 @@
 		if err := c.write(head); err != nil {
 			c.written <- err
 		} else {
-			body, written := payload, c.written
-			go func() {
-				_, err := c.nc.Write(body)
-				written <- err
-			}()
+			body, written, held := payload, c.written, r.Held
+			go func() { written <- c.writeBody(body, held) }()
 		}
 	}
 	if !c.wrote {
@@ -99,6 +98,29 @@
 	return resp, nil
 }
 
+const (
+	// bodyPiece is written at a time, so that an upstream that takes nothing shows.
+	bodyPiece = 64 << 10
+	// stalledAfter is how long an upstream may take nothing before its body yields to others.
+	stalledAfter = 2 * time.Second
+)
+
+// writeBody writes a body. While the upstream does not take it, it yields the memory that is held for it.
+func (c *conn) writeBody(body []byte, held *memory.Reservation) error {
+	for len(body) > 0 {
+		held.Stall(stalledAfter, c.abort)
+		n, err := c.nc.Write(body[:min(len(body), bodyPiece)])
+		if !held.Arrived() {
+			return ErrStalled
+		}
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
 func (c *conn) write(data []byte) error {
 	n, err := c.nc.Write(data)
 	c.wrote = n > 0
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -89,6 +89,7 @@
 	ErrAllInUse = errors.New("all connections to the upstream are in use")
 	ErrReset    = errors.New("the connection ended before the request was written, so the answer may be truncated")
 	ErrStatus   = errors.New("the status of the answer is not between 100 and 599, or changes the protocol")
+	ErrStalled  = errors.New("the upstream did not take the body before others needed the memory")
 	ErrFraming  = errors.New("the answer has chunks, which its version of the protocol does not have")
 )
 
@@ -157,6 +158,8 @@
 	// Hold keeps the connection from other requests until Body is closed, so that an answer whose content shows that it belongs to
 	// another request can be refused with Response.Discard.
 	Hold bool
+	// Held is the memory of Body, which yields while the upstream does not take it; nil: it does not yield.
+	Held *memory.Reservation
 }
 
 // Response is an answer whose head has been read. Body must be closed; it returns io.EOF only after a whole body, and
