Count the pieces of stages

100 requests of 150 bytes, each of which states 10,000 pieces, took 492 MB of an entry node of 96 MB.

Cause: a header states how many pieces a request has; each is planned, queued and kept as a job, and nothing counted them.

From 33 pieces on, a request reserves 1 KiB a piece before its stages begin, and is refused with 503 and a spread Retry-After if there is no room. The owner of a queue reserves those of other entry nodes in the same way and answers that they are refused, which has not run either. A question of another process keeps the memory of its message until it is answered, since its pieces are made from it.

--- a/internal/gate/batch/batch.go
+++ b/internal/gate/batch/batch.go
@@ -33,6 +33,7 @@
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 	"github.com/berylledge/berylledge/internal/wire/peer"
 	"github.com/berylledge/berylledge/internal/wire/upcon"
 )
@@ -50,6 +51,8 @@
 	Hub      *peer.Hub
 	Pool     *upcon.Pool
 	Pace     pace.Bounds
+	// Memory counts the pieces of other nodes with what the process holds besides; nil: no bound for all together.
+	Memory *memory.Account
 }
 
 // JobResult is the result of one job.
--- a/internal/gate/batch/send.go
+++ b/internal/gate/batch/send.go
@@ -316,6 +316,11 @@
 	if err != nil {
 		return nil, err
 	}
+	held, ok := ReservePieces(m.o.Memory, len(jobs))
+	if !ok {
+		return encodeResults(refusedJobs(len(jobs)))
+	}
+	defer held.Release()
 	p := queueKey{q.Service, q.Region}
 	if q.From != "" {
 		m.watchConnection(ctx, q.From)
--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -66,6 +66,7 @@
 	failed           map[string]bool        // upstreams that failed this request
 	buffers          reservation
 	bodyHeld         *memory.Reservation // of body; nil for a small one
+	piecesHeld       *memory.Reservation // of the pieces of stages; nil for few
 	fingerprint      *poison.Fingerprint // computed on first use
 	crashesRefreshed bool                // crash reports were fetched since the last crash of this content
 }
@@ -199,14 +200,19 @@
 	if x.bodyHeld.WasCut() || read > 0 {
 		f, limit = refusal{http.StatusRequestTimeout, "the body did not arrive before others needed the memory", retryLater}, httpd.LimitBody
 	}
-	if x.f.o.Limited != nil {
-		x.f.o.Limited(httpd.Refusal{Limit: limit, Peer: x.r.RemoteAddr, Held: x.bodyHeld.Held()})
-	}
+	x.reportLimit(limit, x.bodyHeld.Held())
 	x.w.Header().Set("Connection", "close") // the rest of the body may still arrive
 	x.bodyHeld.Release()
 	x.writeRefusal(f) // a failed read has made net/http cancel the request's context, see readBody
 }
 
+// reportLimit tells that the request was refused because of a limit of the process.
+func (x *exchange) reportLimit(limit string, held int64) {
+	if x.f.o.Limited != nil {
+		x.f.o.Limited(httpd.Refusal{Limit: limit, Peer: x.r.RemoteAddr, Held: held})
+	}
+}
+
 // setDeadline sets the deadline of the request: the caller's deadline or the route's timeout, whichever is
 // earlier.
 func (x *exchange) setDeadline() {
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -275,6 +275,9 @@
 		buffers: reservation{budget: &f.buffers, account: f.o.Memory},
 	}
 	defer x.buffers.release()
-	defer func() { x.bodyHeld.Release() }()
+	defer func() {
+		x.bodyHeld.Release()
+		x.piecesHeld.Release()
+	}()
 	x.serve()
 }
--- a/internal/gate/proxy/stages.go
+++ b/internal/gate/proxy/stages.go
@@ -13,6 +13,7 @@
 	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
+	"github.com/berylledge/berylledge/internal/wire/httpd"
 )
 
 // stageRun runs the stages of one request.
@@ -64,6 +65,9 @@
 	if err != nil {
 		return nil, &refusal{http.StatusBadRequest, err.Error(), 0}
 	}
+	if refused := x.reservePieces(counts); refused != nil {
+		return nil, refused
+	}
 	if refused := x.admitOrMove(); refused != nil {
 		return nil, refused
 	}
@@ -72,6 +76,25 @@
 	}, nil
 }
 
+// reservePieces takes the memory for the pieces of the request, once.
+func (x *exchange) reservePieces(counts []int) *refusal {
+	if x.piecesHeld != nil {
+		return nil
+	}
+	n := 0
+	for _, count := range counts {
+		n += count
+	}
+	held, ok := batch.ReservePieces(x.f.o.Memory, n)
+	if !ok {
+		x.reportLimit(httpd.LimitPieces, 0)
+		r := x.gatewayError("the memory for pieces is in use", x.f.spreadRetry(retryLater))
+		return &r
+	}
+	x.piecesHeld = held
+	return nil
+}
+
 // maxRounds limits how often a stage can be requested.
 const maxRounds = 8
 
--- a/internal/node/gwnode/gwnode.go
+++ b/internal/node/gwnode/gwnode.go
@@ -245,7 +245,7 @@
 	close(assigned)
 	p.batcher = batch.New(batch.Options{
 		Node: p.s.Node, Peer: address, RegionOf: p.s.Regions, Dialect: p.o.Dialect, Clock: p.o.Clock, Events: p.events, View: p.poller.View,
-		Hub: p.hub, Pool: p.pool, Pace: p.s.Bounds.pace(),
+		Hub: p.hub, Pool: p.pool, Pace: p.s.Bounds.pace(), Memory: p.account,
 	})
 	b := p.s.Bounds
 	ratio := b.RetryRatio
--- a/internal/node/quota/refuse.go
+++ b/internal/node/quota/refuse.go
@@ -76,7 +76,7 @@
 func Metrics() []stats.Metric {
 	byKind := []string{"kind"}
 	return []stats.Metric{
-		{Name: memoryHeld, Type: stats.Gauge, Labels: byKind, Help: "Bytes that the account of memory holds, by kind: connection (with heads), body, upstream (bodies that wait for one), answer, message."},
+		{Name: memoryHeld, Type: stats.Gauge, Labels: byKind, Help: "Bytes that the account of memory holds, by kind: connection (with heads), body, upstream (bodies and pieces that wait for one), answer, message."},
 		{Name: memoryBound, Type: stats.Gauge, Help: "Bytes that the account may hold."},
 		{Name: memoryCuts, Type: stats.Counter, Labels: byKind, Help: "Unfinished or idle holders that were told to end, by kind."},
 		{Name: memoryRefused, Type: stats.Counter, Labels: byKind, Help: "Holders for which there was no room, by kind."},
--- a/internal/test/crowd/promise_test.go
+++ b/internal/test/crowd/promise_test.go
@@ -152,7 +152,23 @@
 	target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
 }
 
-// stagedConfig has the route of startSystem and one with a stage before it.
+// Guards against calls of stages that name the results of thousands of pieces for each piece: upstreams of the first stage answer, those of
+// the second take the calls and answer none.
+func TestManyInputsStayInMemory(t *testing.T) {
+	const callers = 8
+	s := startSystem(t, memoryMB, map[string]string{"good": goodUpstream(t)})
+	s.put("/v1/traffic", stagedConfig(2))
+	s.put("/v1/traffic/upstreams/made", upstreamOf("pieces", stageUpstream(t)))
+	s.put("/v1/traffic/upstreams/deaf", upstreamOf("joined", stub(t, nil)))
+	s.await("the joined route is known", func() error { return s.known("/joined/") })
+	newCrowd(t).each(callers, at(s.entryIP, callersPort), func(i int, c net.Conn) {
+		_ = write(c, strings.Replace(requestHead(i), "/good/", "/joined/", 1)+"Berylledge-Pieces: 5000,5000\r\nBerylledge-Piece-Key: k\r\nContent-Length: 0\r\n\r\n")
+	})
+	s.entry.settle()
+	target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
+}
+
+// stagedConfig has the route of startSystem, one with a stage before it, and one with two.
 func stagedConfig(version uint64) conf.Config {
 	route := func(name string, stages ...conf.Stage) conf.Route {
 		return conf.Route{
@@ -160,12 +176,14 @@
 			Split: []conf.Weight{{Service: "good", Weight: 1}}, Stages: stages,
 		}
 	}
+	pool := &conf.Pool{Slots: 4, Queue: 4, Batch: 20, CallTime: 5, ItemTime: 1, ResultMemoryMB: 10_000, HandleTTL: 60_000}
 	return conf.Config{
 		Version: version, Limits: conf.Limits{HeaderBytes: headBytes, BodyBytes: bodyBytes, HeaderTime: headMS, IdleTime: idleMS},
-		Services: []conf.Service{{Name: "good"}, {Name: "pieces", Pool: &conf.Pool{
-			Slots: 4, Queue: 4, Batch: 20, CallTime: 5, ItemTime: 1, ResultMemoryMB: 10_000, HandleTTL: 10_000,
-		}}},
-		Routes: []conf.Route{route("good"), route("staged", conf.Stage{Service: "pieces", ResultBytes: 100})},
+		Services: []conf.Service{{Name: "good"}, {Name: "pieces", Pool: pool}, {Name: "joined", Pool: pool}},
+		Routes: []conf.Route{
+			route("good"), route("staged", conf.Stage{Service: "pieces", ResultBytes: 100}),
+			route("joined", conf.Stage{Service: "pieces", ResultBytes: 100}, conf.Stage{Service: "joined", After: []int{0}, ResultBytes: 100}),
+		},
 	}
 }
 
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -38,6 +38,7 @@
 	LimitIdle        = "idle"        // an idle connection yielded
 	LimitBodies      = "bodies"      // the memory for bodies is in use
 	LimitBody        = "body_cut"    // an unfinished body yielded
+	LimitPieces      = "pieces"      // the memory for pieces of stages is in use
 )
 
 // Refusal is a peer that was refused or cut because of a limit.
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -305,7 +305,12 @@
 		return false
 	}
 	held := h.o.Account.Reserve(memory.Message, func() { _ = in.conn.SetReadDeadline(time.Unix(1, 0)) })
-	defer held.Release()
+	handled := false
+	defer func() {
+		if !handled { // else it is released with the end of its handler
+			held.Release()
+		}
+	}()
 	data, err := held.ReadAll(body, -1)
 	switch {
 	case errors.Is(err, websocket.ErrReadLimit):
@@ -327,7 +332,8 @@
 		h.refused(from, err.Error())
 		return false
 	}
-	in.take(e)
+	handled = true
+	in.take(e, held.Release)
 	return true
 }
 
@@ -339,19 +345,23 @@
 	mu   sync.Mutex      // gorilla allows one writer
 }
 
-func (in *inbound) take(e Envelope) {
+// take handles a message and calls done after that.
+func (in *inbound) take(e Envelope, done func()) {
 	h := in.hub
 	if e.Call == 0 {
+		defer done()
 		_, _ = h.handle(h.ctx, e) // the handler reports what it cannot use
 		return
 	}
 	select {
 	case h.slots <- struct{}{}:
 	default:
+		defer done()
 		in.answer(e, nil, errors.New("too many questions"))
 		return
 	}
 	h.wg.Go(func() {
+		defer done()
 		defer func() { <-h.slots }()
 		body, err := h.handle(in.ctx, e)
 		in.answer(e, body, err)
