Count the connections to upstreams

An entry node of 256 descriptors had 312 open: 90 requests at the same time leave 90 kept connections to their upstream, which nobody counted, and as many new callers as are allowed come beside them. A process at the limit of the kernel can then accept and dial nothing.

Cause: the account charged a second descriptor for a request, and none for the connection that is kept after it.

The pool of connections, and the client of serve, count what they open. Incoming connections and the larger of these and the requests of callers share the limit; when it is short, kept connections are closed first.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -140,6 +140,7 @@
 	}
 	client, trans := httpd.NewClient("upstream", maxIdlePerUpstream, nil)
 	n.trans = trans
+	httpd.CountDials(trans, o.Account)
 	once, onceTrans := httpd.NewClient("upstream_once", 0, nil)
 	onceTrans.DisableKeepAlives = true
 	run := exec.Options{
--- a/internal/node/quota/refuse.go
+++ b/internal/node/quota/refuse.go
@@ -80,7 +80,7 @@
 		{Name: memoryBound, Type: stats.Gauge, Help: "Bytes that the account may hold."},
 		{Name: memoryCuts, Type: stats.Counter, Labels: byKind, Help: "Unfinished or idle holders that were told to end, by kind."},
 		{Name: memoryRefused, Type: stats.Counter, Labels: byKind, Help: "Holders for which there was no room, by kind."},
-		{Name: connections, Type: stats.Gauge, Labels: []string{"state"}, Help: "Incoming connections of all listeners: open, and busy with a request."},
+		{Name: connections, Type: stats.Gauge, Labels: []string{"state"}, Help: "Connections: open (incoming, of all listeners), busy (of which with a request), outgoing (to upstreams)."},
 		{Name: limitReached, Type: stats.Counter, Labels: []string{"limit"}, Help: "Peers that were refused or cut off, by limit: see docs/OPERATIONS.md, callers outside the limits."},
 	}
 }
@@ -100,6 +100,7 @@
 	}
 	page.Set(connections, float64(u.Open), stats.Tags{"state": "open"})
 	page.Set(connections, float64(u.Busy), stats.Tags{"state": "busy"})
+	page.Set(connections, float64(u.Outgoing), stats.Tags{"state": "outgoing"})
 	for limit, n := range l.Counts() {
 		page.Raise(limitReached, n, stats.Tags{"limit": limit})
 	}
--- a/internal/test/crowd/files_test.go
+++ b/internal/test/crowd/files_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,6 +15,7 @@
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/node/gwnode"
 	"github.com/berylledge/berylledge/internal/test/loopip"
+	"github.com/berylledge/berylledge/internal/test/rawup"
 )
 
 // Guards against requests whose body never arrives, though it is small: they keep a connection, with the head, for as long as the
@@ -163,3 +165,37 @@
 	}
 	return string(text)
 }
+
+// Guards against connections to upstreams that are kept after their requests and counted by nobody: with as many new callers they
+// exceed the descriptors.
+func TestKeptConnectionsToUpstreamsCount(t *testing.T) {
+	const (
+		together = 90  // requests at the same time, each with a connection to the upstream
+		idle     = 300 // callers that come afterwards
+	)
+	arrived := make(chan struct{}, together)
+	all := make(chan struct{})
+	up := rawup.New(t, func(c *rawup.Conn, r *rawup.Request) {
+		arrived <- struct{}{}
+		<-all
+		c.WriteString(answerHead(r.Header) + "Content-Length: 2\r\n\r\nok")
+	})
+	s := startSystem(t, memoryMB, map[string]string{"good": goodUpstream(t), "together": up.Address})
+	crowd := newCrowd(t)
+	go func() {
+		defer close(all)
+		for range together {
+			select {
+			case <-arrived:
+			case <-time.After(patience):
+				return
+			}
+		}
+	}()
+	crowd.each(together, at(s.entryIP, callersPort), func(i int, c net.Conn) {
+		_ = write(c, strings.Replace(requestHead(i), "/good/", "/together/", 1)+"Content-Length: 0\r\n\r\n")
+		_, _ = io.ReadFull(c, make([]byte, 16)) // the answer has begun
+	})
+	crowd.each(idle, at(s.entryIP, callersPort), func(int, net.Conn) {})
+	target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
+}
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -222,6 +222,34 @@
 	return httpc.NewServiceWithClient(name, &http.Client{Transport: t, CheckRedirect: refuseRedirect}), t
 }
 
+// CountDials counts the connections of a client in an account, and closes those that are kept when the account is short of descriptors.
+func CountDials(t *http.Transport, a *memory.Account) {
+	dialed := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		a.Outgoing(1)
+		c, err := dialed(ctx, network, address)
+		if err != nil {
+			a.Outgoing(-1)
+			return nil, err
+		}
+		return &countedConn{Conn: c, account: a}, nil
+	}
+	a.OnShort(func() { go t.CloseIdleConnections() })
+}
+
+// countedConn is counted until it is closed.
+type countedConn struct {
+	net.Conn
+	account *memory.Account
+	once    sync.Once
+}
+
+// Close ends the connection.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.account.Outgoing(-1) })
+	return c.Conn.Close()
+}
+
 // refuseRedirect makes a client return a redirect as the answer. No server of the project sends one, and following it would run work
 // again, at an address that nobody chose.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -121,6 +121,8 @@
 	open     int // connections
 	busy     int // of which with a request
 	sending  int // of which of callers; each may need a connection to an upstream
+	outgoing int // connections to upstreams, with those that are kept
+	short    func()
 	yielding map[*Reservation]bool
 	cuts     [kinds]int64
 	refusals [kinds]int64
@@ -203,9 +205,33 @@
 	return most - spareFiles - margin
 }
 
+// Outgoing counts n more connections to upstreams, or fewer if n is below 0.
+func (a *Account) Outgoing(n int) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outgoing += n
+}
+
+// OnShort sets a function that is called under the lock of the account when connections to upstreams that are kept without a request
+// should be closed. It must not block.
+func (a *Account) OnShort(f func()) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.short = f
+}
+
 // makeFiles cuts idle connections until at most n descriptors are in use.
 func (a *Account) makeFiles(n int) bool {
-	for a.o.Descriptors > 0 && a.open+a.sending > n {
+	for a.o.Descriptors > 0 && a.open+max(a.sending, a.outgoing) > n {
+		if a.outgoing > a.sending && a.short != nil {
+			a.short()
+		}
 		v, _ := a.weakest(func(r *Reservation) bool { return r.kind == Connection })
 		if v == nil {
 			return false
@@ -520,6 +546,7 @@
 type Usage struct {
 	Held, Bound int64
 	Open, Busy  int // connections
+	Outgoing    int // connections to upstreams
 	Kinds       []KindUsage
 }
 
@@ -538,7 +565,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	u := Usage{Held: a.held + a.cutting, Bound: a.o.Bytes, Open: a.open, Busy: a.busy}
+	u := Usage{Held: a.held + a.cutting, Bound: a.o.Bytes, Open: a.open, Busy: a.busy, Outgoing: a.outgoing}
 	for _, k := range Kinds() {
 		u.Kinds = append(u.Kinds, KindUsage{k, a.byKind[k], a.cuts[k], a.refusals[k]})
 	}
--- a/internal/wire/upcon/conn.go
+++ b/internal/wire/upcon/conn.go
@@ -35,9 +35,7 @@
 	c.once.Do(func() {
 		_ = c.nc.Close()
 		c.in.held.Release()
-		c.pool.mu.Lock()
-		c.host.open--
-		c.pool.mu.Unlock()
+		c.pool.leave(c.host)
 	})
 }
 
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -119,7 +119,9 @@
 
 // Pool keeps connections. It is safe for concurrent use.
 type Pool struct {
-	o Options
+	o      Options
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
 	mu     sync.Mutex
 	hosts  map[string]*host
@@ -140,7 +142,32 @@
 	if o.IdleFor == 0 {
 		o.IdleFor = DefaultIdleFor
 	}
-	return &Pool{o: o, hosts: map[string]*host{}}
+	p := &Pool{o: o, hosts: map[string]*host{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if o.Account != nil {
+		short := make(chan struct{}, 1)
+		o.Account.OnShort(func() {
+			select {
+			case short <- struct{}{}:
+			default: // it is being done
+			}
+		})
+		p.wg.Go(func() { p.closeWhenShort(ctx, short) })
+	}
+	return p
+}
+
+// closeWhenShort gives up kept connections when the process needs their descriptors.
+func (p *Pool) closeWhenShort(ctx context.Context, short <-chan struct{}) {
+	for {
+		select {
+		case <-short:
+			p.closeIdle()
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Request is a request to one upstream.
@@ -207,10 +234,19 @@
 	return nil, &SendError{r.Address, outcome, false, err}
 }
 
-// Close closes the connections that are not in use.
+// Close closes the connections that are not in use, and later ones when their requests end.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.cancel()
+	p.wg.Wait()
+	p.closeIdle()
+}
+
+// closeIdle closes the connections that are not in use.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
 	var all []*conn
 	for _, h := range p.hosts {
 		all = append(all, h.idle...)
@@ -284,18 +320,25 @@
 	h.open++
 	p.dialed++
 	p.mu.Unlock()
+	p.o.Account.Outgoing(1)
 	d := dial.Dialer{Clock: p.o.Clock, Timeout: p.o.DialTimeout, KeepAlive: probes}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		p.mu.Lock()
-		h.open--
-		p.mu.Unlock()
+		p.leave(h)
 		return nil, false, err
 	}
 	in := &meter{from: nc, left: unlimited, held: p.o.Account.Reserve(memory.Answer, nil)}
 	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, false, nil
 }
 
+// leave counts the end of a connection.
+func (p *Pool) leave(h *host) {
+	p.mu.Lock()
+	h.open--
+	p.mu.Unlock()
+	p.o.Account.Outgoing(-1)
+}
+
 const readBuffer = 4 << 10
 
 // probes find connections that have gone silent without a reset, within five seconds.
