End readers of documents that do not read

Operators got no answer from a control node, for as long as some readers liked: 300 connections that ask for a configuration of a megabyte and read nothing kept all descriptors, since each was busy with a request and nothing bounded its write.

Cause: only streams (EventWriter) and forwarded answers (callerWriter) had a deadline for writes. Documents of control nodes, of the directory, of administration and metrics had none.

The guard now writes for all listeners of httpd in pieces of 64 KiB, each of which must be taken within 10 s, give or take a half, the time that streams have. Forwarded answers keep their own deadline and cost nothing more.

The bounds are those of the other tests (96 MB and 256 descriptors).

--- a/internal/test/crowd/bodies_test.go
+++ b/internal/test/crowd/bodies_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/test/loopip"
 )
 
@@ -99,6 +100,47 @@
 	})
 }
 
+// Guards against documents that are written to operators, readers of the directory and of metrics, and callers of `serve` who do not read,
+// each with memory and a descriptor of its own for as long as they like.
+func TestReadersOfDocumentsThatDoNotRead(t *testing.T) {
+	const (
+		readers = 300 // the process has 256 descriptors
+		asked   = 40  // documents that each reader asks for, one after the other
+	)
+	for name, listen := range listeners() {
+		t.Run(name, func(t *testing.T) {
+			to := listen(t)
+			if name == "control" { // a configuration of a megabyte
+				to.system.put("/v1/traffic", largeConfig(2))
+			}
+			newCrowd(t).each(readers, to.address, func(_ int, c net.Conn) {
+				shrinkWindow(c)
+				_ = write(c, strings.Repeat(wellFormed(name)+"\r\n", asked))
+			})
+			to.process.settle()
+			to.check(t)
+		})
+	}
+}
+
+// shrinkWindow makes the kernel take little for a side that does not read.
+func shrinkWindow(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(4 << 10)
+	}
+}
+
+// largeConfig has the route of startSystem and a megabyte of others.
+func largeConfig(version uint64) conf.Config {
+	c := stagedConfig(version)
+	for i := range 1000 {
+		r := c.Routes[0]
+		r.Name, r.Prefix = fmt.Sprintf("r%d-%s", i, strings.Repeat("n", 900)), fmt.Sprintf("/r%d/", i)
+		c.Routes = append(c.Routes, r)
+	}
+	return c
+}
+
 // stub is an upstream that answers requests without a body. With answer nil it takes connections and reads nothing.
 func stub(t *testing.T, answer func(net.Conn, *http.Request)) string {
 	address := loopip.Address(t)
--- a/internal/test/crowd/harness_test.go
+++ b/internal/test/crowd/harness_test.go
@@ -388,6 +388,7 @@
 	process *process
 	mostMB  int
 	answers func() error // one ordinary request
+	system  *system      // of a process of `gate`
 }
 
 // listeners are all listeners of `gate` and `serve`, by name. Each call starts the processes that it needs, so that no figure comes from
@@ -397,16 +398,16 @@
 		return func(t *testing.T) target {
 			s := startSystem(t, memoryMB, map[string]string{"good": goodUpstream(t)})
 			if ofEntry {
-				return target{at(s.entryIP, port), s.entry, memoryMB, s.ordinary}
+				return target{at(s.entryIP, port), s.entry, memoryMB, s.ordinary, s}
 			}
 			address := at(s.controlIP, port)
-			return target{address, s.control, memoryMB, func() error { return answers(address) }}
+			return target{address, s.control, memoryMB, func() error { return answers(address) }, s}
 		}
 	}
 	serve := func(port int) func(*testing.T) target {
 		return func(t *testing.T) target {
 			p, ip := serveNode(t, smallestMB)
-			return target{at(ip, port), p, smallestMB, func() error { return answers(at(ip, servePort)) }}
+			return target{at(ip, port), p, smallestMB, func() error { return answers(at(ip, servePort)) }, nil}
 		}
 	}
 	return map[string]func(*testing.T) target{
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -57,6 +57,8 @@
 	Side memory.Side
 	// HeadBytes returns the limit of a head as a configuration counts it, names and values; 0: no limit.
 	HeadBytes func() int
+	// WriteTimeout bounds each write of writePiece to a side that does not read, give or take a half; 0: the handler bounds its writes.
+	WriteTimeout time.Duration
 	// BodyFactor is what a byte of a body takes while its handler decodes it; 0 means wholeFactor.
 	BodyFactor int64
 	// Refused is told each refusal; nil: nobody is. It must not block.
@@ -112,6 +114,8 @@
 	once  sync.Once
 	phase atomic.Int32 // yield reads it under the lock of the account
 
+	writeBy time.Time // deadline of writes; net/http writes from one goroutine at a time
+
 	mu    sync.Mutex
 	begun bool // a byte of the first request was read
 	empty int  // line ends that were passed over
@@ -130,6 +134,28 @@
 	_ = c.Conn.Close()
 }
 
+// writePiece is written at a time under one deadline, so that a slow reader of a large document is not cut.
+const writePiece = 64 << 10
+
+// Write ends the connection of a side that does not read.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	if c.guard.WriteTimeout <= 0 || phase(c.phase.Load()) == hijacked {
+		return c.Conn.Write(b)
+	}
+	total := 0
+	for {
+		if now := c.guard.Clock.Now(); c.writeBy.Sub(now) < c.guard.WriteTimeout/2 { // not for each, since it changes a timer of the runtime
+			c.writeBy = now.Add(c.guard.WriteTimeout)
+			_ = c.SetWriteDeadline(c.writeBy) // if it fails, the connection has ended
+		}
+		n, err := c.Conn.Write(b[total:min(len(b), total+writePiece)])
+		total += n
+		if err != nil || total == len(b) {
+			return total, err
+		}
+	}
+}
+
 // past is a deadline that makes a read return.
 var past = time.Unix(1, 0)
 
@@ -277,6 +303,7 @@
 		c.mu.Lock()
 		c.bytes, c.lines = 0, 0
 		c.mu.Unlock()
+		c.writeBy = time.Time{}      // net/http takes the deadline of the last answer off
 		c.phase.Store(int32(inHead)) // before the connection yields
 		c.held.Busy(false)
 	case http.StateActive:
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -97,7 +97,7 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
-	guard := &Guard{Clock: clock.Real(), Account: o.Account, Side: o.Side, BodyFactor: o.BodyFactor, Refused: o.Refused}
+	guard := &Guard{Clock: clock.Real(), Account: o.Account, Side: o.Side, BodyFactor: o.BodyFactor, WriteTimeout: writeTimeout, Refused: o.Refused}
 	handler, err := engine(o, guard, routes)
 	if err != nil {
 		return nil, err
