--- a/internal/wire/httpd/fuzz_test.go
+++ b/internal/wire/httpd/fuzz_test.go
@@ -80,6 +80,9 @@
 	c := &script{in: data, piece: piece, closed: make(chan struct{})}
 	var list strings.Builder
 	s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if guard != nil {
+			defer guard.countBody(w, r)()
+		}
 		body, err := io.ReadAll(r.Body)
 		fmt.Fprintf(&list, "%s %s %s %v %q %v\n", r.Method, r.RequestURI, r.Host, r.Header, body, err)
 		w.Header()["Date"] = nil
@@ -103,9 +106,9 @@
 	return list.String(), c.out.String()
 }
 
-// FuzzRequestHead guards against heads that the guard changes, refuses without need, or does not bound: with and without it, the handler
-// sees the same requests, whatever their lines, and nothing stays in the account.
-func FuzzRequestHead(f *testing.F) {
+// FuzzRequest guards against heads and bodies that the guard changes or refuses without need: with and without it, the handler sees the
+// same requests, whatever their lines, and nothing stays in the account.
+func FuzzRequest(f *testing.F) {
 	head := "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
 	for _, s := range []string{
 		head + "\r\nabc" + head + "\r\n\n\n\n", "\r\n\r\n" + head + "\r\nabc", head + "\r\nabc\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
--- a/internal/wire/upcon/fuzz_test.go
+++ b/internal/wire/upcon/fuzz_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
+	"github.com/berylledge/berylledge/internal/wire/memory"
 )
 
 // How a scripted connection ends after its bytes.
@@ -148,8 +149,8 @@
 	return err == nil && len(h["Transfer-Encoding"]) > 0
 }
 
-// FuzzAnswer guards against bytes of an upstream that crash or block the process, that make a part of an answer count as whole, or
-// whose connection is used again although the next answer on it might be another request's.
+// FuzzAnswer guards against bytes of an upstream that crash or block the process, that make a part of an answer count as whole, whose
+// connection is used again although the next answer on it might be another request's, or whose memory or connection stays in the account.
 func FuzzAnswer(f *testing.F) {
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
 	for i, s := range []string{
@@ -181,10 +182,18 @@
 			in: data, piece: max(int(piece), 1), ending: int(ending) % endings, upload: int(upload) % uploads, cancel: cancel,
 			ended: make(chan struct{}), closed: make(chan struct{}),
 		}
-		p := New(Options{Clock: clock.Real(), IDHeader: "Request-Id"})
+		account := memory.New(memory.Options{Clock: clock.Real(), Bytes: 64 << 20, Descriptors: 100})
+		p := New(Options{Clock: clock.Real(), IDHeader: "Request-Id", Account: account})
+		defer p.Close()
 		h := p.host("up")
-		in := &meter{from: nc, left: unlimited}
+		in := &meter{from: nc, left: unlimited, held: account.Reserve(memory.Answer, nil)}
 		h.open = 1
+		account.Outgoing(1)
+		defer func() {
+			u := account.Usage()
+			assert.Equal(t, u.Held, int64(0))
+			assert.Equal(t, u.Outgoing, len(h.idle))
+		}()
 		h.idle = []*conn{{pool: p, host: h, address: "up", nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer), until: time.Now().Add(time.Hour)}}
 		r := request("up", "a")
 		r.Body = long
