Split the account of memory and the guard into files

memory: files.go (descriptors and sides), waits.go (what yields while it waits), read.go (ReadAll). httpd: body.go (counted bodies).

--- a/internal/wire/memory/memory.go
+++ b/internal/wire/memory/memory.go
@@ -17,7 +17,6 @@
 
 import (
 	"errors"
-	"io"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -72,10 +71,6 @@
 	// cuttingPart is the part of the account that holders which were told to end may still have, beyond its bound. One that is larger may
 	// end alone.
 	cuttingPart = 4
-	// spareFiles are left by all sides, besides their parts of the descriptors: a process that serves nobody has some 15 open.
-	spareFiles   = 16
-	callersLeave = 8
-	peersLeave   = 16
 )
 
 // Bound returns the bytes of an account for a process with that much memory.
@@ -160,16 +155,6 @@
 	return r
 }
 
-// Side is who connects to a listener. Each may use some of the descriptors that the ones before it leave free.
-type Side int
-
-// The sides, by how far a crowd of them may fill the process.
-const (
-	Callers   Side = iota
-	Operators      // with upstreams that report to control nodes, readers of the directory and of metrics
-	Peers          // the other processes of the system
-)
-
 // Connect returns the reservation of a new connection, or ErrFull. Idle connections yield to it.
 func (a *Account) Connect(side Side, cut func()) (*Reservation, error) {
 	if a == nil {
@@ -189,104 +174,6 @@
 	return r, nil
 }
 
-// files returns how many descriptors connections may use when one of a side comes. What even peers leave is for listeners, files, and
-// connections to other processes.
-func (a *Account) files(side Side) int {
-	most := a.o.Descriptors
-	margin := 0
-	switch side {
-	case Callers:
-		margin = most / callersLeave
-	case Operators:
-		margin = (most/callersLeave + most/peersLeave) / 2
-	case Peers:
-		margin = most / peersLeave
-	}
-	return most - spareFiles - margin
-}
-
-// Outgoing counts n more connections to upstreams, or fewer if n is below 0.
-func (a *Account) Outgoing(n int) {
-	if a == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.outgoing += n
-}
-
-// OnShort sets a function that is called under the lock of the account when connections to upstreams that are kept without a request
-// should be closed. It must not block.
-func (a *Account) OnShort(f func()) {
-	if a == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.short = f
-}
-
-// makeFiles cuts idle connections until at most n descriptors are in use.
-func (a *Account) makeFiles(n int) bool {
-	for a.o.Descriptors > 0 && a.open+max(a.sending, a.outgoing) > n {
-		if a.outgoing > a.sending && a.short != nil {
-			a.short()
-		}
-		v, _ := a.weakest(func(r *Reservation) bool { return r.kind == Connection })
-		if v == nil {
-			return false
-		}
-		a.end(v)
-	}
-	return true
-}
-
-// Await says that a connection with a request waits for its peer to send the rest of the body. Until Arrived it yields with all that it
-// holds, the head too: a body that never arrives must not keep them.
-func (r *Reservation) Await() {
-	if r == nil {
-		return
-	}
-	r.a.mu.Lock()
-	defer r.a.mu.Unlock()
-	if r.isBusy {
-		r.yieldFrom(r.a.o.Clock.Now())
-	}
-}
-
-// Stall says that what is held waits for its peer to take it. Until Arrived it yields once that has taken the given time. cut is as in
-// Reserve.
-func (r *Reservation) Stall(after time.Duration, cut func()) {
-	if r == nil {
-		return
-	}
-	r.a.mu.Lock()
-	defer r.a.mu.Unlock()
-	r.cut = cut
-	r.yieldFrom(r.a.o.Clock.Now().Add(after))
-}
-
-// yieldFrom lets a holder yield from a time on. The lock is held.
-func (r *Reservation) yieldFrom(at time.Time) {
-	if !r.ended && !r.wasCut {
-		r.since = at
-		r.a.yielding[r] = true
-	}
-}
-
-// Arrived ends an Await or a Stall. It returns false if the holder was cut.
-func (r *Reservation) Arrived() bool {
-	if r == nil {
-		return true
-	}
-	r.a.mu.Lock()
-	defer r.a.mu.Unlock()
-	if r.isBusy || !r.counted {
-		delete(r.a.yielding, r)
-	}
-	return !r.wasCut
-}
-
 // Busy says that the connection has a request, which makes it keep what it holds, or is idle again.
 func (r *Reservation) Busy(on bool) {
 	if r == nil {
@@ -571,63 +458,3 @@
 	}
 	return u
 }
-
-// firstRead is the size of the first buffer of a body; larger ones are reserved as the bytes arrive, not as they are announced. growth is
-// the factor from one buffer to the next towards an announced size, where few buffers leave little garbage.
-const (
-	firstRead = 64 << 10
-	growth    = 4
-	// probeBytes is read before the buffer of a body without an announced size grows.
-	probeBytes = 512
-)
-
-// ReadAll reads all of in and covers the buffer. size is the number of bytes that are announced, or below 0. It returns ErrFull when the
-// account has no room.
-func (r *Reservation) ReadAll(in io.Reader, size int64) ([]byte, error) {
-	if r == nil {
-		return io.ReadAll(in)
-	}
-	want := int64(firstRead)
-	if size >= 0 {
-		want = min(size+1, want) // the byte beside is for reading the end
-	} else {
-		want = FreeBytes
-	}
-	var buf []byte
-	for {
-		var rest []byte
-		if len(buf) == cap(buf) {
-			if size < 0 && len(buf) > 0 { // it may have ended here, and no larger buffer is needed
-				probe := make([]byte, probeBytes)
-				n, err := in.Read(probe)
-				if rest = probe[:n]; n == 0 {
-					if errors.Is(err, io.EOF) {
-						return buf, nil
-					}
-					if err != nil {
-						return buf, err
-					}
-				}
-			}
-			if want > FreeBytes && !r.Cover(want+int64(len(buf))) { // both buffers are held while one is copied
-				return buf, ErrFull
-			}
-			next := make([]byte, len(buf), want)
-			copy(next, buf)
-			buf = append(next, rest...)
-			r.Shrink(want)
-			want *= 2
-			if size >= int64(cap(buf)) {
-				want = min(want*growth/2, size+1)
-			}
-		}
-		n, err := in.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-	}
-}
