Take nothing after a malformed trailer for a request

On the listeners of operators, upstreams, readers and other processes, and of serve, a chunked body with a trailer that is none was answered with 400 and the connection went on: the bytes behind it were served as the next request.

Cause: net/http decides by the state of its own body, which it looks up in the request, whether a connection may go on.

Handlers now get a copy of the request with the limited body, so that net/http sees its own. Forwarded requests were not affected: they end the connection themselves.

TestNoRequestFollowsAMalformedTrailer before the change:

guard_test.go:271: assertion failed: err is nil: the connection goes on

--- a/internal/wire/httpd/body.go
+++ b/internal/wire/httpd/body.go
@@ -73,13 +73,20 @@
 	}
 }
 
-// countBody lets a request's body yield to others.
-func (g *Guard) countBody(w http.ResponseWriter, r *http.Request) (release func()) {
+// withBody returns a copy of the request with another body. The request of net/http keeps its own, by whose state it decides whether the
+// connection may go on: what follows a malformed trailer must not be taken for the next request.
+func withBody(r *http.Request, body io.ReadCloser) *http.Request {
+	other := *r
+	other.Body = body
+	return &other
+}
+
+// countBody returns the request with a body that yields to others.
+func (g *Guard) countBody(w http.ResponseWriter, r *http.Request) (counted *http.Request, release func()) {
 	if g.Account == nil || r.Body == nil || r.Body == http.NoBody {
-		return func() {}
+		return r, func() {}
 	}
 	control := http.NewResponseController(w)
 	held := g.Account.Reserve(memory.Body, func() { _ = control.SetReadDeadline(past) })
-	r.Body = &countedBody{ReadCloser: r.Body, guard: g, held: held, w: w, peer: r.RemoteAddr}
-	return held.Release
+	return withBody(r, &countedBody{ReadCloser: r.Body, guard: g, held: held, w: w, peer: r.RemoteAddr}), held.Release
 }
--- a/internal/wire/httpd/fuzz_test.go
+++ b/internal/wire/httpd/fuzz_test.go
@@ -81,7 +81,9 @@
 	var list strings.Builder
 	s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if guard != nil {
-			defer guard.countBody(w, r)()
+			counted, release := guard.countBody(w, r)
+			defer release()
+			r = counted
 		}
 		body, err := io.ReadAll(r.Body)
 		fmt.Fprintf(&list, "%s %s %s %v %q %v\n", r.Method, r.RequestURI, r.Host, r.Header, body, err)
--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -258,3 +258,15 @@
 		assert.Equal(t, status, want, "%q", empty)
 	}
 }
+
+// Guards against bytes after a malformed trailer that are taken for the next request of the connection.
+func TestNoRequestFollowsAMalformedTrailer(t *testing.T) {
+	a := memory.New(memory.Options{Clock: clock.Real(), Bytes: 8 << 20, Descriptors: 100})
+	s, _ := echoServer(t, a)
+	c := dialServer(t, s)
+	c.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n0\r\nno colon\r\n\r\n" + post("", "in"))
+	status, _ := c.answer()
+	assert.Equal(t, status, http.StatusBadRequest)
+	_, err := c.in.ReadByte()
+	assert.Assert(t, err != nil, "the connection goes on")
+}
--- a/internal/wire/httpd/httpd.go
+++ b/internal/wire/httpd/httpd.go
@@ -176,9 +176,9 @@
 func limitBody(limit int64, guard *Guard) chain.Middleware {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			r.Body = http.MaxBytesReader(w, r.Body, limit)
-			defer guard.countBody(w, r)()
-			next.ServeHTTP(w, r)
+			counted, release := guard.countBody(w, withBody(r, http.MaxBytesReader(w, r.Body, limit)))
+			defer release()
+			next.ServeHTTP(w, counted)
 		})
 	}
 }
