--- a/internal/test/crowd/mixed_test.go
+++ b/internal/test/crowd/mixed_test.go
@@ -17,7 +17,7 @@
 	"github.com/berylledge/berylledge/internal/node/gwnode"
 )
 
-// kinds are crowds of several kinds, to be sent at once. Half of the connections of each stay whatever happens.
+// kinds are crowds of several kinds, to be sent at once.
 func kinds() map[string]func(i int, c net.Conn) {
 	body := strings.Repeat("b", bodyBytes-1)
 	names, odd := shortLines(3700), strings.Repeat("x:\r\n y\r\n\tz:\r\n", 1000)
@@ -32,8 +32,8 @@
 	}
 }
 
-// besiege sends all kinds of crowds to each address at once and returns when they have arrived.
-func besiege(t *testing.T, each int, addresses ...string) {
+// sendAtOnce sends all kinds of crowds to each address at once and returns when they have arrived.
+func sendAtOnce(t *testing.T, each int, addresses ...string) {
 	t.Helper()
 	crowd := newCrowd(t)
 	done := make(chan struct{})
@@ -67,14 +67,14 @@
 	const callers = 40 // of each kind at each listener
 	limits := gwnode.Limits{MemoryMB: smallestMB, Descriptors: maxFiles}
 	g := startGroup(t, limits, launch{}, goodUpstream(t))
-	besiege(t, callers, at(g.entryIP, callersPort), at(g.entryIP, peerPort), at(g.entryIP, metricsPort), at(g.entryIP, readyPort))
+	sendAtOnce(t, callers, at(g.entryIP, callersPort), at(g.entryIP, peerPort), at(g.entryIP, metricsPort), at(g.entryIP, readyPort))
 	g.entry.settle()
 	target{process: g.entry, mostMB: smallestMB, answers: g.ordinary}.check(t)
 	assert.NilError(t, g.entry.cmd.Process.Signal(syscall.SIGHUP))
 	g.configure(2, "second")
 	g.serves("second")
 	assert.NilError(t, g.entry.cmd.Process.Signal(syscall.SIGTERM))
-	besiege(t, callers/4, at(g.entryIP, callersPort), at(g.entryIP, peerPort)) // it goes on during the stop
+	sendAtOnce(t, callers/4, at(g.entryIP, callersPort), at(g.entryIP, peerPort)) // it goes on during the stop
 	g.entry.ended(graceS * time.Second)
 }
 
@@ -104,8 +104,8 @@
 	before := g.term(g.ips[0])
 	sequence := int64(1)
 	for _, ip := range g.ips {
-		besiege(t, callers, at(ip, controlPort), at(ip, directoryPort), at(ip, peerPort))
-		// At the node that is besieged: a heartbeat, which the entry node acts on, and an order.
+		sendAtOnce(t, callers, at(ip, controlPort), at(ip, directoryPort), at(ip, peerPort))
+		// At the node with the crowd: a heartbeat, which the entry node acts on, and an order.
 		data, err := json.Marshal(roster.Upstream{
 			Service: "good", Address: up, DataCentre: "a", State: roster.Ready, StartedMs: 5, Sequence: sequence + 1,
 		})
@@ -136,7 +136,7 @@
 	p, address := pipelines(t, map[string]http.HandlerFunc{"good": result(2)})
 	host, _, err := net.SplitHostPort(address)
 	assert.NilError(t, err)
-	besiege(t, callers, address, at(host, peerPort))
+	sendAtOnce(t, callers, address, at(host, peerPort))
 	p.settle()
 	target{process: p, mostMB: memoryMB, answers: func() error { return submitted(address) }}.check(t)
 	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
--- a/internal/test/crowd/promise_test.go
+++ b/internal/test/crowd/promise_test.go
@@ -88,9 +88,9 @@
 	s.put("/v1/traffic/upstreams/made", upstreamOf("pieces", stageUpstream(t)))
 	s.await("the staged route serves", func() error { return s.staged("staged-first") })
 	body := strings.Repeat("b", bodyBytes)
-	hogs := newCrowd(t)
+	unfinishedOnes := newCrowd(t)
 	for round := range rounds {
-		hogs.each(callers/4, at(s.entryIP, callersPort), unfinished(requestHead(1_000_000+round), body[1:]))
+		unfinishedOnes.each(callers/4, at(s.entryIP, callersPort), unfinished(requestHead(1_000_000+round), body[1:]))
 		newCrowd(t).each(callers, at(s.entryIP, callersPort), func(i int, c net.Conn) {
 			_ = c.SetDeadline(time.Now().Add(patience))
 			id := fmt.Sprintf("promise-%d-%d", round, i)
