--- a/internal/test/crowd/bodies_test.go
+++ b/internal/test/crowd/bodies_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -186,3 +187,26 @@
 	})
 	return address
 }
+
+// Guards against writers of heartbeats that name a new upstream each time: every node keeps what it is told of upstreams.
+func TestHeartbeatsOfManyNamesStayInMemory(t *testing.T) {
+	const (
+		writers = 50
+		names   = 1000 // of each writer
+	)
+	s := startSystem(t, memoryMB, map[string]string{"good": goodUpstream(t)})
+	label := strings.Repeat("n", 200)
+	newCrowd(t).each(writers, at(s.controlIP, controlPort), func(i int, c net.Conn) {
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		for n := range names {
+			body := fmt.Sprintf(`{"service":"%s%d-%d","address":"10.9.8.7:80","data_centre":"a","state":1,"born_ms":5,"sequence":1}`, label, i, n)
+			if !write(c, fmt.Sprintf("PUT /v1/traffic/upstreams/%s%d-%d HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", label, i, n, len(body), body)) {
+				return
+			}
+		}
+	})
+	s.control.settle()
+	s.entry.settle()
+	target{process: s.control, mostMB: memoryMB, answers: func() error { return answers(at(s.controlIP, controlPort)) }}.check(t)
+	target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
+}
