Hold what answers of serve take before they are made, and copy their events

A process of serve exceeded its memory when callers asked for large answers and other programs used the processor: 98 MB of 96.

Cause: the result of a stage was released before its output and events were reserved, so that requests which waited for the processor in between held several copies that nobody counted; a json.Decoder doubled a buffer beside the result; and an answer that is written whole was decoded from its events and encoded once more.

The output's events are now reserved before the bytes of the result are given back, results are decoded without the second buffer (a result that something follows takes the old way), and whole answers copy their events, which are JSON already.

--- a/internal/flow/exec/exec.go
+++ b/internal/flow/exec/exec.go
@@ -248,7 +248,7 @@
 func (u *run) emit(name string, v any) {
 	data, _ := json.Marshal(v)
 	u.req.Out.Append(name, data)
-	u.coverAnswer()
+	u.noRoom = !u.coverAnswer(0) || u.noRoom
 }
 
 const (
@@ -257,17 +257,15 @@
 	answerStep   = 64 << 10
 )
 
-// coverAnswer reserves what the events take.
-func (u *run) coverAnswer() {
+// coverAnswer reserves what the events take, with so many bytes that will be added, and reports whether there was room.
+func (u *run) coverAnswer(more int) bool {
 	_, bytes := u.req.Out.Len()
-	need := int64(bytes) * answerFactor
+	need := int64(bytes+more) * answerFactor
 	if need <= max(u.reserved, memory.FreeBytes) {
-		return
+		return true
 	}
 	u.reserved = (need + answerStep - 1) / answerStep * answerStep
-	if !u.req.Held.Cover(u.reserved) {
-		u.noRoom = true
-	}
+	return u.req.Held.Cover(u.reserved)
 }
 
 func (u *run) emitToken(text string) {
--- a/internal/flow/exec/stage.go
+++ b/internal/flow/exec/stage.go
@@ -376,15 +376,40 @@
 	if err == nil && len(data) > memory.FreeBytes && !held.Grow(int64(len(data))) {
 		err = memory.ErrFull
 	}
-	if errors.Is(err, memory.ErrFull) {
-		st.noRoom = true
-	}
 	if err == nil {
-		err = json.NewDecoder(bytes.NewReader(data)).Decode(&res)
+		err = decodeResult(data, &res)
+	}
+	// Before the bytes of the result are given back, what the output will take is reserved.
+	if err == nil && !st.coverAnswer(st.eventBytes(res.Output)) {
+		err = memory.ErrFull
 	}
+	st.noRoom = st.noRoom || errors.Is(err, memory.ErrFull)
 	return res, err
 }
 
+// decodeResult decodes a result without the buffer that a json.Decoder doubles until it holds the whole value, unless something follows the
+// value, which was always passed over.
+func decodeResult(data []byte, res *upapi.StageResult) error {
+	err := json.Unmarshal(data, res)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return json.NewDecoder(bytes.NewReader(data)).Decode(res)
+	}
+	return err
+}
+
+// eventBytes returns what the events of a finished stage take at least.
+func (st *stageRun) eventBytes(output string) int {
+	n := 0
+	if st.stage.Kind == fleet.Call {
+		n += len(output)
+	}
+	if st.isAnswer {
+		n += len(output)
+	}
+	return n
+}
+
 func (st *stageRun) remainingMS() int64 { return st.deadline.Sub(st.o.Clock.Now()).Milliseconds() }
 
 // idempotencyKey returns the key sent to the upstream. It is qualified by the team, because two teams may use the same key.
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -224,29 +224,15 @@
 	}
 }
 
+// writeWhole answers a request that has ended.
 func (n *Node) writeWhole(w http.ResponseWriter, q *request, events []stream.Event) {
 	last := events[len(events)-1]
 	if last.Name == caller.EventError {
 		n.answerError(w, q, last)
 		return
 	}
-	a := caller.Answer{RequestID: q.key.id}
-	var text strings.Builder
-	for _, e := range events {
-		switch e.Name {
-		case caller.EventToken:
-			var t caller.Token
-			_ = json.Unmarshal(e.Data, &t) // written by exec from the same shapes
-			text.WriteString(t.Text)
-		case caller.EventStage:
-			var s caller.StageEvent
-			_ = json.Unmarshal(e.Data, &s)
-			a.Stages = append(a.Stages, s)
-		case caller.EventEnd:
-			_ = json.Unmarshal(e.Data, &a.End)
-		}
-	}
-	a.Output = text.String()
-	httpd.WriteJSON(w, http.StatusOK, a)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_ = writeAnswer(w, q.key.id, events) // the caller is gone; it will ask again
 	n.markRead(q)
 }
