Play serve without settings, and a configuration without limits

TestBoundOfMemoryNeedsNoSetting has serve as well, and TestConfigurationWithoutLimitsStaysInMemory plays heads, bodies, small unfinished bodies, idle connections and many lines against a configuration that names no limits: what users get who set nothing.

--- a/internal/test/crowd/account_test.go
+++ b/internal/test/crowd/account_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/node/gwnode"
 	"github.com/berylledge/berylledge/pkg/caller"
 	"github.com/berylledge/berylledge/pkg/fleet"
@@ -46,6 +47,15 @@
 		s.entry.settle()
 		target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
 	})
+	t.Run("serve", func(t *testing.T) {
+		told := told
+		told.files = maxFiles
+		p, ip := serveNodeWith(t, told)
+		head, submit := submission("", "good", body[:bodyBytes-1000])
+		newCrowd(t).each(callers, at(ip, servePort), unfinished(head, submit[:len(submit)-1]))
+		p.settle()
+		target{process: p, mostMB: memoryMB, answers: func() error { return answers(at(ip, servePort)) }}.check(t)
+	})
 	t.Run("control node", func(t *testing.T) {
 		s := startSystemWith(t, gwnode.Limits{}, told, map[string]string{"good": goodUpstream(t)})
 		address := at(s.controlIP, controlPort)
@@ -55,6 +65,33 @@
 	})
 }
 
+// Guards against bounds that hold only if the configuration names limits: without header_bytes, body_bytes, header_ms and idle_ms, heads and
+// bodies end with the memory alone.
+func TestConfigurationWithoutLimitsStaysInMemory(t *testing.T) {
+	const callers = 60
+	forms := map[string]func(i int, c net.Conn){
+		"heads":  func(i int, c net.Conn) { _ = write(c, requestHead(i)+strings.Repeat(shortLines(17_576), 9)) }, // 949 kB
+		"bodies": unfinished(requestHead(0), strings.Repeat("b", 4*bodyBytes)),
+		"small":  func(i int, c net.Conn) { _ = write(c, requestHead(i)+"Content-Length: 1\r\n\r\n") },
+		"idle":   func(int, net.Conn) {},
+		"many lines": func(i int, c net.Conn) {
+			_ = write(c, requestHead(i)+"Content-Length: 1\r\n"+shortLines(17_576)+"\r\n")
+		},
+	}
+	for name, send := range forms {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t, memoryMB, map[string]string{"good": goodUpstream(t)})
+			c := stagedConfig(2)
+			c.Limits = conf.Limits{}
+			s.put("/v1/traffic", c)
+			s.await("the configuration is in force", func() error { return s.known("/staged/") })
+			newCrowd(t).each(5*callers, at(s.entryIP, callersPort), send)
+			s.entry.settle()
+			target{process: s.entry, mostMB: memoryMB, answers: s.ordinary}.check(t)
+		})
+	}
+}
+
 // pipelines starts a process of `berylledge serve` with one call stage for each pipeline, and an upstream for it that answers by its name.
 func pipelines(t *testing.T, answers map[string]http.HandlerFunc) (p *process, address string) {
 	t.Helper()
--- a/internal/test/crowd/harness_test.go
+++ b/internal/test/crowd/harness_test.go
@@ -356,9 +356,16 @@
 
 // serveNode is a process of `berylledge serve` with all roles that is told its memory in MB.
 func serveNode(t *testing.T, memory int, args ...string) (p *process, ip string) {
+	t.Helper()
+	return serveNodeWith(t, launch{env: []string{
+		fmt.Sprintf("BERYLLEDGE_MEMORY_MB=%d", memory), fmt.Sprintf("BERYLLEDGE_DESCRIPTORS=%d", maxFiles),
+	}}, args...)
+}
+
+// serveNodeWith is a process of `berylledge serve` with all roles.
+func serveNodeWith(t *testing.T, with launch, args ...string) (p *process, ip string) {
 	t.Helper()
 	ip = loopip.New(t)
-	with := launch{env: []string{fmt.Sprintf("BERYLLEDGE_MEMORY_MB=%d", memory), fmt.Sprintf("BERYLLEDGE_DESCRIPTORS=%d", maxFiles)}}
 	p = start(t, "n1", with, append([]string{
 		"serve", "--node", "n1", "--region", "r", "--roles", "entry,control", "--data-centre", "a",
 		"--listen", at(ip, servePort), "--peer-listen", at(ip, peerPort), "--control", "n1=" + at(ip, peerPort), "--data", t.TempDir(),
