Show that refusals of serve keep their promise beside a crowd

TestRefusalsOfServeKeepTheirPromise notes at the upstream which submissions have run, and compares them with those that got 408, 429 or 503, or a refusal that says not_run. A 500 says that the request has run and that its answer found no room.

--- a/internal/test/crowd/promise_test.go
+++ b/internal/test/crowd/promise_test.go
@@ -18,6 +18,8 @@
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/test/rawup"
+	"github.com/berylledge/berylledge/pkg/caller"
+	"github.com/berylledge/berylledge/pkg/upapi"
 )
 
 // ids is a set of ids of requests.
@@ -234,3 +236,57 @@
 	}
 	return out, nil
 }
+
+// Guards against refusals of `serve` that break their promise beside a crowd: a submission that got 408, 429 or 503 must not have run and must
+// not run later, and neither one whose refusal says that it has not run.
+func TestRefusalsOfServeKeepTheirPromise(t *testing.T) {
+	const callers = 200
+	ran, answered := newIDs(), newIDs()
+	p, address := pipelines(t, map[string]http.HandlerFunc{"good": func(w http.ResponseWriter, r *http.Request) {
+		var call upapi.StageCall
+		if json.NewDecoder(r.Body).Decode(&call) != nil {
+			return
+		}
+		id, _, _ := strings.Cut(call.Input, " ")
+		ran.add(id, 0)
+		_ = json.NewEncoder(w).Encode(upapi.StageResult{Work: call.Work, Output: strings.Repeat("o", 300<<10)})
+	}})
+	_, body := submission("", "good", strings.Repeat("i", bodyBytes-1000))
+	head, _ := submission("", "good", "")
+	crowd := newCrowd(t)
+	crowd.each(callers/2, address, unfinished(head, body[:len(body)-1]))
+	newCrowd(t).each(callers, address, func(i int, c net.Conn) {
+		id := fmt.Sprintf("promise-%d", i)
+		size := []int{0, 60 << 10, 700 << 10, 1 << 20}[i%4]
+		head, body := submission(id, "good", (id + " " + strings.Repeat("i", size))[:max(size, len(id)+1)])
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return // a closed connection promises nothing
+			}
+			text, _ := io.ReadAll(resp.Body)
+			status := resp.StatusCode
+			var refused caller.Refusal
+			if status != http.StatusOK && json.Unmarshal(text, &refused) == nil && refused.Ran == caller.NotRun {
+				status = http.StatusServiceUnavailable
+			}
+			answered.add(id, status)
+		}()
+		_ = write(c, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body)
+		<-done
+	})
+	p.settle()
+	target{process: p, mostMB: memoryMB, answers: func() error { return submitted(address) }}.check(t)
+	worked, counts := ran.copy(), map[int]int{}
+	for id, status := range answered.copy() {
+		counts[status]++
+		if _, has := worked[id]; has && promised[status] {
+			t.Errorf("%s got %d and has run", id, status)
+		}
+	}
+	t.Logf("answers by status: %v; %d requests have run", counts, len(worked))
+	assert.Assert(t, counts[http.StatusOK] > 0)
+	assert.Assert(t, counts[http.StatusServiceUnavailable]+counts[http.StatusRequestTimeout] > 0, "the crowd was too small: nothing was refused")
+}
