Reject evacuation orders that are delivered after a newer one

Callers saw requests run in a data centre whose evacuation was acknowledged: an older revocation, which a cut had held up between two control nodes and which its operator had long given up, undid it when the cut healed. The other way round a withdrawn evacuation came into force.

Cause: a control node passes an order to the leader over a connection whose bytes wait for the cut to heal, the leader takes it at any age while its term is the same, and the last order in the log won. What a frozen node reads after it wakes is the same.

A change of the permanent notices now names the last one that was accepted, which the control node reads through the leader while the operator's connection is open, and is rejected if another one was accepted since. A conflict is tried again within the operator's time. ProposePermanent and ProposeRemoval became one command.

--- a/internal/gate/ctlsrv/evacuation.go
+++ b/internal/gate/ctlsrv/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 
@@ -10,10 +11,12 @@
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/gate/evac"
 	"github.com/berylledge/berylledge/internal/gate/proto"
+	"github.com/berylledge/berylledge/internal/state/vdoc"
 )
 
 // An order to evacuate a data centre, and its revocation, are acknowledged once the control group has stored them. Both may be
-// repeated at any control node. After a 503 the order may or may not be in force, and the operator sends it again.
+// repeated at any control node. After a 503 the order may or may not be in force, and the operator sends it again. An order whose
+// operator has closed the connection is not carried out any more, and one that is held up after that is rejected by the group.
 
 // Values of the field action of event.EvacuationOrder.
 const (
@@ -23,26 +26,21 @@
 
 // evacuate handles the order that nothing more be sent to the upstreams of a data centre.
 func (s *Server) evacuate(w http.ResponseWriter, r *http.Request) {
-	s.handleOrder(w, r, actionEvacuate, func(ctx context.Context, dataCentre string) error {
-		return s.o.Member.ProposePermanent(ctx, evac.Notice(dataCentre))
-	})
+	s.handleOrder(w, r, actionEvacuate)
 }
 
 // revokeEvacuation handles the revocation of such an order.
 func (s *Server) revokeEvacuation(w http.ResponseWriter, r *http.Request) {
-	s.handleOrder(w, r, actionRevoke, func(ctx context.Context, dataCentre string) error {
-		return s.o.Member.ProposeRemoval(ctx, evac.Notice(dataCentre).Key)
-	})
+	s.handleOrder(w, r, actionRevoke)
 }
 
-func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request, action string, propose func(context.Context, string) error) {
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request, action string) {
 	dataCentre := pathvar.Vars(r)[pathParameter(s.o.Dialect.Paths.Evacuation)]
 	status, reason := http.StatusOK, ""
 	switch _, known := s.o.RegionOf[dataCentre]; {
 	case known:
-		ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
-		defer cancel()
-		if err := propose(ctx, dataCentre); err != nil {
+		change := vdoc.Change{Notice: evac.Notice(dataCentre), Remove: action == actionRevoke}
+		if err := s.changePermanent(r, change); err != nil {
 			status, reason = http.StatusServiceUnavailable, err.Error()
 		}
 	case proto.ValidateID(dataCentre) != nil:
@@ -59,6 +57,17 @@
 	writeText(w, status, reason)
 }
 
+// changePermanent carries out a change while its caller waits.
+func (s *Server) changePermanent(r *http.Request, c vdoc.Change) error {
+	// The context of a request ends with its connection only once its body was read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+	defer cancel()
+	return s.o.Member.ChangePermanent(ctx, c)
+}
+
 // pathParameter returns the name of the parameter at the end of a route's path.
 func pathParameter(path string) string { return path[strings.LastIndexByte(path, ':')+1:] }
 
--- a/internal/gate/evac/evac.go
+++ b/internal/gate/evac/evac.go
@@ -1,13 +1,13 @@
 // Package evac holds the set of evacuated data centres, to whose upstreams no process of the fleet sends new work.
 //
-// The log of the control group orders the operators' orders, so that the last stored order for a data centre wins. An order is a
+// The log of the control group orders the operators' orders, so that the last accepted order for a data centre wins. An order is a
 // permanent notice of package vdoc, and its revocation removes the notice. A Set is what the log says up to an index, so that of two
 // sets the one with the higher version is the newer one, whichever control nodes they come from.
 //
 // Usage:
 //
-//	err := member.ProposePermanent(ctx, evac.Notice("dc-1"))       // order
-//	err = member.ProposeRemoval(ctx, evac.Notice("dc-1").Key) // revocation
+//	err := member.ChangePermanent(ctx, vdoc.Change{Notice: evac.Notice("dc-1")})              // order
+//	err = member.ChangePermanent(ctx, vdoc.Change{Notice: evac.Notice("dc-1"), Remove: true}) // revocation
 //	set := evac.FromNotices(member.Permanent())
 //	current, changed := current.Merge(set)
 //	if current.Contains(upstream.DataCentre) { ... }
--- a/internal/node/gwnode/evacuation_test.go
+++ b/internal/node/gwnode/evacuation_test.go
@@ -3,15 +3,18 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/raft"
 	"github.com/berylledge/berylledge/internal/test/netem"
 	"github.com/berylledge/berylledge/internal/test/rawup"
 )
@@ -241,3 +244,92 @@
 	assert.Equal(t, f.request(11, "/x/"), 503)
 	assert.Equal(t, requests.Load(), before)
 }
+
+// heldUp starts control nodes 1 to 3, sends an order to one that is cut off from the others until the caller gives up, lets a newer
+// order be acknowledged elsewhere, and ends the cut.
+func (f *fleet) heldUp(late, newer string) {
+	f.t.Helper()
+	behind := 1
+	for n := 1; n <= 3; n++ {
+		if status, ok := f.nodes[n].member.Status(); ok && status.Raft.Role == raft.Follower {
+			behind = n
+		}
+	}
+	others := []int{1, 2, 3}
+	others = slices.Delete(others, behind-1, behind)
+	for _, n := range others {
+		f.links.Cut(f.ip(behind), f.ip(n))
+	}
+	assert.Equal(f.t, f.order(behind, late, "a"), 503)
+	f.acknowledged(others[0], newer, "a")
+	for _, n := range others {
+		f.links.Join(f.ip(behind), f.ip(n))
+	}
+	f.acknowledged(behind, "POST", "b") // all that was held up before it has arrived
+	for n := 1; n <= 3; n++ {
+		f.eventually("the node knows the next order", func() bool { return f.nodes[n].control.Evacuations().Contains("b") })
+	}
+}
+
+// Guards against an order that a cut held up and that undoes a newer, acknowledged one when the cut heals: "the evacuated data centre
+// gets a third of all requests again" (review/6). The newer order may have found nothing to do.
+func TestHeldUpOrderDoesNotUndoANewerOne(t *testing.T) {
+	for i, c := range []struct {
+		name        string
+		before      []string
+		late, newer string
+		want        []string
+	}{
+		{"revocation", []string{"POST"}, "DELETE", "POST", []string{"a", "b"}},
+		{"evacuation", nil, "POST", "DELETE", []string{"b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 101+i)
+			f.links = netem.New(clock.Real(), 10_000_000)
+			f.place = map[int]poller.Place{4: {DataCentre: "b", Region: "north"}}
+			for n := 1; n <= 3; n++ {
+				f.start(n, true)
+			}
+			f.put(1, f.config(5, "/x/"))
+			for n := 1; n <= 3; n++ {
+				f.eventually("the node belongs to the group", func() bool { return f.read(n) == 5 })
+			}
+			for _, method := range c.before {
+				f.acknowledged(1, method, "a")
+			}
+			f.heldUp(c.late, c.newer)
+			for n := 1; n <= 3; n++ {
+				assert.DeepEqual(t, f.nodes[n].control.Evacuations().DataCentres, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an order that a frozen control node reads when it wakes, long after the operator has given it up, closed the
+// connection and made a newer one elsewhere.
+func TestOrderOfACallerThatHasLeftIsNotCarriedOut(t *testing.T) {
+	f := newFleet(t, 103)
+	f.links = netem.New(clock.Real(), 10_000_000)
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	f.put(1, f.config(5, "/x/"))
+	f.acknowledged(1, "DELETE", "a")
+	for n := 1; n <= 3; n++ {
+		f.links.Delay(f.ip(n), 20*time.Millisecond) // longer than a node takes to see that a connection was closed
+	}
+	for n := 1; n <= 3; n++ {
+		for range 5 {
+			c, err := net.Dial("tcp", f.at(n, controlPort))
+			assert.NilError(t, err)
+			_, err = c.Write([]byte("POST /v1/traffic/evacuations/a HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n"))
+			assert.NilError(t, err)
+			assert.NilError(t, c.Close())
+		}
+	}
+	f.put(2, f.config(6, "/x/")) // behind what the nodes have proposed
+	for n := 1; n <= 3; n++ {
+		f.eventually("the node has applied it", func() bool { return f.read(n) == 6 })
+		assert.Equal(t, len(f.nodes[n].control.Evacuations().DataCentres), 0)
+	}
+}
--- a/internal/state/quorum/quorum.go
+++ b/internal/state/quorum/quorum.go
@@ -223,28 +223,46 @@
 
 var errFull = errors.Newf("the control group stores %d permanent notices, which is the limit", vdoc.MaxPermanent)
 
-// ProposePermanent stores a permanent notice; once it returns nil, the notice survives a restart of all members until it is removed.
-// After an error the notice may or may not take effect.
-func (m *Member) ProposePermanent(ctx context.Context, n vdoc.Notice) error {
-	body, err := vdoc.EncodePermanent(n)
-	if err != nil {
-		return err
-	}
-	result, err := m.propose(ctx, body)
-	if err == nil && result.Full {
-		return errFull
+// ChangePermanent carries out a change of the permanent notices; once it returns nil, the change survives a restart of all members.
+// After an error it may or may not take effect, but not after a newer change that was acknowledged: what is delivered late is
+// rejected. This holds only if ctx ends when the caller no longer waits for the change, because a caller that has given up may have
+// made a newer one elsewhere. The After of the change is ignored.
+func (m *Member) ChangePermanent(ctx context.Context, c vdoc.Change) error {
+	for {
+		after, err := m.accepted(ctx)
+		if err != nil {
+			return err
+		}
+		// A request that waited in a frozen process is seen to be abandoned only some time after it was read. The read from the
+		// leader takes longer than that.
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		c.After = after
+		result, err := m.proposeChange(ctx, c)
+		switch {
+		case err != nil:
+			return err
+		case result.Full:
+			return errFull
+		case !result.Conflict:
+			return nil
+		}
 	}
-	return err
 }
 
-// ProposeRemoval removes the permanent notice under a key. After an error the removal may or may not take effect.
-func (m *Member) ProposeRemoval(ctx context.Context, key string) error {
-	body, err := vdoc.EncodeRemoval(key)
+func (m *Member) proposeChange(ctx context.Context, c vdoc.Change) (vdoc.Result, error) {
+	body, err := vdoc.EncodeChange(c)
 	if err != nil {
-		return err
+		return vdoc.Result{}, err
 	}
-	_, err = m.propose(ctx, body)
-	return err
+	return m.propose(ctx, body)
+}
+
+// accepted returns the number of the last change that was acknowledged by any member before the call, or a later one.
+func (m *Member) accepted(ctx context.Context) (number uint64, err error) {
+	err = m.read(ctx, func() { number = m.replica.Accepted() })
+	return number, err
 }
 
 // Permanent returns the permanent notices that this member has applied, and the log index of the last change of them.
@@ -273,13 +291,18 @@
 // Read is a linearizable read: it returns the newest document acknowledged by any member before the call, or an error if
 // this member cannot confirm that.
 func (m *Member) Read(ctx context.Context) (vdoc.Document, error) {
+	var d vdoc.Document
+	err := m.read(ctx, func() { d = m.replica.Latest() })
+	return d, err
+}
+
+// read calls f once this member has applied all that was acknowledged before the call.
+func (m *Member) read(ctx context.Context, f func()) error {
 	g := m.node.Load()
 	if g == nil {
-		return vdoc.Document{}, errNotFormed
+		return errNotFormed
 	}
-	var d vdoc.Document
-	err := g.Read(ctx, func() { d = m.replica.Latest() })
-	return d, err
+	return g.Read(ctx, f)
 }
 
 // Status returns the state of the member; false if this member runs no Raft node.
--- a/internal/state/vdoc/permanent_test.go
+++ b/internal/state/vdoc/permanent_test.go
@@ -10,7 +10,12 @@
 
 func storePermanent(t *testing.T, r *Replica, index uint64, key string) Result {
 	t.Helper()
-	data, err := EncodePermanent(Notice{Key: key})
+	return change(t, r, index, Change{Notice: Notice{Key: key}, After: r.Accepted()})
+}
+
+func change(t *testing.T, r *Replica, index uint64, c Change) Result {
+	t.Helper()
+	data, err := EncodeChange(c)
 	assert.NilError(t, err)
 	result, err := DecodeResult(r.Apply(index, data))
 	assert.NilError(t, err)
@@ -19,9 +24,7 @@
 
 func removePermanent(t *testing.T, r *Replica, index uint64, key string) {
 	t.Helper()
-	data, err := EncodeRemoval(key)
-	assert.NilError(t, err)
-	r.Apply(index, data)
+	change(t, r, index, Change{Notice: Notice{Key: key}, Remove: true, After: r.Accepted()})
 }
 
 func assertPermanent(t *testing.T, r *Replica, index uint64, keys ...string) {
@@ -100,7 +103,7 @@
 
 // Guards against a member of a release without permanent notices that cannot read the log, or that takes the order for a configuration.
 func TestReleaseWithoutPermanentNoticesIgnoresThem(t *testing.T) {
-	data, err := EncodePermanent(Notice{Key: "p"})
+	data, err := EncodeChange(Change{Notice: Notice{Key: "p"}, After: 4})
 	assert.NilError(t, err)
 	var c struct {
 		Version    uint64   `cbor:"1,keyasint"`
@@ -112,3 +115,80 @@
 	assert.Equal(t, c.Version, uint64(0))
 	assert.Equal(t, len(c.Notices), 0)
 }
+
+// Guards against a change that a partition held up and that undoes a newer, acknowledged one, also where the newer one found nothing to
+// do: an evacuation that is ordered again while it is in force, or revoked before it has arrived.
+func TestLateChangeIsRejected(t *testing.T) {
+	store := Change{Notice: Notice{Key: "p"}}
+	remove := Change{Notice: Notice{Key: "p"}, Remove: true}
+	for _, c := range []struct {
+		name        string
+		before      []Change
+		late, newer Change
+		want        []string
+	}{
+		{"removal after storing once more", []Change{store}, remove, store, []string{"p"}},
+		{"storing after a removal of nothing", nil, store, remove, nil},
+		{"removal after removal and storing", []Change{store, remove}, remove, store, []string{"p"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(func(Document) {})
+			index := uint64(0)
+			next := func(c Change) bool {
+				index++
+				return !change(t, r, index, c).Conflict
+			}
+			for _, b := range c.before {
+				b.After = r.Accepted()
+				assert.Assert(t, next(b))
+			}
+			c.late.After = r.Accepted()
+			c.newer.After = r.Accepted()
+			assert.Assert(t, next(c.newer))
+
+			snapshot, err := r.Snapshot()
+			assert.NilError(t, err)
+			restored := New(func(Document) {})
+			assert.NilError(t, restored.Restore(snapshot))
+			for _, r := range []*Replica{r, restored} {
+				assert.Assert(t, change(t, r, index+1, c.late).Conflict)
+				list, _ := r.Permanent()
+				var keys []string
+				for _, n := range list {
+					keys = append(keys, n.Key)
+				}
+				assert.DeepEqual(t, keys, c.want)
+			}
+		})
+	}
+}
+
+// Guards against members that judge a change differently after an update, because one restored a snapshot of the earlier release and
+// another one replayed its log.
+func TestStateOfAnEarlierReleaseCountsAlike(t *testing.T) {
+	type earlierState struct {
+		List  []Notice `cbor:"1,keyasint,omitempty"`
+		Index uint64   `cbor:"2,keyasint"`
+	}
+	type earlierCommand struct {
+		Permanent []Notice      `cbor:"5,keyasint,omitempty"`
+		State     *earlierState `cbor:"7,keyasint,omitempty"`
+	}
+	encode := func(c earlierCommand) []byte {
+		data, err := cbor.Marshal(c)
+		assert.NilError(t, err)
+		return data
+	}
+	p := []Notice{{Key: "p"}}
+	replayed, restored := New(func(Document) {}), New(func(Document) {})
+	for _, index := range []uint64{7, 9} { // the second one found nothing to do
+		replayed.Apply(index, encode(earlierCommand{Permanent: p}))
+	}
+	assert.NilError(t, restored.Restore(encode(earlierCommand{State: &earlierState{List: p, Index: 7}})))
+	for _, r := range []*Replica{replayed, restored} {
+		assert.Equal(t, r.Accepted(), uint64(7))
+		assertPermanent(t, r, 7, "p")
+		assert.Assert(t, change(t, r, 11, Change{Notice: Notice{Key: "q"}, After: 6}).Conflict)
+		assert.Assert(t, !change(t, r, 12, Change{Notice: Notice{Key: "q"}, After: 7}).Conflict)
+	}
+}
--- a/internal/state/vdoc/vdoc.go
+++ b/internal/state/vdoc/vdoc.go
@@ -8,8 +8,12 @@
 // Notices are short messages that must survive a restart of all members, such as the departure of an upstream. They do not
 // depend on the document. Only the newest maxNotices are kept.
 //
+// A notice may name the run of a process that it is about. It is then ignored if the stored notice is about a later run, so that one
+// that was delivered late does not replace a newer one.
+//
 // A permanent notice, such as the order to evacuate a data centre, is kept until it is removed. All permanent notices share the log
-// index of the last command that changed them, which orders their states across members and restarts.
+// index of the last command that changed them, which orders their states across members and restarts. A Change is a compare-and-set
+// on the number of the last accepted one.
 //
 // Usage:
 //
@@ -23,8 +27,7 @@
 //	list, last := r.Notices(0)    // all of them
 //	list, last = r.Notices(last)  // those stored since
 //
-//	body, err = vdoc.EncodePermanent(vdoc.Notice{Key: "evacuation/dc-1"})
-//	body, err = vdoc.EncodeRemoval("evacuation/dc-1")
+//	body, err = vdoc.EncodeChange(vdoc.Change{Notice: vdoc.Notice{Key: "evacuation/dc-1"}, After: r.Accepted()})
 //	list, index := r.Permanent()
 package vdoc
 
@@ -55,6 +58,8 @@
 	Permanent []Notice        `cbor:"5,keyasint,omitempty"` // stored by this command
 	Removed   []string        `cbor:"6,keyasint,omitempty"` // keys of permanent notices that this command removes
 	State     *permanentState `cbor:"7,keyasint,omitempty"` // in snapshots
+	// After is Change.After. Commands of earlier releases have none and are always accepted; members of earlier releases accept all.
+	After *uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Result is the outcome of a command.
@@ -62,6 +67,8 @@
 	Changed bool   `cbor:"1,keyasint"`           // the command's document was stored
 	Version uint64 `cbor:"2,keyasint"`           // stored version after the command
 	Full    bool   `cbor:"3,keyasint,omitempty"` // a permanent notice was rejected, because there are MaxPermanent
+	// Conflict says that a Change was rejected, because another one was accepted after the one that it names.
+	Conflict bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Replica implements raftd.Replica. Latest may be called from any goroutine.
@@ -93,7 +100,8 @@
 	}
 	changed := r.storeIfNewer(c.document())
 	r.storeNotices(c.Notices)
-	return encodeResult(Result{Changed: changed, Version: r.Latest().Version, Full: r.applyPermanent(index, c)})
+	v := r.applyPermanent(index, c)
+	return encodeResult(Result{Changed: changed, Version: r.Latest().Version, Full: v.full, Conflict: v.conflict})
 }
 
 // storeIfNewer stores d if its version is higher than the stored one, and reports whether it did.
@@ -110,7 +118,7 @@
 	return changed
 }
 
-func (r *Replica) applyPermanent(index uint64, c command) (full bool) {
+func (r *Replica) applyPermanent(index uint64, c command) verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.permanent.apply(index, c)
@@ -120,12 +128,18 @@
 func (r *Replica) Snapshot() ([]byte, error) {
 	c := newCommand(r.Latest())
 	c.Notices, _ = r.Notices(0)
-	if list, index := r.Permanent(); index > 0 {
-		c.State = &permanentState{List: list, Index: index}
+	if state := r.permanentState(); state.Accepted > 0 {
+		c.State = &state
 	}
 	return cbor.Marshal(c)
 }
 
+func (r *Replica) permanentState() permanentState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.permanent.state()
+}
+
 // Restore stores the document of a snapshot unless the stored one is at least as new, its notices, and its permanent notices unless
 // the present ones are at least as new.
 func (r *Replica) Restore(data []byte) error {
@@ -181,7 +195,7 @@
 
 func encodeResult(r Result) []byte {
 	data, err := cbor.Marshal(r)
-	if err != nil { // a struct of a bool and an integer can always be encoded
+	if err != nil { // a struct of bools and an integer can always be encoded
 		panic(err)
 	}
 	return data
