Keep the departure of the newest start of an upstream

An upstream that left, started again under its id and left again could get work after a restart of all control nodes although its second departure was acknowledged: a late copy of the first one had replaced it in the group's state.

Evidence: the body of Member.Notice after the late copy is that of the earlier start on every member, which rules out a notice that was dropped. Running nodes are not affected, since their memory orders the starts.

A notice now names its run and step, and one of an earlier run or step replaces nothing. Notices without a run, those of earlier releases, are ordered by the log as before.

--- a/internal/gate/ctlsrv/leave.go
+++ b/internal/gate/ctlsrv/leave.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	body := encode(departure{u, s.o.Clock.Now().UnixMilli()})
-	return s.o.Member.ProposeNotice(ctx, vdoc.Notice{Key: u.ID, Body: body})
+	return s.o.Member.ProposeNotice(ctx, vdoc.Notice{Key: u.ID, Body: body, Run: u.StartedMs, Step: uint8(u.State)})
 }
 
 // isStored reports whether the group has stored the departure of this run of an upstream. Draining upstreams repeat theirs with
--- a/internal/node/gwnode/leave_test.go
+++ b/internal/node/gwnode/leave_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/berylledge/berylledge/internal/gate/roster"
+	"github.com/berylledge/berylledge/internal/state/vdoc"
 )
 
 // restartControl stops all control nodes at once and starts them again with their folders.
@@ -87,3 +88,38 @@
 	f.eventually("the new run is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
 	f.eventually("the entry node serves", func() bool { return p.isReady() && f.request(11, "/x/") == 200 })
 }
+
+// leave sends the DELETE of the upstream to a control node.
+func (f *fleet) leave(node int) int {
+	status, _ := f.do("DELETE", "http://"+f.at(node, controlPort)+"/v1/traffic/upstreams/u1", nil)
+	return status
+}
+
+// Guards against the departure of an earlier run that is delivered late and replaces the acknowledged one of a newer run under the same
+// id: after a restart of all control nodes the upstream that is leaving would get work again.
+func TestLateDepartureDoesNotReplaceThatOfANewerRun(t *testing.T) {
+	f := newFleet(t, 104)
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	f.put(1, f.config(5, "/x/"))
+	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	f.eventually("its departure is acknowledged", func() bool { return f.leave(1) == 200 })
+	var late vdoc.Notice
+	f.eventually("the node has applied it", func() bool {
+		var stored bool
+		late, stored = f.nodes[1].member.Notice("u1")
+		return stored
+	})
+	f.born++
+	f.eventually("the next run is registered", func() bool { return f.beat(2, roster.Ready, 1) == 200 })
+	f.eventually("its departure is acknowledged", func() bool { return f.beat(2, roster.Draining, 2) == 200 })
+	assert.NilError(t, f.nodes[3].member.ProposeNotice(t.Context(), late))
+	for v := uint64(6); v <= 80; v++ { // more than the 64 entries between two snapshots
+		f.put(1, f.config(v, "/x/"))
+	}
+	f.restartControl()
+	for n := 1; n <= 3; n++ {
+		f.eventually("each control node knows the departure of the newer run", f.knows(n, roster.Draining))
+	}
+}
--- a/internal/state/vdoc/notice.go
+++ b/internal/state/vdoc/notice.go
@@ -1,15 +1,28 @@
 package vdoc
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Notice is a short message under a key. A later one under the same key replaces it.
+// Notice is a short message under a key. A later one under the same key replaces it, unless it is about an earlier run.
 type Notice struct {
 	Key  string `cbor:"1,keyasint"`
 	Body []byte `cbor:"2,keyasint"`
+	// Run is the start of the process that the notice is about, in any unit that increases; 0: the notice is about none, and is
+	// ordered by the log alone, like those of earlier releases. Step orders the notices about one run.
+	Run  int64 `cbor:"3,keyasint,omitempty"`
+	Step uint8 `cbor:"4,keyasint,omitempty"`
+}
+
+// precedes reports whether n is about an earlier run than other, or an earlier step of the same run.
+func (n Notice) precedes(other Notice) bool {
+	if n.Run == 0 || other.Run == 0 {
+		return false
+	}
+	return cmp.Or(cmp.Compare(n.Run, other.Run), cmp.Compare(n.Step, other.Step)) < 0
 }
 
 // maxNotices bounds the notices that are kept; it exceeds the upstreams of the largest fleet, which may all leave at once. They are
@@ -29,6 +42,9 @@
 
 func (l *noticeList) store(n Notice) {
 	if i := l.find(n.Key); i >= 0 {
+		if n.precedes(l.list[i]) {
+			return
+		}
 		l.remove(i)
 	}
 	if len(l.list) >= maxNotices {
--- a/internal/state/vdoc/notice_test.go
+++ b/internal/state/vdoc/notice_test.go
@@ -9,7 +9,7 @@
 
 func storeNotice(t *testing.T, r *Replica, key, body string) {
 	t.Helper()
-	data, err := EncodeNotice(Notice{key, []byte(body)})
+	data, err := EncodeNotice(Notice{Key: key, Body: []byte(body)})
 	assert.NilError(t, err)
 	r.Apply(1, data)
 }
@@ -68,3 +68,33 @@
 	list, _ = r.Notices(last - 2)
 	assert.Equal(t, len(list), 2)
 }
+
+// Guards against the departure of an earlier run that a partition held up, and that replaces the one of a newer run under the same id.
+func TestNoticeOfAnEarlierRunChangesNothing(t *testing.T) {
+	r := New(func(Document) {})
+	var last uint64
+	store := func(run int64, step uint8, body string) {
+		data, err := EncodeNotice(Notice{Key: "u", Body: []byte(body), Run: run, Step: step})
+		assert.NilError(t, err)
+		r.Apply(1, data)
+	}
+	for _, c := range []struct {
+		run  int64
+		step uint8
+		body string
+		want []string
+	}{
+		{7, 2, "draining", []string{"u=draining"}},
+		{5, 3, "earlier", nil},
+		{7, 3, "gone", []string{"u=gone"}},
+		{7, 2, "late", nil},
+		{7, 3, "again", []string{"u=again"}},
+		{9, 2, "newer", []string{"u=newer"}},
+		{0, 0, "of an earlier release", []string{"u=of an earlier release"}},
+	} {
+		store(c.run, c.step, c.body)
+		var list []Notice
+		list, last = r.Notices(last)
+		assert.DeepEqual(t, texts(list), c.want)
+	}
+}
