Carry out a departure only while its sender waits

A DELETE that a control node read long after it was sent, because it was frozen or a cut held the bytes up, made the next start of the upstream under the same id gone for 45 s: a DELETE names no start and was applied to the one that the node knew.

A sender that has left turned to another node, or was promised nothing.

--- a/internal/gate/ctlsrv/evacuation.go
+++ b/internal/gate/ctlsrv/evacuation.go
@@ -59,8 +59,7 @@
 
 // changePermanent carries out a change while its caller waits.
 func (s *Server) changePermanent(r *http.Request, c vdoc.Change) error {
-	// The context of a request ends with its connection only once its body was read.
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if err := readToEnd(r); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
@@ -68,6 +67,12 @@
 	return s.o.Member.ChangePermanent(ctx, c)
 }
 
+// readToEnd reads the body of a request. Only then does the context of the request end with its connection.
+func readToEnd(r *http.Request) error {
+	_, err := io.Copy(io.Discard, r.Body)
+	return err
+}
+
 // pathParameter returns the name of the parameter at the end of a route's path.
 func pathParameter(path string) string { return path[strings.LastIndexByte(path, ':')+1:] }
 
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -142,6 +142,10 @@
 		writeText(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if !s.isAwaited(r) {
+		writeText(w, http.StatusServiceUnavailable, errSenderLeft.Error())
+		return
+	}
 	u := s.applyLeave(id)
 	poller.LogUpstream(s.o.Events, u)
 	if err := s.announceLeave(u); err != nil {
--- a/internal/node/gwnode/evacuation_test.go
+++ b/internal/node/gwnode/evacuation_test.go
@@ -245,26 +245,38 @@
 	assert.Equal(t, requests.Load(), before)
 }
 
-// heldUp starts control nodes 1 to 3, sends an order to one that is cut off from the others until the caller gives up, lets a newer
-// order be acknowledged elsewhere, and ends the cut.
-func (f *fleet) heldUp(late, newer string) {
+// cutOffFollower cuts one of control nodes 1 to 3 that is no leader off from the others, and returns it, one of the others, and what
+// ends the cut.
+func (f *fleet) cutOffFollower() (behind, other int, join func()) {
 	f.t.Helper()
-	behind := 1
-	for n := 1; n <= 3; n++ {
-		if status, ok := f.nodes[n].member.Status(); ok && status.Raft.Role == raft.Follower {
-			behind = n
+	f.eventually("a leader is known", func() bool {
+		for n := 1; n <= 3; n++ {
+			status, _ := f.nodes[n].member.Status()
+			if status.Raft.Role == raft.Follower && status.Raft.Leader != "" {
+				behind = n
+			}
 		}
-	}
-	others := []int{1, 2, 3}
-	others = slices.Delete(others, behind-1, behind)
+		return behind != 0
+	})
+	others := slices.DeleteFunc([]int{1, 2, 3}, func(n int) bool { return n == behind })
 	for _, n := range others {
 		f.links.Cut(f.ip(behind), f.ip(n))
 	}
-	assert.Equal(f.t, f.order(behind, late, "a"), 503)
-	f.acknowledged(others[0], newer, "a")
-	for _, n := range others {
-		f.links.Join(f.ip(behind), f.ip(n))
+	return behind, others[0], func() {
+		for _, n := range others {
+			f.links.Join(f.ip(behind), f.ip(n))
+		}
 	}
+}
+
+// heldUp sends an order to a control node that is cut off from the others until the caller gives up, lets a newer order be
+// acknowledged elsewhere, and ends the cut.
+func (f *fleet) heldUp(late, newer string) {
+	f.t.Helper()
+	behind, other, join := f.cutOffFollower()
+	assert.Equal(f.t, f.order(behind, late, "a"), 503)
+	f.acknowledged(other, newer, "a")
+	join()
 	f.acknowledged(behind, "POST", "b") // all that was held up before it has arrived
 	for n := 1; n <= 3; n++ {
 		f.eventually("the node knows the next order", func() bool { return f.nodes[n].control.Evacuations().Contains("b") })
@@ -315,21 +327,27 @@
 	}
 	f.put(1, f.config(5, "/x/"))
 	f.acknowledged(1, "DELETE", "a")
+	f.sendAndLeave("POST", "/v1/traffic/evacuations/a")
+	f.put(2, f.config(6, "/x/")) // behind what the nodes have proposed
+	for n := 1; n <= 3; n++ {
+		f.eventually("the node has applied it", func() bool { return f.read(n) == 6 })
+		assert.Equal(t, len(f.nodes[n].control.Evacuations().DataCentres), 0)
+	}
+}
+
+// sendAndLeave sends a message to each of control nodes 1 to 3 some times and closes the connections at once.
+func (f *fleet) sendAndLeave(method, path string) {
+	f.t.Helper()
 	for n := 1; n <= 3; n++ {
 		f.links.Delay(f.ip(n), 20*time.Millisecond) // longer than a node takes to see that a connection was closed
 	}
 	for n := 1; n <= 3; n++ {
 		for range 5 {
 			c, err := net.Dial("tcp", f.at(n, controlPort))
-			assert.NilError(t, err)
-			_, err = c.Write([]byte("POST /v1/traffic/evacuations/a HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n"))
-			assert.NilError(t, err)
-			assert.NilError(t, c.Close())
+			assert.NilError(f.t, err)
+			_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n", method, path)
+			assert.NilError(f.t, err)
+			assert.NilError(f.t, c.Close())
 		}
 	}
-	f.put(2, f.config(6, "/x/")) // behind what the nodes have proposed
-	for n := 1; n <= 3; n++ {
-		f.eventually("the node has applied it", func() bool { return f.read(n) == 6 })
-		assert.Equal(t, len(f.nodes[n].control.Evacuations().DataCentres), 0)
-	}
 }
--- a/internal/node/gwnode/leave_test.go
+++ b/internal/node/gwnode/leave_test.go
@@ -6,8 +6,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/state/vdoc"
+	"github.com/berylledge/berylledge/internal/test/netem"
 )
 
 // restartControl stops all control nodes at once and starts them again with their folders.
@@ -123,3 +125,27 @@
 		f.eventually("each control node knows the departure of the newer run", f.knows(n, roster.Draining))
 	}
 }
+
+// Guards against a DELETE that a frozen control node reads when it wakes, after the upstream has started again under the same id: the
+// new run would get no work for 45 s.
+func TestDepartureOfASenderThatHasLeftIsNotCarriedOut(t *testing.T) {
+	f := newFleet(t, 105)
+	f.every = 60_000
+	f.links = netem.New(clock.Real(), 10_000_000)
+	for n := 1; n <= 3; n++ {
+		f.start(n, true)
+	}
+	f.put(1, f.config(5, "/x/"))
+	f.eventually("the upstream is registered", func() bool { return f.beat(1, roster.Ready, 1) == 200 })
+	for n := 1; n <= 3; n++ {
+		f.eventually("each control node knows it", func() bool { return len(f.nodes[n].control.Upstreams()) == 1 })
+	}
+	f.sendAndLeave("DELETE", "/v1/traffic/upstreams/u1")
+	f.put(2, f.config(6, "/x/")) // behind what the nodes have proposed
+	for n := 1; n <= 3; n++ {
+		f.eventually("the node has applied it", func() bool { return f.read(n) == 6 })
+		assert.Equal(t, f.nodes[n].control.Upstreams()[roster.Gone], 0)
+	}
+	f.eventually("a departure whose sender waits is carried out", func() bool { return f.leave(2) == 200 })
+	f.eventually("it is known", f.knows(1, roster.Gone))
+}
