Bound the load of upstreams whose last report may not be known

Cause: entry nodes held the last record for true until no control node heard the upstream, 2.5 to 4.8 s after the cut. A record had no sign of how old the word behind it may be.

Evidence: the cut-off node acknowledged the heartbeat, which rules out that it was lost on its way; the views of the entry nodes show the upstream neither cold nor silent meanwhile, which rules out that they knew it and sent all the same; without the cut the limit holds at once, which rules out a slow path.

Control nodes now determine which upstreams are stale (the one that hears them was not heard for 600 ms, lost a message, or says that their heartbeat is late) and tell entry nodes; an entry node without an answer for 1.5 s takes all for stale. A stale upstream counts as cold where its service has a cold rate. A control node that has lost its group applies heartbeats and answers 503, so that upstreams report to one in touch. Control nodes greet each other every 250 ms in place of every second. New metric: berylledge_stale_upstreams.

--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -59,9 +59,11 @@
 
 // Intervals, timeouts and limits.
 const (
-	syncInterval        = time.Second
+	syncInterval        = 250 * time.Millisecond
 	shareInterval       = 100 * time.Millisecond
-	partitionedAfter    = 2500 * time.Millisecond // losing two Shares in a row does not count as a partition
+	partitionedAfter    = 2500 * time.Millisecond
+	staleAfter          = 600 * time.Millisecond // two Shares, and some delay
+	lateHeartbeats      = 1.5                    // intervals without a heartbeat after which an upstream may have reported elsewhere
 	heldTimeout         = 2 * time.Second
 	proposeTimeout      = 900 * time.Millisecond // operators try another node after a second
 	readTimeout         = 900 * time.Millisecond
@@ -131,6 +133,7 @@
 	return roster.New(roster.Config{
 		Self: o.Address, Epoch: epoch, SilentAfter: maxMissedHeartbeats * o.HeartbeatInterval, OwnerTimeout: partitionedAfter, ForgetAfter: forgetAfter,
 		EntryTimeout: entrySilentAfter, OwnerGrace: holderGrace,
+		StaleAfter: staleAfter, LateAfter: time.Duration(lateHeartbeats * float64(o.HeartbeatInterval)),
 	})
 }
 
@@ -152,9 +155,16 @@
 			synced = now
 		}
 		s.share(now, due)
+		s.updateStale(now)
 	}
 }
 
+func (s *Server) updateStale(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.UpdateStale(now)
+}
+
 // share sends changes to the other control nodes. If a sync is due, it always sends a Share.
 func (s *Server) share(now time.Time, due bool) {
 	if share, changed := s.unshared(now, due); changed || due {
@@ -319,7 +329,7 @@
 		reply.Control = append(control, s.o.Address)
 	}
 	if poll.Epoch != s.epoch {
-		poll.Seen, poll.SuspectsSeen = 0, 0
+		poll.Seen, poll.SuspectsSeen, poll.Stale = 0, 0, 0
 	}
 	now := s.o.Clock.Now()
 	if len(poll.Crashes) > 0 {
@@ -329,7 +339,11 @@
 		}
 	}
 	reply.Suspects, reply.SuspectsVersion = s.crashes.Suspects(now, poll.SuspectsSeen)
+	stale := s.stale(&poll) // before the records, so that none is missing of an upstream that is no longer stale
 	reply.Delta, reply.Apart = s.records(now, &poll, control)
+	if !reply.Delta.More {
+		reply.Stale = stale
+	}
 	reply.CutOff = s.cutOff(now, group)
 	if set := s.Evacuations(); set.Version > poll.Evacuations {
 		reply.Evacuations = &set
@@ -355,6 +369,17 @@
 	return roster.Delta{}, nil
 }
 
+// stale returns the set of stale upstreams for an entry node that follows this node and has another one; else nil.
+func (s *Server) stale(poll *poller.Query) *roster.StaleSet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := s.roster.Stale()
+	if poll.Entry == nil || poll.Stale == set.Version {
+		return nil
+	}
+	return &set
+}
+
 // cutOff reports whether this node has lost its group: neither the leader nor, with this node, a majority of the voters was heard
 // lately. While a leader is elected the voters hear each other, so that entry nodes do not all look for another control node.
 func (s *Server) cutOff(now time.Time, group groupStatus) bool {
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
@@ -113,6 +114,10 @@
 			return
 		}
 	}
+	if s.hasLostGroup() {
+		writeText(w, http.StatusServiceUnavailable, errLostGroup.Error())
+		return
+	}
 	reply, err := s.o.Dialect.EncodeHeartbeatReply(s.o.HeartbeatAddress)
 	if err != nil {
 		writeText(w, http.StatusInternalServerError, err.Error())
@@ -121,6 +126,16 @@
 	writeJSON(w, reply)
 }
 
+// errLostGroup answers a heartbeat that this node has applied, but that the other control nodes will not learn. The upstream then sends
+// it to one of them.
+var errLostGroup = errors.New("this control node is cut off from the others, which need the heartbeat too")
+
+// hasLostGroup reports whether this node was in touch with its group since its start and is cut off from it.
+func (s *Server) hasLostGroup() bool {
+	group := s.status()
+	return !group.contact.IsZero() && s.cutOff(s.o.Clock.Now(), group)
+}
+
 // applyHeartbeat applies a heartbeat and reports whether the other nodes must be notified before it is
 // acknowledged. They must after one that says the upstream is draining, including a repeated one, since they may have
 // missed the first.
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -30,7 +30,8 @@
 // A node that has lost the control group may have been replaced by others that use the whole limit, so that its deciders keep to the
 // slack of the limit (SetIsolated). With one cut, the sum over both sides thus stays within the bound.
 //
-// An upstream that no control node hears may have turned cold unnoticed and counts as cold until its next heartbeat.
+// An upstream that no control node hears, or only one that can't be reached, may have turned cold unnoticed and counts as cold until its
+// next heartbeat is known.
 //
 // Work that is placed now and sent later counts from its placement until a second after its send. No window of a second can
 // therefore hold more sends than the limit, whenever the work that has been placed is sent.
@@ -146,7 +147,7 @@
 	ColdPerSecond float64       // requests a second that it bears while cold; 0: no limit
 	SlowStart     bool          // its load grows step by step after a start
 	Slots         int           // requests or calls that it takes at the same time, with its queue; 0: not known
-	MaybeCold     bool          // no control node hears it, so that it may have turned cold unnoticed
+	MaybeCold     bool          // no control node that can be reached hears it, so that it may have turned cold unnoticed
 	Leaving       bool          // it gets no new work
 	PausedUntil   time.Time     // it gets no work before; zero: no pause
 }
@@ -159,7 +160,7 @@
 	out := Upstream{ID: u.ID, StartedMs: u.StartedMs, ColdUntil: u.ColdUntil, Slots: u.Slots}
 	if s != nil {
 		out.ColdTime, out.ColdPerSecond = s.ColdTime.Duration(), s.ColdPerSecond
-		out.MaybeCold = u.Silent && s.ColdPerSecond > 0
+		out.MaybeCold = (u.Silent || u.Stale) && s.ColdPerSecond > 0
 		out.SlowStart = IsPaced(s)
 		switch {
 		case s.Engine != nil:
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -34,6 +34,7 @@
 	Control      uint64        `cbor:"8,keyasint,omitempty"`  // ControlSum of the addresses known here
 	Text         *Want         `cbor:"9,keyasint,omitempty"`  // asks for a newer configuration
 	Evacuations  uint64        `cbor:"10,keyasint,omitempty"` // version of the set of evacuated data centres in force here
+	Stale        uint64        `cbor:"11,keyasint,omitempty"` // version of the control node's last StaleSet
 }
 
 // Reply is the answer.
@@ -52,6 +53,7 @@
 	Packed          []byte                `cbor:"11,keyasint,omitempty"` // a compressed Delta, in place of Delta
 	Evacuations     *evac.Set             `cbor:"12,keyasint,omitempty"` // if newer than the question's
 	CutOff          bool                  `cbor:"13,keyasint,omitempty"` // the control node has lost its group
+	Stale           *roster.StaleSet      `cbor:"14,keyasint,omitempty"` // if it differs from that of the question
 }
 
 // Place is where a process runs.
@@ -172,7 +174,7 @@
 		p.report++
 		e := p.o.Self
 		e.Started, e.ReportSequence, e.Ready = p.started.UnixNano(), p.report, p.ready.Load()
-		q.Entry, q.Seen = &e, s.seen
+		q.Entry, q.Seen, q.Stale = &e, s.seen, s.stale.Version
 	case followHeld:
 		q.Held, q.Seen = true, s.held
 		if known := p.apart[s.address]; s.held == 0 || known.Epoch != s.epoch {
@@ -194,7 +196,7 @@
 		p.o.Events.Emit(event.ControlFound, event.F("control", s.address))
 	}
 	if s.epoch != reply.Epoch {
-		s.seen, s.held = 0, 0
+		s.seen, s.held, s.stale = 0, 0, roster.StaleSet{}
 	}
 	seen := s.seen + s.held
 	s.epoch, s.place, s.version, s.sure, s.cutOff = reply.Epoch, reply.Place, reply.Version, reply.Sure, reply.CutOff
@@ -250,6 +252,7 @@
 	}
 	s.seen = reply.Delta.Version
 	changed := p.setApart(reply.Apart)
+	changed = p.takeStale(s, reply.Stale) || changed
 	if reply.Delta.Full {
 		s.pass = now
 	}
@@ -262,6 +265,16 @@
 	return changed
 }
 
+// takeStale notes which upstreams the followed control node takes for stale, and reports whether they are others than before.
+func (p *Poller) takeStale(s *source, set *roster.StaleSet) bool {
+	if set != nil {
+		s.stale = *set
+	}
+	changed := !slices.Equal(p.stale.IDs, s.stale.IDs)
+	p.stale = s.stale
+	return changed
+}
+
 // setApart notes the control nodes that the primary does not hear, and reports whether they are others than before.
 func (p *Poller) setApart(list []roster.SyncPosition) bool {
 	if len(list) == 0 && len(p.apart) == 0 {
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -59,8 +59,10 @@
 	// isolatedAfter is the time without an answer of a control node that is sure after which a view is isolated. The others take this
 	// node for gone 3 s after its last report at the earliest, and use its part of limits 2 s later.
 	isolatedAfter = 2500 * time.Millisecond
-	forgetAfter   = 60 * time.Second
-	maxControl    = 32
+	// uninformedAfter allows a question that times out and one more.
+	uninformedAfter = 1500 * time.Millisecond
+	forgetAfter     = 60 * time.Second
+	maxControl      = 32
 )
 
 // View is what an entry node knows. It does not change.
@@ -72,6 +74,8 @@
 	Evacuations evac.Set
 	// Isolated is set if no control node that is sure has answered lately, so that other entry nodes may take this one for gone.
 	Isolated bool
+	// Uninformed is set if no control node has answered lately. All upstreams are then shown as stale.
+	Uninformed bool
 }
 
 // IsPaced reports whether the configuration limits the requests to upstreams of a service that are cold.
@@ -83,6 +87,19 @@
 	return s != nil && s.ColdPerSecond > 0
 }
 
+// StaleUpstreams returns the number of upstreams that are shown as stale.
+func (v *View) StaleUpstreams() int {
+	n := 0
+	for _, list := range v.Services {
+		for _, u := range list {
+			if u.Stale {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Poller is a running poller.
 type Poller struct {
 	o      Options
@@ -106,6 +123,7 @@
 	entries     map[string]*knownEntry
 	sources     map[string]*source // by peer address
 	evacuations evac.Set
+	stale       roster.StaleSet                // by the word of the control node that was followed last
 	apart       map[string]roster.SyncPosition // control nodes that the primary does not hear, by address
 	turned      time.Time                      // when a control node was last looked in on
 	answered    time.Time
--- a/internal/gate/poller/schedule.go
+++ b/internal/gate/poller/schedule.go
@@ -6,6 +6,7 @@
 
 	"github.com/berylledge/berylledge/internal/base/event"
 	"github.com/berylledge/berylledge/internal/base/rendez"
+	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
 // Times between two questions to a control node.
@@ -47,6 +48,7 @@
 	heard   time.Time // when it last answered
 	crashes uint64    // version of the own notes of crashes that it has
 	blame   uint64    // version of the last Suspects
+	stale   roster.StaleSet
 }
 
 func (p *Poller) addSource(address string) {
@@ -125,7 +127,7 @@
 		s.asking, s.asked = true, now
 		p.wg.Go(func() { p.follow(s) })
 	}
-	if p.table != nil && p.isolated(now) != p.view.Load().Isolated {
+	if v := p.view.Load(); p.table != nil && (p.isolated(now) != v.Isolated || p.isUninformed(now) != v.Uninformed) {
 		p.publish(now)
 	}
 	if !p.lost && now.Sub(p.answered) > lostAfter {
--- a/internal/gate/poller/view.go
+++ b/internal/gate/poller/view.go
@@ -185,11 +185,18 @@
 	return s == nil || s.cutOff || now.Sub(p.sureAt) > isolatedAfter
 }
 
+// isUninformed reports whether no control node has answered lately.
+func (p *Poller) isUninformed(now time.Time) bool { return now.Sub(p.answered) > uninformedAfter }
+
 func (p *Poller) publish(now time.Time) {
-	v := &View{Table: p.table, Services: map[string][]roster.Upstream{}, Evacuations: p.evacuations, Isolated: p.isolated(now)}
+	v := &View{
+		Table: p.table, Services: map[string][]roster.Upstream{}, Evacuations: p.evacuations,
+		Isolated: p.isolated(now), Uninformed: p.isUninformed(now),
+	}
 	for _, u := range p.upstreams {
 		out := u.Upstream
 		out.Silent = p.silent(now, u)
+		out.Stale = v.Uninformed || p.stale.Contains(u.ID)
 		if now := seenAs(out); now != u.logged {
 			u.logged = now
 			LogUpstream(p.o.Events, out)
--- a/internal/gate/proxy/pacing.go
+++ b/internal/gate/proxy/pacing.go
@@ -334,6 +334,6 @@
 			u = now
 		}
 	}
-	u.Silent = false // whether an upstream that is not heard may be cold is decided by the placer, which may hear it
+	u.Silent, u.Stale = false, false // whether an upstream that is not heard may be cold is decided by the placer, which may hear it
 	return f.isCold(u)
 }
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -62,6 +62,8 @@
 	ColdMs int64 `cbor:"12,keyasint,omitempty" json:"cold_ms"`
 	// ColdUntil is the end of the cold time by the local clock; zero: not cold.
 	ColdUntil time.Time `cbor:"-" json:"-"`
+	// Stale says that the upstream may have reported something since that is not known here. Set in views of entry nodes only.
+	Stale bool `cbor:"-" json:"-"`
 }
 
 // coldShift is by how much the end of a cold time must move before the record counts as changed. It exceeds the usual variation
@@ -116,6 +118,10 @@
 	// OwnerTimeout is the least time without a sync message of another control node after which the upstreams that it owns are marked
 	// silent. It must be longer than the interval of these messages, which SilentAfter need not be.
 	OwnerTimeout time.Duration
+	// StaleAfter is the time without a sync message of another control node, and LateAfter that without a heartbeat to this node,
+	// after which an upstream may have said something that is not known here.
+	StaleAfter   time.Duration
+	LateAfter    time.Duration
 	ForgetAfter  time.Duration // time without a message after which a record is removed
 	EntryTimeout time.Duration // time without a report after which an entry node is not returned to callers
 	// OwnerGrace is added to EntryTimeout for entry nodes that report to another control node. If that node fails, they need
@@ -150,6 +156,7 @@
 	addresses      map[string]string // ID of the upstream that has the address
 	removedVersion uint64            // highest version of any removed record
 	peers          map[string]*peerState
+	stale          staleState
 }
 
 // New returns an empty registry.
--- a/internal/gate/roster/share.go
+++ b/internal/gate/roster/share.go
@@ -14,19 +14,21 @@
 	Version   uint64     `cbor:"4,keyasint"`           // sender's current version
 	Upstreams []Upstream `cbor:"5,keyasint,omitempty"` // Silent: the sender no longer hears the upstream
 	Entries   []Entry    `cbor:"6,keyasint,omitempty"`
+	Late      []string   `cbor:"7,keyasint,omitempty"` // ids of owned upstreams whose heartbeat is late
 }
 
 // peerState tracks the sync messages of another control node.
 type peerState struct {
 	epoch      uint64
-	version    uint64    // up to which its changes have been received
-	lastSync   time.Time // time of its last sync message
-	incomplete bool      // a sync message was lost; further ones renew nothing until a full sync
+	version    uint64          // up to which its changes have been received
+	lastSync   time.Time       // time of its last sync message
+	incomplete bool            // a sync message was lost; further ones renew nothing until a full sync
+	late       map[string]bool // ids of its upstreams whose heartbeat is late, by its last sync message
 }
 
 // SyncSince returns the changes after a version of the records that this node owns.
 func (reg *Registry) SyncSince(now time.Time, since uint64) SyncMessage {
-	s := SyncMessage{From: reg.cfg.Self, Epoch: reg.cfg.Epoch, Since: since, Version: reg.version}
+	s := SyncMessage{From: reg.cfg.Self, Epoch: reg.cfg.Epoch, Since: since, Version: reg.version, Late: reg.lateIDs(now)}
 	included := func(o *recordMeta) bool { return o.owner == reg.cfg.Self && o.syncVersion > since }
 	for _, r := range reg.upstreams {
 		if included(&r.recordMeta) {
@@ -65,11 +67,19 @@
 	}
 	reg.Merge(now, s.From, Batch{s.Upstreams, s.Entries})
 	if !p.incomplete {
-		p.version, p.lastSync = max(p.version, s.Version), now
+		p.version, p.lastSync, p.late = max(p.version, s.Version), now, idSet(s.Late)
 	}
 	return p.incomplete
 }
 
+func idSet(ids []string) map[string]bool {
+	out := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		out[id] = true
+	}
+	return out
+}
+
 // releaseRecords clears the owner of all records of a node that restarted or sends a full sync. They age until they are heard
 // again.
 func (reg *Registry) releaseRecords(from string) {
--- a/internal/node/gwnode/evacuation_test.go
+++ b/internal/node/gwnode/evacuation_test.go
@@ -245,19 +245,27 @@
 	assert.Equal(t, requests.Load(), before)
 }
 
-// cutOffFollower cuts one of control nodes 1 to 3 that is no leader off from the others, and returns it, one of the others, and what
-// ends the cut.
-func (f *fleet) cutOffFollower() (behind, other int, join func()) {
+// leader returns the control node of 1 to 3 that leads the group.
+func (f *fleet) leader() (node int) {
 	f.t.Helper()
 	f.eventually("a leader is known", func() bool {
 		for n := 1; n <= 3; n++ {
-			status, _ := f.nodes[n].member.Status()
-			if status.Raft.Role == raft.Follower && status.Raft.Leader != "" {
-				behind = n
+			if status, _ := f.nodes[n].member.Status(); status.Raft.Role == raft.Leader {
+				node = n
 			}
 		}
-		return behind != 0
+		return node != 0
 	})
+	return node
+}
+
+// follower returns a control node of 1 to 3 that does not lead the group.
+func (f *fleet) follower() int { return f.leader()%3 + 1 }
+
+// cutOffFollower cuts a control node that is no leader off from the others, and returns it, one of the others, and what ends the cut.
+func (f *fleet) cutOffFollower() (behind, other int, join func()) {
+	f.t.Helper()
+	behind = f.follower()
 	others := slices.DeleteFunc([]int{1, 2, 3}, func(n int) bool { return n == behind })
 	for _, n := range others {
 		f.links.Cut(f.ip(behind), f.ip(n))
--- a/internal/node/gwnode/gwnode_test.go
+++ b/internal/node/gwnode/gwnode_test.go
@@ -20,6 +20,7 @@
 	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/conf"
 	"github.com/berylledge/berylledge/internal/gate/deny"
+	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/poller"
 	"github.com/berylledge/berylledge/internal/gate/proto"
 	"github.com/berylledge/berylledge/internal/gate/roster"
@@ -45,6 +46,7 @@
 	links *netem.Net           // nil: the nodes reach each other at full speed
 	sizes map[int]Limits       // of nodes that know their size
 	files map[int]string       // settings files that the nodes watch; nil: they watch none
+	cold  pace.Bounds          // of requests to cold upstreams
 }
 
 const (
@@ -88,7 +90,7 @@
 	s := Settings{
 		Node: fmt.Sprint("n", node), IP: f.ip(node), DataCentre: place.DataCentre, Region: place.Region, Regions: f.regions(),
 		PeerPort: peerPort, Metrics: metricsPort, Seeds: f.seeds, FirstStart: first, BeatMS: f.every, Losses: 1,
-		Bounds: Bounds{StopS: f.stopS, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5},
+		Bounds: Bounds{StopS: f.stopS, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, EntryValidS: 5, ColdOverage: f.cold.ColdOverage, ColdSlack: f.cold.ColdSlack},
 		Limits: f.sizes[node],
 	}
 	if node < 11 {
--- a/internal/node/gwnode/links_test.go
+++ b/internal/node/gwnode/links_test.go
@@ -47,6 +47,8 @@
 	f.t.Logf("%s after %s", what, time.Since(began).Round(10*time.Millisecond))
 }
 
+func (f *fleet) sleep(d time.Duration) { _ = clock.Sleep(f.t.Context(), clock.Real(), d) }
+
 // inForce reports whether some nodes handle requests by a version.
 func (f *fleet) inForce(version uint64, nodes ...int) func() bool {
 	return func() bool {
--- a/internal/node/gwnode/metrics.go
+++ b/internal/node/gwnode/metrics.go
@@ -32,6 +32,7 @@
 	upstreams      = "upstreams"
 	suspects       = "suspect_contents"
 	coldUpstreams  = "cold_upstreams"
+	staleUpstreams = "stale_upstreams"
 	evacuated      = "evacuated_data_centres"
 	suspendedNow   = "upstreams_suspended"
 	suspendedTotal = "upstreams_suspended_total"
@@ -75,6 +76,7 @@
 	{Name: upstreams, Type: stats.Gauge, Labels: []string{"state"}, Help: "Registered upstreams by state: 1 ready, 2 leaving, 3 gone."},
 	{Name: suspects, Type: stats.Gauge, Help: "Contents that are watched after a crash of an upstream."},
 	{Name: coldUpstreams, Type: stats.Gauge, Help: "Upstreams that are cold and whose requests are limited, as an entry node sees them."},
+	{Name: staleUpstreams, Type: stats.Gauge, Help: "Upstreams of which an entry node may lack the last report, so that they count as cold where their service states a cold rate."},
 	{Name: evacuated, Type: stats.Gauge, Help: "Evacuated data centres: stored by a control node, in force on an entry node."},
 	{Name: suspendedNow, Type: stats.Gauge, Labels: byCause, Help: "Upstreams to which this node sends nothing after an answer that said so, by cause: leaving, paused."},
 	{Name: suspendedTotal, Type: stats.Counter, Labels: byCause, Help: "Times that this began, by cause."},
@@ -171,6 +173,7 @@
 		page.Set(engineSpeed, s.Most, stats.Tags{"service": s.Service, "region": s.Region, "bound": "most"})
 	}
 	page.Set(coldUpstreams, float64(p.forwarder.ColdUpstreams()), nil)
+	page.Set(staleUpstreams, float64(p.poller.View().StaleUpstreams()), nil)
 	page.Set(evacuated, float64(len(p.poller.View().Evacuations.DataCentres)), nil)
 	for cause, n := range p.batcher.PaceTable().Counts(p.o.Clock.Now()) {
 		page.Set(suspendedNow, float64(n), stats.Tags{"cause": cause.String()})
