Forward only answers that go on with a resumed stream

Callers found the text of an answer in the middle of their stream, which ended as if it were complete: a stream broke off, and the next upstream answered 200 with another content type. One without any event ended the stream as complete after two of four events, and events without ids came twice.

Cause: a run that resumes a stream was judged by its status, signature and request id, and bytes after the last event are part of a run.

Evidence: the stand-ins send different bytes, so that the text is the second upstream's; framing makes no difference (length, chunks), which rules out the reader of answers.

Such a run must now be of the stream's type, bring an event that the caller lacks, and number its events. Else the attempt counts as broken: another upstream is tried while the route has attempts, then the connection is closed. A stream with events without ids is not resumed.

--- a/internal/gate/proxy/sse.go
+++ b/internal/gate/proxy/sse.go
@@ -58,8 +58,25 @@
 	}
 }
 
-// isNewer compares event ids, which are increasing numbers. Ids that are not numbers count as newer.
+// isControl reports whether a complete event holds nothing but comments and the time after which the reader reconnects.
+func isControl(event []byte) bool {
+	for {
+		line, rest, ok := cutLine(event)
+		switch {
+		case !ok:
+			return true
+		case len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")):
+			return false
+		}
+		event = rest
+	}
+}
+
+// isNewer compares event ids, which are increasing numbers. Ids that are not numbers count as newer unless they are equal.
 func isNewer(id, last string) bool {
+	if id == last {
+		return false
+	}
 	a, errA := strconv.ParseInt(id, 10, 64)
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errA != nil || errB != nil || a > b
--- a/internal/gate/proxy/stream.go
+++ b/internal/gate/proxy/stream.go
@@ -21,12 +21,17 @@
 var (
 	errIncomplete    = errors.New("stream ended in the middle of an event")
 	errEventTooLarge = errors.New("stream event is too large")
+	errOtherType     = errors.New("the answer to a resumed stream has another content type than the stream")
+	errNothingNew    = errors.New("the answer to a resumed stream has no event that the caller lacks")
+	errUnnumbered    = errors.New("the answer to a resumed stream has an event without an id")
 )
 
 // forwardStream forwards a request whose response is a stream of server-sent events.
 //
 // Only complete events are forwarded. If the route allows it, a broken stream is then resumed at another
-// upstream after the last complete event. The response keeps the header of the first upstream.
+// upstream after the last complete event. The response keeps the header of the first upstream. A run that resumes a stream must go
+// on with it: an answer of another kind, one that brings nothing new, and one whose events can't be ordered end the attempt like a
+// broken connection.
 func (x *exchange) forwardStream() {
 	s := &eventStream{x: x, lastID: x.r.Header.Get(x.f.o.Dialect.Headers.LastEvent)}
 	for {
@@ -46,7 +51,10 @@
 			s.forwardFailure(resp)
 			return
 		}
-		err := s.copyEvents(resp)
+		err := s.beginRun(resp)
+		if err == nil {
+			err = s.copyEvents(resp)
+		}
 		if err == nil {
 			x.finishAttempt(resp, pick.Succeeded)
 			x.recordSuccess()
@@ -72,6 +80,31 @@
 	firstSent   bool      // the first event was forwarded
 	lastEventAt time.Time // when the last event was forwarded
 	partial     []byte    // bytes of an incomplete event
+	mediaType   string    // of the stream, by the header that the caller has received
+	unnumbered  bool      // an event without an id was forwarded, which a resumed run would repeat
+	resuming    bool      // the present run goes on with an earlier one
+	progressed  bool      // the present run has brought an event that the caller lacked
+	runErr      error     // why the present run can't be used further
+}
+
+// beginRun notes the beginning of a run, and reports an error if it can't go on with what the caller has received.
+func (s *eventStream) beginRun(resp *response) error {
+	s.resuming, s.progressed, s.runErr = s.x.responseStarted, false, nil
+	if !s.resuming {
+		return nil
+	}
+	if t := mediaTypeOf(resp); t != s.mediaType && t != eventStreamType {
+		return errOtherType
+	}
+	return nil
+}
+
+const eventStreamType = "text/event-stream"
+
+// mediaTypeOf returns the content type of a response without its parameters.
+func mediaTypeOf(resp *response) string {
+	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 func (s *eventStream) headers() http.Header {
@@ -104,10 +137,14 @@
 	x.forwardResponse(resp, body, whole)
 }
 
-// prepareResume recomputes the stages' results, which were freed when the first event arrived.
+// prepareResume recomputes the stages' results, which were freed when the first event arrived. A stream without ids is not resumed.
 func (s *eventStream) prepareResume() *refusal {
 	x := s.x
 	s.keep(nil)
+	if s.unnumbered {
+		r := x.gatewayError("the stream broke off, and its events have no ids", 0)
+		return &r
+	}
 	if x.stages == nil || x.stages.plan.Finished() {
 		return nil
 	}
@@ -129,6 +166,8 @@
 			}
 		}
 		switch {
+		case s.runErr != nil:
+			return s.runErr
 		case errors.Is(err, io.EOF):
 			return s.finish(resp)
 		case err != nil:
@@ -144,8 +183,11 @@
 // finish ends the response. Bytes after the last complete event are part of it, unless closing the connection is
 // the only way for the upstream to mark the end: then the stream may be truncated.
 func (s *eventStream) finish(resp *response) error {
-	if resp.Unframed && !isBlank(s.partial) {
+	switch {
+	case resp.Unframed && !isBlank(s.partial):
 		return errIncomplete
+	case s.resuming && !s.progressed:
+		return errNothingNew
 	}
 	s.writeHead(resp)
 	if len(s.partial) > 0 {
@@ -162,6 +204,7 @@
 		return
 	}
 	x.responseStarted = true
+	s.mediaType = mediaTypeOf(resp)
 	x.firstByteAfter = x.f.o.Clock.Now().Sub(x.start)
 	x.copyResponseHeader(resp)
 	x.w.WriteHeader(resp.Status)
@@ -205,7 +248,8 @@
 }
 
 // takeEvents splits data into its complete events and the rest. It removes events that the caller already has and records
-// the id of the last event. Both results are parts of data, which is changed.
+// the id of the last event. In a resumed run it ends with runErr at an event without an id, since the caller may have it. Both
+// results are parts of data, which is changed.
 func (s *eventStream) takeEvents(data []byte) (out, rest []byte) {
 	out = data[:0]
 	for {
@@ -219,8 +263,15 @@
 		if id != "" && s.lastID != "" && !isNewer(id, s.lastID) {
 			continue
 		}
-		if id != "" {
+		switch {
+		case id != "":
 			s.lastID = id
+			s.progressed = true
+		case !isControl(one) && s.resuming:
+			s.runErr = errUnnumbered
+			return out, nil
+		case !isControl(one):
+			s.unnumbered = true
 		}
 		out = append(out, one...)
 	}
