Send a request again over a new connection after a refusal

A caller got a 503, which promises that its request has not run, for a request that had run: its upstream had refused it with a pause, got it again over the kept connection, wrote the refusal once more and ran the request. With a second upstream the request would have run twice.

Cause: the id tells answers to different requests apart, not two answers to one request that is sent twice to the same upstream. That happens after a pause, and after a 409 that makes stages run again.

Evidence: the stand-in notes that the request ran, and forward_retried shows a second not_run of the upstream, which rules out a refusal of this node's own.

Such a request now goes over a new connection; where the service's limit of connections is reached, a kept one is closed for it.

--- a/internal/gate/proxy/exchange.go
+++ b/internal/gate/proxy/exchange.go
@@ -64,6 +64,7 @@
 	firstByteAfter   time.Duration          // from start until the first event, or the response, was sent to the caller
 	longestPause     time.Duration          // longest time between two forwarded events
 	failed           map[string]bool        // upstreams that failed this request
+	refusedBy        map[string]bool        // upstreams that refused this request and may be sent it again
 	buffers          reservation
 	bodyHeld         *memory.Reservation // of body; nil for a small one
 	piecesHeld       *memory.Reservation // of the pieces of stages; nil for few
--- a/internal/gate/proxy/send.go
+++ b/internal/gate/proxy/send.go
@@ -81,7 +81,7 @@
 	head, err := x.f.o.Pool.Send(x.ctx, upcon.Request{
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.upstreamHeader(u, extra),
 		Body: x.body, Trailer: x.r.Trailer, HasBody: x.hasBody(), ID: x.id, Limit: limit,
-		Held: x.bodyHeld,
+		Held: x.bodyHeld, NewConn: x.refusedBy[u.ID],
 	})
 	resp := &response{head, u, start, x.f.o.Clock.Now().Sub(start)}
 	if err != nil {
@@ -186,6 +186,14 @@
 	x.failed[id] = true
 }
 
+// noteRefusal notes that an upstream has refused the request, and may be sent it again.
+func (x *exchange) noteRefusal(id string) {
+	if x.refusedBy == nil {
+		x.refusedBy = map[string]bool{}
+	}
+	x.refusedBy[id] = true
+}
+
 // handleSendError handles an attempt without a usable response.
 func (x *exchange) handleSendError(resp *response, err error) *refusal {
 	x.exclude(resp.upstream.ID)
@@ -231,6 +239,7 @@
 		if resp.Status == http.StatusConflict && x.stages != nil {
 			drainBody(resp)
 			x.finishAttempt(resp, pick.Succeeded)
+			x.noteRefusal(resp.upstream.ID)
 			return nil, x.rerunStages()
 		}
 		result := pick.Full
@@ -256,7 +265,9 @@
 // handleNotRun handles a response that proves that the request did not run.
 func (x *exchange) handleNotRun(resp *response) *refusal {
 	x.refusals++
-	if !x.f.isSuspended(resp.upstream) { // else it may be used again after its pause
+	if x.f.isSuspended(resp.upstream) { // it may be used again after its pause
+		x.noteRefusal(resp.upstream.ID)
+	} else {
 		x.exclude(resp.upstream.ID)
 	}
 	x.f.o.Events.Emit(event.ForwardRetried, event.F("request", x.id), event.F("upstream", resp.upstream.ID),
--- a/internal/wire/upcon/upcon.go
+++ b/internal/wire/upcon/upcon.go
@@ -185,6 +185,8 @@
 	// Hold keeps the connection from other requests until Body is closed, so that an answer whose content shows that it belongs to
 	// another request can be refused with Response.Discard.
 	Hold bool
+	// NewConn lets no kept connection carry the request: one on which it was answered before may bring that answer once more.
+	NewConn bool
 	// Held is the memory of Body, which yields while the upstream does not take it; nil: it does not yield.
 	Held *memory.Reservation
 }
@@ -212,7 +214,7 @@
 // Send sends a request and reads the head of its answer. When ctx ends the connection is closed, also while the body is
 // being read. Errors: *SendError.
 func (p *Pool) Send(ctx context.Context, r Request) (*Response, error) {
-	c, reused, err := p.take(ctx, r.Address, r.Limit)
+	c, reused, err := p.take(ctx, &r)
 	if err != nil {
 		return nil, &SendError{r.Address, NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
 	}
@@ -300,22 +302,47 @@
 }
 
 // take returns a kept connection that is still clean, or a new one.
-func (p *Pool) take(ctx context.Context, address string, limit int) (c *conn, reused bool, err error) {
+func (p *Pool) take(ctx context.Context, r *Request) (c *conn, reused bool, err error) {
+	if r.NewConn {
+		p.makeRoom(r.Address, r.Limit)
+	} else if c = p.takeClean(r.Address); c != nil {
+		return c, true, nil
+	}
+	c, err = p.open(ctx, r.Address, r.Limit)
+	return c, false, err
+}
+
+// makeRoom closes a kept connection if there may be no further one.
+func (p *Pool) makeRoom(address string, limit int) {
+	p.mu.Lock()
+	full := limit > 0 && p.host(address).open >= limit
+	p.mu.Unlock()
+	if !full {
+		return
+	}
+	if c := p.takeIdle(address); c != nil {
+		c.close()
+	}
+}
+
+// takeClean returns a kept connection that is still clean, or nil.
+func (p *Pool) takeClean(address string) *conn {
 	for {
-		c = p.takeIdle(address)
-		if c == nil {
-			break
-		}
-		if p.o.Clock.Now().Before(c.until) && c.clean() {
-			return c, true, nil
+		c := p.takeIdle(address)
+		if c == nil || p.o.Clock.Now().Before(c.until) && c.clean() {
+			return c
 		}
 		c.close()
 	}
+}
+
+// open makes a new connection.
+func (p *Pool) open(ctx context.Context, address string, limit int) (*conn, error) {
 	p.mu.Lock()
 	h := p.host(address)
 	if limit > 0 && h.open >= limit {
 		p.mu.Unlock()
-		return nil, false, ErrAllInUse
+		return nil, ErrAllInUse
 	}
 	h.open++
 	p.dialed++
@@ -325,10 +352,10 @@
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.leave(h)
-		return nil, false, err
+		return nil, err
 	}
 	in := &meter{from: nc, left: unlimited, held: p.o.Account.Reserve(memory.Answer, nil)}
-	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, false, nil
+	return &conn{pool: p, host: h, address: address, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer)}, nil
 }
 
 // leave counts the end of a connection.
--- a/internal/wire/upcon/upcon_test.go
+++ b/internal/wire/upcon/upcon_test.go
@@ -247,3 +247,17 @@
 	assert.Equal(t, string(got.Body), "body")
 	assert.Equal(t, got.Trailer.Get("X-In"), "9")
 }
+
+// Guards against a request that must not use a kept connection and does, or that finds no room because of one.
+func TestNewConnectionOnDemand(t *testing.T) {
+	up := rawup.New(t, func(c *rawup.Conn, r *rawup.Request) { c.WriteString(whole(r.Header.Get("Request-Id"), "ok")) })
+	p := newPool()
+	for i, id := range []string{"a", "b", "c"} {
+		r := request(up.Address, id)
+		r.NewConn, r.Limit = i > 0, 1
+		body, err := send(t, p, r)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		assert.Equal(t, up.Requests()[i].Conn, i+1)
+	}
+}
