Show that no broken head counts as an answer

A report of another operator: an upstream stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole. Calls of stages get four cuts.

--- a/internal/gate/batch/invalid_answers_test.go
+++ b/internal/gate/batch/invalid_answers_test.go
@@ -41,6 +41,10 @@
 		"HTTP/1.0 and chunks":  "HTTP/1.0 200 OK\r\n" + length + "Transfer-Encoding: chunked\r\n\r\n" + body,
 		"part of the length":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)+1, body),
 		"part without length":  "HTTP/1.1 200 OK\r\n\r\n" + body[:len(body)-1],
+		"part of the status":   "HTTP/1.1 20",
+		"part of the head":     "HTTP/1.1 200 OK\r\nContent-Le",
+		"head without its end": "HTTP/1.1 200 OK\r\n" + length + "\r",
+		"interim only":         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
