Take what an entry node knew before a freeze for old at once

An entry node that was frozen for 1.5 to 4 s served what waited in its sockets by the view of the time before, in which an upstream that has turned cold since is warm: its loop marks the view as old up to 50 ms after the first request.

View compares the wall clock with the last answer of a control node, so that it shows all upstreams as stale from the first request on. The two derived views share their code.

--- FAIL: TestViewIsStaleAtOnceAfterAFreeze (0.00s) stale_test.go:64: assertion failed: expression is false: f.state(t).Stale

--- a/internal/gate/poller/freeze.go
+++ b/internal/gate/poller/freeze.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +34,7 @@
 	held    atomic.Pointer[heldView]
 }
 
-// heldView is a view in which all upstreams are draining.
+// heldView is a view that was derived from another one.
 type heldView struct{ base, view *View }
 
 // tick notes a round of the poller's loop.
@@ -78,18 +79,23 @@
 	if h := a.held.Load(); h != nil && h.base == base {
 		return h.view
 	}
-	v := *base
-	v.Services = make(map[string][]roster.Upstream, len(base.Services))
-	for name, list := range base.Services {
-		out := make([]roster.Upstream, len(list))
-		for i, u := range list {
-			u.State = roster.Draining
-			out[i] = u
+	v := base.with(func(u *roster.Upstream) { u.State = roster.Draining })
+	a.held.Store(&heldView{base, v})
+	return v
+}
+
+// with returns a view in which each upstream is changed.
+func (v *View) with(change func(*roster.Upstream)) *View {
+	out := *v
+	out.Services = make(map[string][]roster.Upstream, len(v.Services))
+	for name, list := range v.Services {
+		list = slices.Clone(list)
+		for i := range list {
+			change(&list[i])
 		}
-		v.Services[name] = out
+		out.Services[name] = list
 	}
-	a.held.Store(&heldView{base, &v})
-	return &v
+	return &out
 }
 
 // AwaitCurrent returns at once, or after a time in which the process was frozen as soon as a control node has answered. It waits for
--- a/internal/gate/poller/messages.go
+++ b/internal/gate/poller/messages.go
@@ -191,6 +191,7 @@
 // take takes an answer and reports whether there is more to ask for.
 func (p *Poller) take(now time.Time, s *source, as duty, reply Reply) bool {
 	p.answered = now
+	p.lastAnswer.note(now)
 	if p.lost {
 		p.lost = false
 		p.o.Events.Emit(event.ControlFound, event.F("control", s.address))
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -110,6 +110,9 @@
 	wake   chan struct{}
 	ready  atomic.Bool
 	freeze freezeGuard
+	// lastAnswer tells readers of the view that it is old before the poller's loop has noticed: after a freeze, what waited in the
+	// sockets is served first.
+	lastAnswer answerAge
 
 	mu          sync.Mutex
 	report      int64
@@ -165,6 +168,7 @@
 		news: make(chan struct{}),
 	}
 	p.freeze.enabled = o.HoldAfterFreeze
+	p.lastAnswer.note(p.answered)
 	p.view.Store(&View{Services: map[string][]roster.Upstream{}})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.run)
@@ -177,12 +181,16 @@
 	p.wg.Wait()
 }
 
-// View returns the present knowledge. After a time in which the process was frozen, all upstreams are shown as draining until a
-// control node has answered.
+// View returns the present knowledge. After a time in which the process was frozen, all upstreams are shown as stale, or as draining if it
+// was long, until a control node has answered.
 func (p *Poller) View() *View {
 	v := p.view.Load()
-	if p.freeze.check(p.o.Clock.Now()) {
+	now := p.o.Clock.Now()
+	switch {
+	case p.freeze.check(now):
 		return p.freeze.hold(v)
+	case !v.Uninformed && p.lastAnswer.isOld(now):
+		return p.lastAnswer.outdated(v)
 	}
 	return v
 }
--- a/internal/gate/poller/stale_test.go
+++ b/internal/gate/poller/stale_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/berylledge/berylledge/internal/base/clock"
 	"github.com/berylledge/berylledge/internal/gate/roster"
 )
 
@@ -50,3 +51,18 @@
 	f.tell(late, "b", Reply{})
 	assert.Assert(t, !f.state(t).Stale)
 }
+
+// Guards against what waited in the sockets of a frozen entry node and is served by the view of the time before, until the node's loop has
+// noticed that it is old.
+func TestViewIsStaleAtOnceAfterAFreeze(t *testing.T) {
+	f := newTestPoller()
+	c := clock.NewFake(t0)
+	f.o.Clock = c
+	f.tell(t0, "a", upstream(roster.Ready, 1, false))
+	assert.Assert(t, !f.state(t).Stale)
+	c.Advance(uninformedAfter + time.Millisecond)
+	assert.Assert(t, f.state(t).Stale)
+	assert.Assert(t, f.View().Uninformed)
+	f.tell(c.Now(), "a", Reply{})
+	assert.Assert(t, !f.state(t).Stale)
+}
