Play the shared bound of cold upstreams with stale ones, and refuse orders whose body can't be read

Orders and departures have no body; one that is too large or breaks off now gets 400 in place of 503, after which the sender would try for ever.

--- a/internal/gate/ctlsrv/evacuation.go
+++ b/internal/gate/ctlsrv/evacuation.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/berylledge/berylledge/internal/base/event"
@@ -38,6 +39,8 @@
 	dataCentre := pathvar.Vars(r)[pathParameter(s.o.Dialect.Paths.Evacuation)]
 	status, reason := http.StatusOK, ""
 	switch _, known := s.o.RegionOf[dataCentre]; {
+	case readToEnd(r) != nil:
+		status, reason = http.StatusBadRequest, errBody.Error()
 	case known:
 		change := vdoc.Change{Notice: evac.Notice(dataCentre), Remove: action == actionRevoke}
 		if err := s.changePermanent(r, change); err != nil {
@@ -57,16 +60,15 @@
 	writeText(w, status, reason)
 }
 
-// changePermanent carries out a change while its caller waits.
+// changePermanent carries out a change while its caller waits. The body of the request must have been read.
 func (s *Server) changePermanent(r *http.Request, c vdoc.Change) error {
-	if err := readToEnd(r); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
 	defer cancel()
 	return s.o.Member.ChangePermanent(ctx, c)
 }
 
+var errBody = errors.New("the body can't be read, or is too large")
+
 // readToEnd reads the body of a request. Only then does the context of the request end with its connection.
 func readToEnd(r *http.Request) error {
 	_, err := io.Copy(io.Discard, r.Body)
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -157,6 +157,10 @@
 		writeText(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if readToEnd(r) != nil {
+		writeText(w, http.StatusBadRequest, errBody.Error())
+		return
+	}
 	if !s.isAwaited(r) {
 		writeText(w, http.StatusServiceUnavailable, errSenderLeft.Error())
 		return
--- a/internal/gate/ctlsrv/leave.go
+++ b/internal/gate/ctlsrv/leave.go
@@ -29,11 +29,8 @@
 
 // isAwaited reports whether the sender of a request waits for its answer. A message that names no run of its upstream counts only
 // then: one that a partition held up, or that waited in this process while it was frozen, may come after the upstream has started
-// again under the same id.
+// again under the same id. The body of the request must have been read.
 func (s *Server) isAwaited(r *http.Request) bool {
-	if readToEnd(r) != nil {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), awaitedTimeout)
 	defer cancel()
 	// That the sender has left is noticed some time after its message was read. A read through the leader takes longer; whether it
--- a/internal/gate/pace/cold_again_test.go
+++ b/internal/gate/pace/cold_again_test.go
@@ -12,6 +12,7 @@
 	"github.com/berylledge/berylledge/internal/gate/engine"
 	"github.com/berylledge/berylledge/internal/gate/pace"
 	"github.com/berylledge/berylledge/internal/gate/pick"
+	"github.com/berylledge/berylledge/internal/gate/roster"
 	"github.com/berylledge/berylledge/internal/gate/stage"
 )
 
@@ -85,49 +86,58 @@
 // against those that hold it back after it is heard again.
 func TestSilentUpstreamGetsTheShareOfAColdOne(t *testing.T) {
 	for _, vms := range []int{3, 300} {
-		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
-			s := newStartFleet(vms, 1, 1)
-			service := coldService("desk")
-			view := s.list
-			silent := make([]time.Time, vms) // when each VM learns of it
-			for i := range silent {
-				silent[i] = t0.Add(time.Second + s.between(0, 700*time.Millisecond))
-			}
-			heard := t0.Add(8 * time.Second)
-			names := ids("vm", vms)
-			for k := range 2 {
-				s.after(time.Duration(3+2*k)*time.Second, func() {
-					left := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return k == 0 && n == names[vms/2] })
-					for _, c := range s.choosers {
-						at := s.between(0, 700*time.Millisecond)
-						s.after(at, func() { c.SetNodes(s.now, left) })
-					}
-				})
-			}
-			s.run(10*time.Second, func() {
-				for range 5 {
-					vm := s.rng.IntN(vms)
-					at, here := s.now, slices.Clone(view)
-					here[0].Silent = !at.Before(silent[vm]) && at.Before(heard)
-					s.list = here
-					s.askFor(service, vm)
-				}
-			})
-			var cold, warm []time.Time
-			for _, at := range s.arrivals["u0"] {
-				switch {
-				case !at.Before(t0.Add(1700*time.Millisecond)) && at.Before(heard):
-					cold = append(cold, at)
-				case !at.Before(heard):
-					warm = append(warm, at)
-				}
+		for name, lose := range map[string]func(*roster.Upstream){
+			"silent": func(u *roster.Upstream) { u.Silent = true },
+			"stale":  func(u *roster.Upstream) { u.Stale = true },
+		} {
+			t.Run(fmt.Sprintf("%d VMs, %s", vms, name), func(t *testing.T) { checkLostUpstream(t, vms, lose) })
+		}
+	}
+}
+
+func checkLostUpstream(t *testing.T, vms int, lose func(*roster.Upstream)) {
+	s := newStartFleet(vms, 1, 1)
+	service := coldService("desk")
+	view := s.list
+	silent := make([]time.Time, vms) // when each VM learns of it
+	for i := range silent {
+		silent[i] = t0.Add(time.Second + s.between(0, 700*time.Millisecond))
+	}
+	heard := t0.Add(8 * time.Second)
+	names := ids("vm", vms)
+	for k := range 2 {
+		s.after(time.Duration(3+2*k)*time.Second, func() {
+			left := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return k == 0 && n == names[vms/2] })
+			for _, c := range s.choosers {
+				at := s.between(0, 700*time.Millisecond)
+				s.after(at, func() { c.SetNodes(s.now, left) })
 			}
-			t.Logf("%d while it is silent, at most %d in a second; %d in two seconds after", len(cold), most(cold), len(warm))
-			assert.Assert(t, most(cold) <= boundOf(coldRate), "%d in a second, allowed are %d", most(cold), boundOf(coldRate))
-			assert.Assert(t, len(cold) >= 3*coldRate, "%d requests in six seconds leave it idle", len(cold))
-			assert.Equal(t, len(warm), 2*5*int(time.Second/tick))
 		})
 	}
+	s.run(10*time.Second, func() {
+		for range 5 {
+			vm := s.rng.IntN(vms)
+			at, here := s.now, slices.Clone(view)
+			if !at.Before(silent[vm]) && at.Before(heard) {
+				lose(&here[0])
+			}
+			s.list = here
+			s.askFor(service, vm)
+		}
+	})
+	var cold, warm []time.Time
+	for _, at := range s.arrivals["u0"] {
+		switch {
+		case !at.Before(t0.Add(1700*time.Millisecond)) && at.Before(heard):
+			cold = append(cold, at)
+		case !at.Before(heard):
+			warm = append(warm, at)
+		}
+	}
+	t.Logf("%d while it is silent, at most %d in a second; %d in two seconds after", len(cold), most(cold), len(warm))
+	assert.Assert(t, most(cold) <= boundOf(coldRate), "%d in a second, allowed are %d", most(cold), boundOf(coldRate))
+	assert.Assert(t, len(cold) >= 3*coldRate, "%d requests in six seconds leave it idle", len(cold))
+	assert.Equal(t, len(warm), 2*5*int(time.Second/tick))
 }
 
 // askFor sends a request of a service from a VM.
