Await the close of a late message's connection

An order or DELETE that a cut held up arrives with the close of its connection behind it, up to a round trip later when the cut heals and the sender's kernel sends both again. The read through the leader, after which the connection was looked at, may be quicker than that, and a control node that is alone in its group reads at once.

--- a/internal/gate/ctlsrv/evacuation.go
+++ b/internal/gate/ctlsrv/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 
@@ -39,11 +38,12 @@
 	dataCentre := pathvar.Vars(r)[pathParameter(s.o.Dialect.Paths.Evacuation)]
 	status, reason := http.StatusOK, ""
 	switch _, known := s.o.RegionOf[dataCentre]; {
-	case readToEnd(r) != nil:
-		status, reason = http.StatusBadRequest, errBody.Error()
 	case known:
 		change := vdoc.Change{Notice: evac.Notice(dataCentre), Remove: action == actionRevoke}
-		if err := s.changePermanent(r, change); err != nil {
+		switch err := s.changePermanent(r, change); {
+		case errors.Is(err, errBody):
+			status, reason = http.StatusBadRequest, err.Error()
+		case err != nil:
 			status, reason = http.StatusServiceUnavailable, err.Error()
 		}
 	case proto.ValidateID(dataCentre) != nil:
@@ -60,21 +60,16 @@
 	writeText(w, status, reason)
 }
 
-// changePermanent carries out a change while its caller waits. The body of the request must have been read.
+// changePermanent carries out a change while its caller waits.
 func (s *Server) changePermanent(r *http.Request, c vdoc.Change) error {
+	if err := s.awaitSender(r); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
 	defer cancel()
 	return s.o.Member.ChangePermanent(ctx, c)
 }
 
-var errBody = errors.New("the body can't be read, or is too large")
-
-// readToEnd reads the body of a request. Only then does the context of the request end with its connection.
-func readToEnd(r *http.Request) error {
-	_, err := io.Copy(io.Discard, r.Body)
-	return err
-}
-
 // pathParameter returns the name of the parameter at the end of a route's path.
 func pathParameter(path string) string { return path[strings.LastIndexByte(path, ':')+1:] }
 
--- a/internal/gate/ctlsrv/http.go
+++ b/internal/gate/ctlsrv/http.go
@@ -157,12 +157,12 @@
 		writeText(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if readToEnd(r) != nil {
-		writeText(w, http.StatusBadRequest, errBody.Error())
+	switch err := s.awaitSender(r); {
+	case errors.Is(err, errBody):
+		writeText(w, http.StatusBadRequest, err.Error())
 		return
-	}
-	if !s.isAwaited(r) {
-		writeText(w, http.StatusServiceUnavailable, errSenderLeft.Error())
+	case err != nil:
+		writeText(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	u := s.applyLeave(id)
--- a/internal/gate/ctlsrv/leave.go
+++ b/internal/gate/ctlsrv/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,25 +18,7 @@
 // control nodes, and a control node that was partitioned learns it with the log. The control nodes are also told directly,
 // because an entry node polls one that may apply the log later.
 
-var (
-	errNoMajority = errors.New("a majority of the control nodes could not be notified")
-	errSenderLeft = errors.New("the sender no longer waits for an answer")
-)
-
-// awaitedTimeout bounds the read in isAwaited. With leaveTimeout it stays below the second that upstreams wait.
-const awaitedTimeout = 150 * time.Millisecond
-
-// isAwaited reports whether the sender of a request waits for its answer. A message that names no run of its upstream counts only
-// then: one that a partition held up, or that waited in this process while it was frozen, may come after the upstream has started
-// again under the same id. The body of the request must have been read.
-func (s *Server) isAwaited(r *http.Request) bool {
-	ctx, cancel := context.WithTimeout(r.Context(), awaitedTimeout)
-	defer cancel()
-	// That the sender has left is noticed some time after its message was read. A read through the leader takes longer; whether it
-	// succeeds doesn't matter.
-	_, _ = s.o.Member.Read(ctx)
-	return r.Context().Err() == nil
-}
+var errNoMajority = errors.New("a majority of the control nodes could not be notified")
 
 // leavingMessage is the body of a KindLeaving message.
 type leavingMessage struct {
--- a/internal/state/quorum/quorum.go
+++ b/internal/state/quorum/quorum.go
@@ -225,16 +225,14 @@
 
 // ChangePermanent carries out a change of the permanent notices; once it returns nil, the change survives a restart of all members.
 // After an error it may or may not take effect, but not after a newer change that was acknowledged: what is delivered late is
-// rejected. This holds only if ctx ends when the caller no longer waits for the change, because a caller that has given up may have
-// made a newer one elsewhere. The After of the change is ignored.
+// rejected. This holds only if the caller still waits for the change when ChangePermanent is called, and ctx ends when it no longer
+// does: a caller that has given up may have made a newer one elsewhere. The After of the change is ignored.
 func (m *Member) ChangePermanent(ctx context.Context, c vdoc.Change) error {
 	for {
 		after, err := m.accepted(ctx)
 		if err != nil {
 			return err
 		}
-		// A request that waited in a frozen process is seen to be abandoned only some time after it was read. The read from the
-		// leader takes longer than that.
 		if err := ctx.Err(); err != nil {
 			return err
 		}
