Let the loss of the other voters show after the time of two Shares

A node counts as cut off once it has heard neither the leader for a second nor a majority of the voters for 1.2 s, a Share of each and some delay. Shares now come every 250 ms, so that 600 ms are the same allowance; the second without the leader decides. Heartbeats are refused, and entry nodes turn to another control node, 0.2 s sooner in the worst case.

--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -76,8 +76,8 @@
 	// Times after which a node counts as cut off. Its entry nodes must have reported to another one within entrySilentAfter and
 	// holderGrace of its last Share. If they waited until raft notices that the leader is gone (up to 2 s), that took up to 3.5 s, and
 	// over 4 s if a Share was lost or the machine was busy.
-	leaderLostAfter = time.Second             // five heartbeats of the leader
-	votersLostAfter = 1200 * time.Millisecond // a Share of each node, and some delay
+	leaderLostAfter = time.Second // five heartbeats of the leader
+	votersLostAfter = staleAfter
 )
 
 // maxRecords limits the records in one reply to an entry node. 256 records take about 25 kB.
