--- a/internal/gate/ctlsrv/ctlsrv.go
+++ b/internal/gate/ctlsrv/ctlsrv.go
@@ -20,7 +20,10 @@
 //
 // A configuration is acknowledged once the control group has committed it, or a higher version. So is the departure of
 // an upstream (leave.go), which must also be known to a majority of the group by then, and the order to evacuate a data
-// centre (evacuation.go). Other heartbeats are acknowledged at once.
+// centre (evacuation.go). Other heartbeats are acknowledged at once, unless this node has lost its group: then nobody else would learn
+// what they say, and the upstream has to tell another node as well.
+//
+// Orders and departures by DELETE name no version and no run, so that they count only while their senders wait (sender.go).
 package ctlsrv
 
 import (
--- a/internal/gate/poller/poller.go
+++ b/internal/gate/poller/poller.go
@@ -126,7 +126,7 @@
 	entries     map[string]*knownEntry
 	sources     map[string]*source // by peer address
 	evacuations evac.Set
-	stale       roster.StaleSet                // by the word of the control node that was followed last
+	stale       roster.StaleSet                // as told by the control node that was followed last
 	apart       map[string]roster.SyncPosition // control nodes that the primary does not hear, by address
 	turned      time.Time                      // when a control node was last looked in on
 	answered    time.Time
--- a/internal/gate/poller/schedule.go
+++ b/internal/gate/poller/schedule.go
@@ -45,10 +45,10 @@
 	failed  int       // questions without an answer in a row
 	asking  bool
 	asked   time.Time
-	heard   time.Time // when it last answered
-	crashes uint64    // version of the own notes of crashes that it has
-	blame   uint64    // version of the last Suspects
-	stale   roster.StaleSet
+	heard   time.Time       // when it last answered
+	crashes uint64          // version of the own notes of crashes that it has
+	blame   uint64          // version of the last Suspects
+	stale   roster.StaleSet // as it told last
 }
 
 func (p *Poller) addSource(address string) {
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -25,6 +25,12 @@
 // An upstream's records are ordered by StartedMs, then Sequence: a later start replaces an earlier one with the same ID, and an
 // older heartbeat is ignored. The record of an upstream that left stays as a tombstone, so that a late heartbeat of the same
 // start does not restore it. If two records have the same address, the later start keeps the address and the other becomes Gone.
+//
+// # Stale upstreams
+//
+// A record says what its upstream reported last, as far as this node knows. While the owner can't be reached, or the heartbeat is late, the
+// upstream may have reported something since to a node that can't be reached. UpdateStale determines these upstreams, and Stale returns
+// them for entry nodes, which must not rely on their records.
 package roster
 
 import (
--- a/internal/gate/roster/stale.go
+++ b/internal/gate/roster/stale.go
@@ -37,7 +37,7 @@
 		return
 	}
 	st.unheard, st.scanned = unheard, now
-	ids := reg.staleIDs(now)
+	ids := reg.readyIDs(func(r *upstreamRecord) bool { return reg.isStale(now, r) })
 	if !slices.Equal(ids, st.set.IDs) {
 		st.set = StaleSet{Version: st.set.Version + 1, IDs: ids}
 	}
@@ -56,16 +56,17 @@
 	return out
 }
 
-// hearsPeer reports whether another control node has sent a sync message lately, and none before it was lost.
+// hearsPeer reports whether another control node has sent a sync message lately and all changes before it are known.
 func (reg *Registry) hearsPeer(now time.Time, address string) bool {
 	p := reg.peers[address]
 	return p != nil && now.Sub(p.lastSync) <= reg.cfg.StaleAfter
 }
 
-func (reg *Registry) staleIDs(now time.Time) []string {
+// readyIDs returns the sorted ids of the ready upstreams that fit.
+func (reg *Registry) readyIDs(fits func(*upstreamRecord) bool) []string {
 	var out []string
 	for id, r := range reg.upstreams {
-		if r.State == Ready && reg.isStale(now, r) {
+		if r.State == Ready && fits(r) {
 			out = append(out, id)
 		}
 	}
@@ -90,12 +91,5 @@
 
 // lateIDs returns the upstreams that report to this node and whose heartbeat is late.
 func (reg *Registry) lateIDs(now time.Time) []string {
-	var out []string
-	for id, r := range reg.upstreams {
-		if r.State == Ready && r.owner == reg.cfg.Self && reg.isLate(now, r) {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
+	return reg.readyIDs(func(r *upstreamRecord) bool { return r.owner == reg.cfg.Self && reg.isLate(now, r) })
 }
--- a/internal/state/quorum/quorum.go
+++ b/internal/state/quorum/quorum.go
@@ -14,6 +14,7 @@
 //	reply, ok, err := m.Handle(ctx, kind, body) // from the peer hub
 //	result, err := m.Propose(ctx, document)
 //	doc, err := m.Read(ctx)
+//	err = m.ChangePermanent(ctx, vdoc.Change{Notice: notice})
 //	m.Close()
 package quorum
 
--- a/internal/test/soak/regressions_test.go
+++ b/internal/test/soak/regressions_test.go
@@ -8,4 +8,6 @@
 	length time.Duration
 }
 
-var regressions = []regression{}
+var regressions = []regression{
+	{5021, 10 * time.Second}, // an upstream turned cold while only a control node heard it whose records reached no entry node
+}
